--- /dev/null
+++ b/entrystatus.go
@@ -0,0 +1,78 @@
+package rock
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// EntryState is the life state of an entry.
+type EntryState string
+
+// The states of an entry.
+const (
+	EntryRunning EntryState = "running"
+	EntryLeaving EntryState = "leaving"
+	EntryGone    EntryState = "gone"
+)
+
+// EntryStatus is the status row of an entry: who it is, which configuration it
+// has in force, and what it has in flight on each host that is being drained.
+type EntryStatus struct {
+	member   Member
+	state    EntryState
+	revision Revision
+	at       time.Time
+	inFlight map[string]int
+}
+
+// NewEntryStatus returns a status as of a time. InFlight gives the number of
+// tasks in flight on each host that takes no new work, zeros included.
+func NewEntryStatus(m Member, state EntryState, revision Revision, at time.Time, inFlight map[string]int) EntryStatus {
+	return EntryStatus{member: m, state: state, revision: revision, at: at, inFlight: inFlight}
+}
+
+// Member returns the entry's identity.
+func (s EntryStatus) Member() Member { return s.member }
+
+// State returns the entry's life state.
+func (s EntryStatus) State() EntryState { return s.state }
+
+// Revision returns the revision in force at the entry.
+func (s EntryStatus) Revision() Revision { return s.revision }
+
+// At returns the time at which the status was true.
+func (s EntryStatus) At() time.Time { return s.at }
+
+// InFlight returns the number of tasks in flight on the host, and whether the
+// entry knows that the host takes no new work.
+func (s EntryStatus) InFlight(host string) (int, bool) {
+	n, ok := s.inFlight[host]
+	return n, ok
+}
+
+type entryStatusForm struct {
+	Name        string         `json:"name"`
+	Zone        string         `json:"zone"`
+	Address     string         `json:"address"`
+	Incarnation string         `json:"incarnation"`
+	State       EntryState     `json:"state"`
+	Revision    Revision       `json:"revision"`
+	At          time.Time      `json:"at"`
+	InFlight    map[string]int `json:"in_flight,omitempty"`
+}
+
+// MarshalJSON implements [json.Marshaler].
+func (s EntryStatus) MarshalJSON() ([]byte, error) {
+	m := s.member
+	return json.Marshal(entryStatusForm{m.name, m.zone, m.address, m.incarnation, s.state, s.revision, s.at, s.inFlight})
+}
+
+// UnmarshalJSON implements [json.Unmarshaler].
+func (s *EntryStatus) UnmarshalJSON(data []byte) error {
+	var f entryStatusForm
+	if err := json.Unmarshal(data, &f); err != nil {
+		return err
+	}
+	*s = NewEntryStatus(NewMember(f.Name, f.Zone, f.Address, f.Incarnation), f.State, f.Revision, f.At, f.InFlight)
+	return nil
+}
--- /dev/null
+++ b/key.go
@@ -0,0 +1,61 @@
+package rock
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+)
+
+// maxNameLength is the greatest length of a record's name, in bytes.
+const maxNameLength = 63
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
+
+// Key names a record.
+type Key struct {
+	kind Kind
+	name string
+}
+
+// NewKey returns the key of the record of that kind and name.
+func NewKey(kind Kind, name string) Key { return Key{kind: kind, name: name} }
+
+// ParseKey parses "kind/name".
+func ParseKey(s string) (Key, error) {
+	kind, name, ok := strings.Cut(s, "/")
+	if !ok {
+		return Key{}, fmt.Errorf("parse key %q: want kind/name", s)
+	}
+	k := NewKey(Kind(kind), name)
+	return k, k.Check()
+}
+
+// Kind returns the record's kind.
+func (k Key) Kind() Kind { return k.kind }
+
+// Name returns the record's name.
+func (k Key) Name() string { return k.name }
+
+// String returns "kind/name".
+func (k Key) String() string { return string(k.kind) + "/" + k.name }
+
+// Check reports an error if the kind or the name is not allowed.
+func (k Key) Check() error {
+	if !k.kind.Valid() {
+		return fmt.Errorf("unknown kind %q: want one of %v", k.kind, Kinds())
+	}
+	return CheckName(k.name)
+}
+
+// CheckName reports an error if name is not allowed: names have 1 to 63
+// characters, a to z, 0 to 9, '.', '_' and '-', and begin and end with a
+// letter or digit.
+func CheckName(name string) error {
+	if len(name) > maxNameLength {
+		return fmt.Errorf("name of %d bytes is too long: want at most %d", len(name), maxNameLength)
+	}
+	if !namePattern.MatchString(name) {
+		return fmt.Errorf("name %q is not allowed: want a-z, 0-9, '.', '_' and '-', beginning and ending with a letter or digit", name)
+	}
+	return nil
+}
--- /dev/null
+++ b/objects.go
@@ -0,0 +1,13 @@
+package rock
+
+import "context"
+
+// Objects is the platform's object store.
+type Objects interface {
+	// Get returns the object; a missing one is a [NotFound] failure.
+	Get(ctx context.Context, name string) ([]byte, error)
+	// Put writes the object whole.
+	Put(ctx context.Context, name string, data []byte) error
+	// Remove deletes the object; a missing one is no error.
+	Remove(ctx context.Context, name string) error
+}
--- /dev/null
+++ b/peer.go
@@ -0,0 +1,19 @@
+package rock
+
+import "context"
+
+// Peer is another entry.
+type Peer interface {
+	// Member returns the peer's identity as last heard.
+	Member() Member
+	// Forward sends a request to the peer and returns its answer. Every error
+	// carries a verdict.
+	Forward(ctx context.Context, r Request) (Answer, error)
+	// Beat sends a heartbeat and returns the peer's.
+	Beat(ctx context.Context, h Heartbeat) (Heartbeat, error)
+	// Changes returns up to limit changes after the revision, in order. A
+	// peer that no longer holds them returns a [NotFound] failure.
+	Changes(ctx context.Context, after Revision, limit int) ([]Change, error)
+	// Snapshot returns all records in force at the peer and their revision.
+	Snapshot(ctx context.Context) (Revision, []Record, error)
+}
--- /dev/null
+++ b/peerserver.go
@@ -0,0 +1,15 @@
+package rock
+
+import "context"
+
+// PeerServer answers the calls that peers make through [Peer].
+type PeerServer interface {
+	// ServeForward runs a request that a peer forwarded.
+	ServeForward(ctx context.Context, r Request) (Answer, error)
+	// ServeBeat takes a peer's heartbeat and returns the own one.
+	ServeBeat(ctx context.Context, h Heartbeat) (Heartbeat, error)
+	// ServeChanges returns up to limit changes after the revision.
+	ServeChanges(ctx context.Context, after Revision, limit int) ([]Change, error)
+	// ServeSnapshot returns all records in force and their revision.
+	ServeSnapshot(ctx context.Context) (Revision, []Record, error)
+}
--- /dev/null
+++ b/write.go
@@ -0,0 +1,17 @@
+package rock
+
+// Write is a write or deletion of a row in a [Transaction].
+type Write struct {
+	key    string
+	value  []byte
+	remove bool
+}
+
+// Key returns the key of the row.
+func (w Write) Key() string { return w.key }
+
+// Value returns the new value.
+func (w Write) Value() []byte { return w.value }
+
+// Remove reports whether the row is deleted.
+func (w Write) Remove() bool { return w.remove }
