--- /dev/null
+++ b/io/probl/write.go
@@ -0,0 +1,71 @@
+package probl
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	rock "bramleyrock"
+)
+
+// VerdictHeader is the HTTP header that carries the verdict of an answer or a
+// refusal.
+const VerdictHeader = "Bramleyrock-Verdict"
+
+const contentType = "application/problem+json"
+
+// statuses gives the HTTP status of each reason; others are 500.
+var statuses = map[rock.Reason]int{
+	rock.BadInput:          http.StatusBadRequest,
+	rock.TooLarge:          http.StatusRequestEntityTooLarge,
+	rock.Unauthenticated:   http.StatusUnauthorized,
+	rock.Forbidden:         http.StatusForbidden,
+	rock.NotFound:          http.StatusNotFound,
+	rock.Conflict:          http.StatusConflict,
+	rock.BudgetExceeded:    http.StatusConflict,
+	rock.Duplicate:         http.StatusConflict,
+	rock.Fenced:            http.StatusConflict,
+	rock.Overloaded:        http.StatusServiceUnavailable,
+	rock.QuotaExceeded:     http.StatusTooManyRequests,
+	rock.NoHost:            http.StatusServiceUnavailable,
+	rock.Leaving:           http.StatusServiceUnavailable,
+	rock.Unavailable:       http.StatusServiceUnavailable,
+	rock.DeadlineExceeded:  http.StatusGatewayTimeout,
+	rock.Unsettled:         http.StatusGatewayTimeout,
+	rock.Cancelled:         http.StatusRequestTimeout,
+	rock.Truncated:         http.StatusBadGateway,
+	rock.WorkFailed:        http.StatusUnprocessableEntity,
+	rock.Quarantined:       http.StatusUnprocessableEntity,
+	rock.Expired:           http.StatusGone,
+	rock.SchemaUnsupported: http.StatusNotAcceptable,
+}
+
+// Status returns the HTTP status that answers a failure for that reason.
+func Status(r rock.Reason) int {
+	if s, ok := statuses[r]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// Write answers w with err as a problem body. It must be called before
+// anything else is written to w.
+func Write(w http.ResponseWriter, err error) {
+	p := FromError(err)
+	body, failed := json.Marshal(p)
+	if failed != nil {
+		p.Current, p.Proposed = nil, nil
+		body, _ = json.Marshal(p)
+	}
+	h := w.Header()
+	h.Set("Content-Type", contentType)
+	h.Set("Cache-Control", "no-store")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(VerdictHeader, string(p.Verdict))
+	if p.RetryAfterMS > 0 {
+		h.Set("Retry-After", strconv.FormatInt((p.RetryAfterMS+999)/1000, 10))
+	}
+	w.WriteHeader(Status(p.Reason))
+	// The client is gone if this fails, and there is nobody left to tell.
+	_, _ = w.Write(body)
+}
