--- /dev/null
+++ b/io/door/door.go
@@ -0,0 +1,121 @@
+package door
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/io/probl"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Door is one HTTP listener of a process.
+type Door struct {
+	name     string
+	address  string
+	limits   Limits
+	handler  http.Handler
+	log      logrus.FieldLogger
+	listener net.Listener
+	server   *http.Server
+	open     atomic.Int64
+}
+
+// New returns a door that is not listening yet.
+func New(s Settings) *Door {
+	d := &Door{
+		name:    s.Name,
+		address: s.Address,
+		limits:  s.Limits.orDefaults(),
+		handler: s.Handler,
+		log:     s.Log,
+	}
+	d.server = &http.Server{
+		Handler:           http.HandlerFunc(d.serve),
+		ReadHeaderTimeout: d.limits.ReadTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    serverHeaderBytes,
+		ConnState:         d.count,
+	}
+	return d
+}
+
+// Listen takes the address.
+func (d *Door) Listen() error {
+	l, err := net.Listen("tcp", d.address)
+	if err != nil {
+		return fmt.Errorf("open %s door on %s: %w", d.name, d.address, err)
+	}
+	d.listener = l
+	return nil
+}
+
+// Address returns the address on which the door listens.
+func (d *Door) Address() string { return d.listener.Addr().String() }
+
+// Serve answers requests until Close is called.
+func (d *Door) Serve(context.Context) error {
+	d.log.WithField("address", d.Address()).Infof("The %s door is open.", d.name)
+	err := d.server.Serve(d.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve %s door: %w", d.name, err)
+}
+
+// Close takes no more connections and waits until the requests in progress
+// are answered or ctx ends; then it cuts those that are left.
+func (d *Door) Close(ctx context.Context) error {
+	if err := d.server.Shutdown(ctx); err != nil {
+		return errors.Join(fmt.Errorf("close %s door: %w", d.name, err), d.server.Close())
+	}
+	return nil
+}
+
+// count keeps the number of open connections.
+func (d *Door) count(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		d.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		d.open.Add(-1)
+	}
+}
+
+// serve checks the limits of the door and hands the request on.
+func (d *Door) serve(w http.ResponseWriter, r *http.Request) {
+	if open := d.open.Load(); open > int64(d.limits.Connections) {
+		w.Header().Set("Connection", "close")
+		probl.Write(w, rock.Fail("connect to", d.name+" door", rock.Overloaded, rock.NotRun).
+			RetryIn(time.Second).
+			Becausef("%d connections are open, at most %d are allowed", open, d.limits.Connections))
+		return
+	}
+	if size := headerSize(r); size > d.limits.HeaderBytes {
+		w.Header().Set("Connection", "close")
+		probl.Write(w, rock.Fail("read", "header", rock.TooLarge, rock.NotRun).
+			Becausef("header has %d bytes, at most %d are allowed", size, d.limits.HeaderBytes))
+		return
+	}
+	if r.ProtoMajor == 1 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(d.limits.ReadTimeout))
+	}
+	d.handler.ServeHTTP(w, r)
+}
+
+// headerSize returns the size of the request line and header, in bytes.
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v)
+		}
+	}
+	return size
+}
--- /dev/null
+++ b/io/door/limits.go
@@ -0,0 +1,41 @@
+package door
+
+import "time"
+
+// The limits that hold when a Limits value leaves them zero.
+const (
+	defaultHeaderBytes = 16 << 10
+	defaultConnections = 4096
+	defaultReadTimeout = 10 * time.Second
+)
+
+// idleTimeout is how long a connection may wait for its next request.
+const idleTimeout = 2 * time.Minute
+
+// serverHeaderBytes is where reading of a header ends. It lies far above the
+// limit of a door, so that a header between the two is answered with a problem.
+const serverHeaderBytes = 1 << 20
+
+// Limits bounds what a door takes. The zero value means the defaults.
+type Limits struct {
+	// HeaderBytes is the greatest size of a request's header, in bytes.
+	HeaderBytes int
+	// Connections is the greatest number of open connections.
+	Connections int
+	// ReadTimeout is the time in which a request must arrive whole.
+	ReadTimeout time.Duration
+}
+
+// orDefaults returns l with defaults in place of zeros.
+func (l Limits) orDefaults() Limits {
+	if l.HeaderBytes == 0 {
+		l.HeaderBytes = defaultHeaderBytes
+	}
+	if l.Connections == 0 {
+		l.Connections = defaultConnections
+	}
+	if l.ReadTimeout == 0 {
+		l.ReadTimeout = defaultReadTimeout
+	}
+	return l
+}
