--- /dev/null
+++ b/io/calls/transport.go
@@ -0,0 +1,49 @@
+package calls
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	dialTimeout     = 2 * time.Second
+	idleTimeout     = 60 * time.Second
+	keepAlive       = 15 * time.Second
+	maxIdle         = 1024
+	defaultPerHost  = 64
+	headerBytes     = 64 << 10
+	idlePerHostPart = 4
+)
+
+// Limits bound the connections of a transport.
+type Limits struct {
+	// PerHost is the greatest number of connections to one address; 0 means
+	// 64. A request waits for a free one.
+	PerHost int
+	// Fresh is true if each request gets a new connection.
+	Fresh bool
+	// DialTimeout bounds the time to connect; 0 means two seconds.
+	DialTimeout time.Duration
+}
+
+// NewTransport returns a transport that uses no proxy and follows the limits.
+func NewTransport(l Limits) *http.Transport {
+	if l.PerHost == 0 {
+		l.PerHost = defaultPerHost
+	}
+	if l.DialTimeout == 0 {
+		l.DialTimeout = dialTimeout
+	}
+	dialer := &net.Dialer{Timeout: l.DialTimeout, KeepAlive: keepAlive}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxConnsPerHost:        l.PerHost,
+		MaxIdleConnsPerHost:    max(1, l.PerHost/idlePerHostPart),
+		MaxIdleConns:           maxIdle,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: headerBytes,
+		DisableKeepAlives:      l.Fresh,
+		DisableCompression:     true,
+	}
+}
--- /dev/null
+++ b/io/plat/client.go
@@ -0,0 +1,108 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	rock "bramleyrock"
+	"bramleyrock/io/calls"
+	"bramleyrock/io/probl"
+
+	"github.com/dghubble/sling"
+)
+
+// maxAnswer is the greatest size of an answer of the platform, in bytes.
+const maxAnswer = 256 << 20
+
+// Client is a client of the platform. It implements [rock.Table],
+// [rock.Objects] and [rock.HostList], and is safe for concurrent use.
+type Client struct {
+	settings Settings
+	base     *sling.Sling
+}
+
+// New returns a client, or an error that names the setting that is wrong.
+func New(s Settings) (*Client, error) {
+	s, err := s.check()
+	if err != nil {
+		return nil, err
+	}
+	base := sling.New().Base(s.Base)
+	if s.Token != "" {
+		base.Set("Authorization", "Bearer "+s.Token)
+	}
+	return &Client{settings: s, base: base}, nil
+}
+
+// call is one call of the platform.
+type call struct {
+	op      string
+	subject string
+	writes  bool
+	request *sling.Sling
+}
+
+// do makes the call and returns the whole body of its answer.
+func (c *Client) do(ctx context.Context, a call) ([]byte, error) {
+	short, cancel := context.WithTimeout(ctx, c.settings.Timeout)
+	defer cancel()
+	req, err := a.request.Request()
+	if err != nil {
+		return nil, rock.Fail(a.op, a.subject, rock.BadInput, rock.NotRun).Because(err)
+	}
+	resp, sent, err := calls.Do(c.settings.Client, req.WithContext(short))
+	if err != nil {
+		return nil, a.lost(ctx, sent, err)
+	}
+	defer resp.Body.Close()
+	if err := probl.Read(resp); err != nil {
+		return nil, a.refused(err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxAnswer))
+	if err != nil {
+		return nil, a.lost(ctx, true, err)
+	}
+	return body, nil
+}
+
+// get makes a call whose answer is a JSON value.
+func (c *Client) get(ctx context.Context, a call, value any) error {
+	body, err := c.do(ctx, a)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, value); err != nil {
+		return rock.Fail(a.op, a.subject, rock.Truncated, rock.NotRun).Because(fmt.Errorf("decode answer: %w", err))
+	}
+	return nil
+}
+
+// lost returns the failure of a call without an answer.
+func (a call) lost(ctx context.Context, sent bool, err error) error {
+	if sent && a.writes {
+		return rock.Fail(a.op, a.subject, rock.Unsettled, rock.MayHaveRun).Because(err)
+	}
+	reason := rock.Unavailable
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		reason = rock.Cancelled
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = rock.DeadlineExceeded
+	}
+	return rock.Fail(a.op, a.subject, reason, rock.NotRun).Because(err)
+}
+
+// refused returns the failure of a call that was answered with an error.
+func (a call) refused(err error) error {
+	if rock.VerdictOf(err) == rock.NotRun {
+		return err
+	}
+	if a.writes {
+		return rock.Fail(a.op, a.subject, rock.Unsettled, rock.MayHaveRun).Because(err)
+	}
+	return rock.Fail(a.op, a.subject, rock.ReasonOf(err), rock.NotRun).Because(err)
+}
--- /dev/null
+++ b/io/plat/hosts.go
@@ -0,0 +1,45 @@
+package plat
+
+import (
+	"context"
+	"net/url"
+
+	rock "bramleyrock"
+)
+
+// List implements [rock.HostList].
+func (c *Client) List(ctx context.Context) ([]rock.HostStatus, error) {
+	var lines HostLines
+	if err := c.get(ctx, call{"list hosts", "", false, c.base.New().Get("hosts")}, &lines); err != nil {
+		return nil, err
+	}
+	return lines.List(), nil
+}
+
+// Drain implements [rock.HostList].
+func (c *Client) Drain(ctx context.Context, host string) error {
+	return c.post(ctx, "drain", host, nil)
+}
+
+// Undrain implements [rock.HostList].
+func (c *Client) Undrain(ctx context.Context, host string) error {
+	return c.post(ctx, "undrain", host, nil)
+}
+
+// Reboot implements [rock.HostList].
+func (c *Client) Reboot(ctx context.Context, host, id string) error {
+	return c.post(ctx, "reboot", host, RebootCall{id})
+}
+
+// post asks for an action on a host.
+func (c *Client) post(ctx context.Context, action, host string, body any) error {
+	if err := rock.CheckName(host); err != nil {
+		return rock.Fail(action, host, rock.BadInput, rock.NotRun).Because(err)
+	}
+	s := c.base.New().Post("hosts/" + url.PathEscape(host) + "/" + action)
+	if body != nil {
+		s.BodyJSON(body)
+	}
+	_, err := c.do(ctx, call{action, host, true, s})
+	return err
+}
--- /dev/null
+++ b/io/plat/table.go
@@ -0,0 +1,50 @@
+package plat
+
+import (
+	"context"
+	"fmt"
+
+	rock "bramleyrock"
+)
+
+// Read implements [rock.Table].
+func (c *Client) Read(ctx context.Context, keys ...string) ([]rock.Row, error) {
+	var rows Rows
+	a := call{"read", "table", false, c.base.New().Post("table/read").BodyJSON(ReadCall{keys})}
+	if err := c.get(ctx, a, &rows); err != nil {
+		return nil, err
+	}
+	if err := match(keys, rows.Rows); err != nil {
+		return nil, rock.Fail("read", "table", rock.Truncated, rock.NotRun).Because(err)
+	}
+	return rows.List(), nil
+}
+
+// match checks that the rows are those with the keys, in order.
+func match(keys []string, rows []RowLine) error {
+	if len(rows) != len(keys) {
+		return fmt.Errorf("answer holds %d rows, not %d", len(rows), len(keys))
+	}
+	for i, k := range keys {
+		if rows[i].Key != k {
+			return fmt.Errorf("row %d of the answer is %q, not %q", i, rows[i].Key, k)
+		}
+	}
+	return nil
+}
+
+// Scan implements [rock.Table].
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]rock.Row, error) {
+	var rows Rows
+	a := call{"scan", prefix, false, c.base.New().Post("table/scan").BodyJSON(ScanCall{prefix, after, limit})}
+	if err := c.get(ctx, a, &rows); err != nil {
+		return nil, err
+	}
+	return rows.List(), nil
+}
+
+// Commit implements [rock.Table].
+func (c *Client) Commit(ctx context.Context, t rock.Transaction) error {
+	_, err := c.do(ctx, call{"commit", "table", true, c.base.New().Post("table/commit").BodyJSON(FromTransaction(t))})
+	return err
+}
