--- /dev/null
+++ b/io/targ/doc.go
@@ -0,0 +1,37 @@
+// Package targ is the client of targets: it runs tasks on hosts as JSON over
+// HTTP and settles what became of each.
+//
+// The calls of a target are:
+//
+//	POST   /run                     TaskForm -> the answer
+//	POST   /tasks                   TaskForm -> no content
+//	GET    /tasks/{id}                       -> StatusForm, renews the lease
+//	POST   /tasks/{id}/checkpoint            -> StatusForm
+//	DELETE /tasks/{id}                       -> no content
+//	GET    /usage                            -> UsageForm
+//
+// A target starts a task id at most once: POST /run or POST /tasks with the id
+// of a task that it knows joins that task, so that a call may be repeated on
+// another connection. It refuses a task whose deadline has passed. A refusal
+// is a problem body, see [bramleyrock/io/probl], whose verdict tells whether
+// the task was started.
+//
+// An answer carries the task id in the header Bramleyrock-Task and a digest in
+// the header Content-Digest (RFC 9530). The client takes an answer only if it
+// has its whole length, the digest of its bytes and the id of its task. An
+// answer that is lost, cut short or another task's is fetched again by task
+// id on a new connection.
+//
+// While an answer is outstanding the client asks for the task's status on new
+// connections. Work may so take as long as it needs, while a connection that
+// has gone silent is found and replaced: an ended task's answer is fetched, and
+// a task that the target does not know is sent again under the same id.
+//
+// # Usage
+//
+//	c := targ.New(targ.Settings{})
+//	answer, err := c.Run(ctx, host, task)
+//	if rock.VerdictOf(err) == rock.NotRun {
+//		// The host has not started the task.
+//	}
+package targ
