--- /dev/null
+++ b/io/client/request.go
@@ -0,0 +1,42 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/url"
+
+	rock "bramleyrock"
+)
+
+// Request is a request to a pool, as a caller sends it.
+type Request struct {
+	// Payload is the JSON value for the target.
+	Payload json.RawMessage `json:"payload"`
+	// TimeoutMS is how long the caller waits, in milliseconds.
+	TimeoutMS int64 `json:"timeout_ms,omitempty"`
+	// Class is the queueing class; "" means normal.
+	Class rock.Class `json:"class,omitempty"`
+	// Idempotent is true if running the request twice is harmless.
+	Idempotent bool `json:"idempotent,omitempty"`
+	// IdempotencyKey joins retries of one request.
+	IdempotencyKey string `json:"idempotency_key,omitempty"`
+}
+
+// Answer is the whole answer to a request.
+type Answer struct {
+	// RequestID is the id that the entry gave to the request.
+	RequestID string `json:"request_id"`
+	// Verdict is always "ran".
+	Verdict rock.Verdict `json:"verdict"`
+	// Host is the host that ran the request.
+	Host string `json:"host"`
+	// Payload is the target's JSON value.
+	Payload json.RawMessage `json:"payload"`
+}
+
+// Call sends a request to the pool and returns its whole answer.
+func (c *Client) Call(ctx context.Context, pool string, r Request) (Answer, error) {
+	var a Answer
+	err := c.post(ctx, "/v1/pools/"+url.PathEscape(pool)+"/requests", r, &a)
+	return a, err
+}
--- a/io/conf/types.go
+++ b/io/conf/types.go
@@ -148,3 +148,11 @@
 	}
 	return err
 }
+
+// Token adds a text setting that may be empty and whose value is never
+// printed.
+func (s *Set) Token(name, usage string) *string {
+	value := s.String(name, "", usage, "", nil)
+	s.settings[len(s.settings)-1].secret = true
+	return value
+}
