--- /dev/null
+++ b/core/trace/fields.go
@@ -0,0 +1,106 @@
+package trace
+
+import (
+	"fmt"
+	"strings"
+)
+
+// needs gives the fields that an event of each kind must have, besides its
+// time.
+var needs = map[Kind][]string{
+	Arrived:        {"entry", "request_id", "pool"},
+	Admitted:       {"entry", "request_id"},
+	Forwarded:      {"entry", "peer", "request_id"},
+	Sent:           {"entry", "request_id", "task_id", "host"},
+	Started:        {"host", "task_id", "pool"},
+	Checkpointed:   {"host", "task_id"},
+	Ended:          {"host", "task_id", "state"},
+	Answered:       {"request_id", "digest"},
+	Refused:        {"request_id", "verdict", "reason"},
+	Cancelled:      {"request_id"},
+	Cut:            {"request_id"},
+	EntryStarted:   {"entry"},
+	EntryLeaving:   {"entry"},
+	EntryStopped:   {"entry"},
+	EntryLost:      {"entry"},
+	EntryCut:       {"entry"},
+	EntryHealed:    {"entry"},
+	ChangeAccepted: {"revision"},
+	ChangeInForce:  {"entry", "revision"},
+	HostAdded:      {"host", "pool"},
+	HostClosed:     {"host"},
+	HostOpened:     {"host"},
+	HostLost:       {"host"},
+	HostBack:       {"host"},
+	HostRebooted:   {"host"},
+	BudgetSet:      {"pool"},
+	MoveState:      {"move", "host", "state"},
+	WaveState:      {"wave", "state"},
+	LeaseTaken:     {"duty", "epoch", "holder"},
+	LeaseReleased:  {"duty", "epoch", "holder"},
+	DutyActed:      {"duty", "epoch", "holder"},
+	SurgeStarted:   {"pool"},
+	SurgeEnded:     {"pool"},
+	Baseline:       {"pool"},
+	Fault:          {"note"},
+}
+
+// set returns which of the fields that an event may need are set.
+func (e Event) set() map[string]bool {
+	return map[string]bool{
+		"entry":      e.Entry != "",
+		"peer":       e.Peer != "",
+		"request_id": e.RequestID != "",
+		"task_id":    e.TaskID != "",
+		"pool":       e.Pool != "",
+		"host":       e.Host != "",
+		"state":      e.State != "",
+		"digest":     e.Digest != "",
+		"verdict":    e.Verdict != "",
+		"reason":     e.Reason != "",
+		"revision":   e.Revision != 0,
+		"duty":       e.Duty != "",
+		"epoch":      e.Epoch != 0,
+		"holder":     e.Holder != "",
+		"move":       e.Move != "",
+		"wave":       e.Wave != "",
+		"note":       e.Note != "",
+	}
+}
+
+// Check reports an error if the event's kind is unknown, its time is missing,
+// a field that its kind needs is missing, or a value is not allowed.
+func (e Event) Check() error {
+	fields, known := needs[e.Kind]
+	if !known {
+		return fmt.Errorf("event %q is not known", e.Kind)
+	}
+	if e.At.IsZero() {
+		return fmt.Errorf("event %q: at is missing", e.Kind)
+	}
+	set := e.set()
+	var missing []string
+	for _, f := range fields {
+		if !set[f] {
+			missing = append(missing, f)
+		}
+	}
+	if len(missing) > 0 {
+		return fmt.Errorf("event %q: %s missing", e.Kind, strings.Join(missing, ", "))
+	}
+	return e.checkValues()
+}
+
+// checkValues reports an error if a value is not allowed.
+func (e Event) checkValues() error {
+	if e.Verdict != "" && !e.Verdict.Valid() {
+		return fmt.Errorf("event %q: verdict %q: want not_run, may_have_run or ran", e.Kind, e.Verdict)
+	}
+	if e.Class != "" && !e.Class.Valid() {
+		return fmt.Errorf("event %q: class %q: want urgent or normal", e.Kind, e.Class)
+	}
+	if e.MinAvailable < 0 || e.DelayMS < 0 || e.Rate < 0 {
+		return fmt.Errorf("event %q: negative number: want 0 or more", e.Kind)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/trace/log.go
@@ -0,0 +1,65 @@
+package trace
+
+import (
+	"io"
+	"slices"
+	"sync"
+)
+
+// Log collects events in memory. The zero value is empty and ready to use, a
+// nil Log drops all events, and both are safe for concurrent use.
+type Log struct {
+	mu     sync.Mutex
+	events []Event
+}
+
+// Add adds events.
+func (l *Log) Add(events ...Event) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.events = append(l.events, events...)
+}
+
+// Events returns the events in order of time; those of the same time keep the
+// order in which they were added. They are numbered like the lines that
+// [Log.WriteTrace] writes.
+func (l *Log) Events() []Event {
+	if l == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return number(sorted(l.events))
+}
+
+// WriteTrace writes the events as a trace.
+func (l *Log) WriteTrace(w io.Writer, h Header) error {
+	t, err := NewWriter(w, h)
+	if err != nil {
+		return err
+	}
+	for _, e := range l.Events() {
+		if err := t.Write(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sorted returns the events in order of time.
+func sorted(events []Event) []Event {
+	s := slices.Clone(events)
+	slices.SortStableFunc(s, func(a, b Event) int { return a.At.Compare(b.At) })
+	return s
+}
+
+// number numbers the events as the lines after a header.
+func number(events []Event) []Event {
+	for i := range events {
+		events[i].line = i + 2
+	}
+	return events
+}
