--- a/io/fakes/work/run.go
+++ b/io/fakes/work/run.go
@@ -24,4 +24,7 @@
 	End time.Time `json:"end,omitzero"`
 	// State is the state of the task.
 	State rock.TaskState `json:"state"`
+	// Digest is the digest of the answer, as sha256:<hex>, if the task is
+	// done.
+	Digest string `json:"digest,omitempty"`
 }
--- a/io/fakes/work/worker.go
+++ b/io/fakes/work/worker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/trace"
 )
 
 // Worker is one target in memory. It is safe for concurrent use.
@@ -195,6 +196,9 @@
 	w.ended = append(w.ended, id)
 	w.runs[t.run].End = at
 	w.runs[t.run].State = state
+	if state == rock.TaskDone {
+		w.runs[t.run].Digest = trace.Digest(t.payload.answer())
+	}
 	w.noteLoad(at)
 }
 
