--- a/core/trace/trace_test.go
+++ b/core/trace/trace_test.go
@@ -114,3 +114,23 @@
 	cut := trace.Event{At: events[0].At, Kind: trace.EntryCut, Entry: "e1"}
 	assert.Equal(t, len(trace.Check(append(events, cut), trace.Outcomes())), 0)
 }
+
+// TestRecordedTraces judges traces that were recorded from runs, see their
+// headers.
+func TestRecordedTraces(t *testing.T) {
+	tests := map[string]struct{ broken string }{
+		"out_of_order_checked": {""},
+		"out_of_order_plain":   {"whole_answers"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h, events := load(t, filepath.Join("recorded", name))
+			assert.Equal(t, h.Name, name)
+			found := trace.Check(events, trace.Outcomes())
+			assert.Equal(t, len(found) > 0, test.broken != "")
+			for _, v := range found {
+				assert.Equal(t, v.Outcome(), test.broken)
+			}
+		})
+	}
+}
--- a/io/fakes/work/fleet.go
+++ b/io/fakes/work/fleet.go
@@ -59,7 +59,8 @@
 	return w, nil
 }
 
-// Run implements [rock.Target].
+// Run implements [rock.Target]. A task whose caller gives up is cancelled,
+// unless the worker is silent.
 func (f *Fleet) Run(ctx context.Context, host rock.Host, t rock.Task) (rock.Answer, error) {
 	w, err := f.reach("run", host)
 	if err != nil {
@@ -75,6 +76,9 @@
 	}
 	defer func() { w.release(s.Now(), t.ID()) }()
 	if err := w.await(ctx, t.ID(), hit); err != nil {
+		if !hit.Silent && !hit.LostTrack {
+			w.stop(s.Now(), t.ID())
+		}
 		return rock.Answer{}, failContext("run", host.Name(), rock.MayHaveRun, err)
 	}
 	return w.collect(s.Now(), t.ID(), hit)
@@ -162,8 +166,8 @@
 	if err != nil {
 		return err
 	}
-	w.cancel(w.settings.Now(), id)
-	return nil
+	_, err = w.cancel(w.settings.Now(), id)
+	return err
 }
 
 // Usage implements [rock.Target].
--- a/io/fakes/work/handler.go
+++ b/io/fakes/work/handler.go
@@ -24,7 +24,8 @@
 	m.HandleFunc("POST /tasks", w.serveStart)
 	m.HandleFunc("GET /tasks/{id}", w.serveTask(w.status))
 	m.HandleFunc("POST /tasks/{id}/checkpoint", w.serveTask(w.saveState))
-	m.HandleFunc("DELETE /tasks/{id}", w.serveCancel)
+	m.HandleFunc("POST /tasks/{id}/revoke", w.serveTask(w.revoke))
+	m.HandleFunc("DELETE /tasks/{id}", w.serveTask(w.cancel))
 	m.HandleFunc("GET /usage", func(rw http.ResponseWriter, r *http.Request) {
 		if w.awake(r.Context()) {
 			write(rw, "", targ.FromUsage(w.Usage(w.settings.Now())))
@@ -176,13 +177,3 @@
 		write(rw, id, targ.FromStatus(status))
 	}
 }
-
-// serveCancel stops a task.
-func (w *Worker) serveCancel(rw http.ResponseWriter, r *http.Request) {
-	if !w.awake(r.Context()) {
-		return
-	}
-	id := r.PathValue("id")
-	w.cancel(w.settings.Now(), id)
-	write(rw, id, struct{}{})
-}
--- a/io/fakes/work/task.go
+++ b/io/fakes/work/task.go
@@ -20,6 +20,12 @@
 	checkpoint json.RawMessage
 }
 
+// revocation is a task that will not be started, and since when that is so.
+type revocation struct {
+	id string
+	at time.Time
+}
+
 // endsAt returns when the work is done, or when the lease lapses if that comes
 // first, and the state in which the task ends then.
 func (t *task) endsAt() (time.Time, rock.TaskState) {
--- a/io/fakes/work/tasks.go
+++ b/io/fakes/work/tasks.go
@@ -36,8 +36,30 @@
 	return t.status(id, now), nil
 }
 
-// cancel stops a task and frees its slot. An unknown task is no error.
-func (w *Worker) cancel(now time.Time, id string) {
+// revoke makes sure that a task is not started from now on, and returns the
+// report on it.
+func (w *Worker) revoke(now time.Time, id string) (rock.TaskStatus, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settle(now)
+	if t, ok := w.tasks[id]; ok {
+		return t.status(id, now), nil
+	}
+	if !w.revoked[id] {
+		w.revoked[id] = true
+		w.revocation = append(w.revocation, revocation{id, now})
+	}
+	return rock.NewTaskStatus(id, rock.TaskUnknown, 0, nil, nil), nil
+}
+
+// cancel stops a task and frees its slot, or revokes it if it was not started.
+func (w *Worker) cancel(now time.Time, id string) (rock.TaskStatus, error) {
+	w.stop(now, id)
+	return w.revoke(now, id)
+}
+
+// stop ends a running task.
+func (w *Worker) stop(now time.Time, id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.settle(now)
--- a/io/fakes/work/worker.go
+++ b/io/fakes/work/worker.go
@@ -21,6 +21,8 @@
 	tasks      map[string]*task
 	running    map[string]*task
 	ended      []string
+	revoked    map[string]bool
+	revocation []revocation
 	runs       []Run
 	pool       string
 	generation uint64
@@ -34,6 +36,7 @@
 		random:   rand.New(rand.NewPCG(s.Seed, 0)),
 		tasks:    map[string]*task{},
 		running:  map[string]*task{},
+		revoked:  map[string]bool{},
 	}
 }
 
@@ -152,6 +155,9 @@
 	if t.ID() == "" {
 		return refuse(rock.BadInput).Becausef("task id is missing")
 	}
+	if w.revoked[t.ID()] {
+		return refuse(rock.Cancelled).Becausef("task was revoked")
+	}
 	if f.Refuse {
 		return refuse(rock.Unavailable).Becausef("target refuses work")
 	}
@@ -186,6 +192,10 @@
 		delete(w.tasks, w.ended[0])
 		w.ended = w.ended[1:]
 	}
+	for len(w.revocation) > 0 && now.Sub(w.revocation[0].at) > w.settings.Retain {
+		delete(w.revoked, w.revocation[0].id)
+		w.revocation = w.revocation[1:]
+	}
 }
 
 // end ends a running task. The caller holds the lock.
--- a/io/targ/client.go
+++ b/io/targ/client.go
@@ -8,6 +8,8 @@
 	"net/url"
 
 	rock "bramleyrock"
+	"bramleyrock/core/group"
+	"bramleyrock/core/ring"
 )
 
 // Client is a client of targets. It implements [rock.Target] and is safe for
@@ -16,16 +18,34 @@
 	settings Settings
 	kept     *http.Client
 	fresh    *http.Client
+	duties   *group.Group
+	left     *ring.Ring[leftTask]
 }
 
-// New returns a client.
+// New returns a client. It must be closed.
 func New(s Settings) *Client {
 	s = s.withDefaults()
-	return &Client{
+	c := &Client{
 		settings: s,
 		kept:     &http.Client{Transport: s.Kept},
 		fresh:    &http.Client{Transport: s.Fresh},
+		duties:   group.New(context.Background()),
+		left:     ring.New[leftTask](maxLeft),
 	}
+	for range cancelDuties {
+		c.duties.Go("cancel tasks", c.cancelLeft)
+	}
+	return c
+}
+
+// Close ends the client's background work. Tasks that are left to be cancelled
+// end when their leases lapse.
+func (c *Client) Close() {
+	c.duties.Stop()
+	// The duties return no errors.
+	_ = c.duties.Wait()
+	c.kept.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
 }
 
 // Start implements [rock.Target]. A lost answer is settled by asking for the
@@ -61,6 +81,14 @@
 	return a
 }
 
+// revokeCall returns a call that makes sure that the task is not started from
+// now on.
+func revokeCall(host rock.Host, taskID string) call {
+	a := newCall("revoke", host, taskID)
+	a.request.Post("tasks/" + url.PathEscape(taskID) + "/revoke")
+	return a
+}
+
 // Checkpoint implements [rock.Target].
 func (c *Client) Checkpoint(ctx context.Context, host rock.Host, taskID string) (rock.TaskStatus, error) {
 	a := newCall("checkpoint", host, taskID)
--- a/io/targ/run.go
+++ b/io/targ/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -19,6 +20,7 @@
 type report struct {
 	status rock.TaskStatus
 	err    error
+	revoke bool
 }
 
 // run is one task that is being run: the call and the question that are
@@ -33,12 +35,12 @@
 	reports chan report
 	sent    bool
 	misses  int
+	refusal error
 }
 
 // Run implements [rock.Target]. It returns when the whole answer is there,
 // when it is settled that there will be none, or when ctx ends or the task's
-// deadline passes. A task whose answer is given up may go on; it is for the
-// caller to cancel it.
+// deadline passes; then the task is cancelled in the background.
 func (c *Client) Run(ctx context.Context, host rock.Host, task rock.Task) (rock.Answer, error) {
 	if err := c.checkSize("run", host, task); err != nil {
 		return rock.Answer{}, err
@@ -52,6 +54,9 @@
 	defer r.close()
 	r.send(c.kept)
 	end := r.wait(ctx)
+	if ctx.Err() != nil && rock.VerdictOf(end.err) == rock.MayHaveRun {
+		c.left.Put(leftTask{host, task.ID()})
+	}
 	return end.answer, end.err
 }
 
@@ -69,7 +74,7 @@
 			r.reports = nil
 			end = r.judge(ctx, got)
 		case <-ticker.C:
-			r.ask()
+			r.ask(false)
 		case <-r.ended(ctx):
 			end = failed(r.call().lost(ctx, true, ctx.Err()))
 		}
@@ -107,17 +112,22 @@
 }
 
 // ask begins a question about the task on a new connection, unless one is
-// outstanding.
-func (r *run) ask() {
+// outstanding. It may revoke the task.
+func (r *run) ask(revoke bool) {
 	if r.reports != nil {
 		return
 	}
+	a := statusCall(r.host, r.task.ID())
+	if revoke || r.refusal != nil {
+		revoke = true
+		a = revokeCall(r.host, r.task.ID())
+	}
 	reports := make(chan report, 1)
 	r.reports = reports
 	r.duties.Go("ask for task", func(ctx context.Context) error {
 		var f StatusForm
-		err := r.client.askOver(ctx, r.client.fresh, statusCall(r.host, r.task.ID()), &f)
-		reports <- report{f.Status(), err}
+		err := r.client.askOver(ctx, r.client.fresh, a, &f)
+		reports <- report{f.Status(), err, revoke}
 		return nil
 	})
 }
@@ -144,22 +154,24 @@
 	case got.err == nil:
 		return r.answered(got.body)
 	case rock.VerdictOf(got.err) == rock.NotRun:
-		return failed(r.refused(got.err))
+		return r.refused(got.err)
 	case ctx.Err() != nil || !lostAnswer(got.err):
 		return failed(got.err)
 	}
 	r.sent = true
-	r.ask()
+	r.ask(false)
 	return nil
 }
 
-// refused returns the failure of a call that did not start the task. If an
-// earlier call may have started it, it may still have run.
-func (r *run) refused(err error) error {
+// refused judges a call that did not start the task. If an earlier call may
+// still do so, the task is revoked.
+func (r *run) refused(err error) *outcome {
 	if !r.sent {
-		return err
+		return failed(err)
 	}
-	return r.fail(rock.ReasonOf(err)).Because(err)
+	r.refusal = err
+	r.ask(true)
+	return nil
 }
 
 func (r *run) answered(body []byte) *outcome {
@@ -172,12 +184,14 @@
 		return r.missed(ctx, got.err)
 	}
 	r.misses = 0
-	r.sent = true
 	switch got.status.State() {
 	case rock.TaskDone:
 		return r.answered(got.status.Result())
 	case rock.TaskRunning:
+		r.refusal = nil
 		return nil
+	case rock.TaskUnknown:
+		return failed(r.notRun())
 	case rock.TaskCancelled:
 		return failed(r.fail(rock.Expired).Becausef("target stopped the task"))
 	}
@@ -192,17 +206,29 @@
 		return nil
 	}
 	r.misses++
-	if r.misses > r.client.settings.Probes {
-		return failed(r.fail(rock.Unavailable).Because(err))
-	}
-	if rock.ReasonOf(err) == rock.NotFound {
+	lost := rock.ReasonOf(err) == rock.NotFound
+	switch {
+	case r.misses <= r.client.settings.Probes && lost:
 		r.sent = true
 		r.send(r.client.fresh)
-		return nil
+	case r.misses == r.client.settings.Probes+1 && lost:
+		r.ask(true)
+	case r.misses > r.client.settings.Probes:
+		return failed(r.fail(rock.Unavailable).Because(err))
 	}
 	return nil
 }
 
+// notRun returns the failure of a task that was revoked before its start.
+func (r *run) notRun() error {
+	cause := r.refusal
+	reason := rock.ReasonOf(cause)
+	if cause == nil {
+		cause, reason = errors.New("task did not arrive and was revoked"), rock.Unavailable
+	}
+	return rock.Fail("run", r.call().subject(), reason, rock.NotRun).Because(cause)
+}
+
 // fail returns a failure of the run after which the task may have run.
 func (r *run) fail(reason rock.Reason) *rock.Failure {
 	return rock.Fail("run", r.call().subject(), reason, rock.MayHaveRun)
