--- /dev/null
+++ b/core/record/budget.go
@@ -0,0 +1,149 @@
+package record
+
+import (
+	"encoding/json"
+	"errors"
+
+	rock "bramleyrock"
+)
+
+// maxHosts is the greatest count of hosts in a budget or wave.
+const maxHosts = 100_000
+
+// Budget is the content of an availability budget's record.
+//
+// Schema version 1 is {"pool": "tins", "min_available": 8}. Version 2 gives
+// the limit as {"count": 8} or {"share": 0.8} and can limit how many hosts are
+// away in one rack or availability zone at the same time, by
+// "max_away_per_rack" and "max_away_per_zone".
+type Budget struct {
+	pool           string
+	minAvailable   Limit
+	maxAwayPerRack int
+	maxAwayPerZone int
+	extra          Extra
+}
+
+// BudgetSpec holds the parts of a [Budget].
+type BudgetSpec struct {
+	// Pool is the pool that the budget protects.
+	Pool string
+	// MinAvailable is the least number of hosts that are up and not leaving.
+	MinAvailable Limit
+	// MaxAwayPerRack limits the hosts away in one rack; 0 means no limit.
+	MaxAwayPerRack int
+	// MaxAwayPerZone limits the hosts away in one availability zone; 0 means
+	// no limit.
+	MaxAwayPerZone int
+}
+
+// NewBudget returns the budget described by s.
+func NewBudget(s BudgetSpec) Budget {
+	return Budget{
+		pool:           s.Pool,
+		minAvailable:   s.MinAvailable,
+		maxAwayPerRack: s.MaxAwayPerRack,
+		maxAwayPerZone: s.MaxAwayPerZone,
+	}
+}
+
+// Pool returns the pool that the budget protects.
+func (b Budget) Pool() string { return b.pool }
+
+// MinAvailable returns the least number of hosts that are up and not leaving.
+func (b Budget) MinAvailable() Limit { return b.minAvailable }
+
+// MaxAwayPerRack returns how many hosts may be away in one rack; 0 means no
+// limit.
+func (b Budget) MaxAwayPerRack() int { return b.maxAwayPerRack }
+
+// MaxAwayPerZone returns how many hosts may be away in one availability zone;
+// 0 means no limit.
+func (b Budget) MaxAwayPerZone() int { return b.maxAwayPerZone }
+
+// Extra returns the fields that this program does not know.
+func (b Budget) Extra() Extra { return b.extra }
+
+// Kind implements [Body].
+func (b Budget) Kind() rock.Kind { return rock.KindBudget }
+
+// Encode implements [Body].
+func (b Budget) Encode(schema int) (json.RawMessage, error) {
+	if schema == 1 {
+		return b.encodeV1()
+	}
+	limit := object{"count": b.minAvailable.count}
+	if b.minAvailable.share != "" {
+		limit = object{"share": b.minAvailable.share}
+	}
+	data, err := limit.encode(b.minAvailable.extra, []string{"count", "share"})
+	if err != nil {
+		return nil, err
+	}
+	o := object{"pool": b.pool, "min_available": data}
+	if b.maxAwayPerRack > 0 {
+		o["max_away_per_rack"] = b.maxAwayPerRack
+	}
+	if b.maxAwayPerZone > 0 {
+		o["max_away_per_zone"] = b.maxAwayPerZone
+	}
+	return o.encode(b.extra, []string{"pool", "min_available", "max_away_per_rack", "max_away_per_zone"})
+}
+
+func (b Budget) encodeV1() (json.RawMessage, error) {
+	switch {
+	case b.minAvailable.share != "":
+		return nil, errors.New("field min_available.share cannot be expressed")
+	case b.maxAwayPerRack > 0:
+		return nil, errors.New("field max_away_per_rack cannot be expressed")
+	case b.maxAwayPerZone > 0:
+		return nil, errors.New("field max_away_per_zone cannot be expressed")
+	case !b.minAvailable.extra.empty():
+		return nil, errors.New("field min_available." + b.minAvailable.extra.Names()[0] + " cannot be expressed")
+	}
+	o := object{"pool": b.pool, "min_available": b.minAvailable.count}
+	return o.encode(b.extra, []string{"pool", "min_available"})
+}
+
+func decodeBudget(schema int, f *fields) Budget {
+	b := Budget{pool: f.name("pool", "the name of a pool", true)}
+	if schema == 1 {
+		b.minAvailable.count = int(f.count("min_available", 0, maxHosts, true))
+	} else {
+		b.minAvailable = decodeLimit(f)
+		b.maxAwayPerRack = int(f.count("max_away_per_rack", 0, maxHosts, false))
+		b.maxAwayPerZone = int(f.count("max_away_per_zone", 0, maxHosts, false))
+	}
+	b.extra = f.extra()
+	return b
+}
+
+func decodeLimit(f *fields) Limit {
+	const want = `{"count": number of hosts} or {"share": 0 to 1}`
+	raw := f.raw["min_available"]
+	if raw == nil {
+		f.missing("min_available", want)
+		return Limit{}
+	}
+	sub := f.object("min_available")
+	if sub == nil {
+		return Limit{}
+	}
+	share := sub.take("share")
+	if (share == nil) == (sub.raw["count"] == nil) {
+		f.wrong("min_available", raw, want)
+		return Limit{}
+	}
+	l := Limit{}
+	if share == nil {
+		l.count = int(sub.count("count", 0, maxHosts, true))
+	} else {
+		l.share = json.Number(share)
+		if s, ok := l.Share(); !ok || s < 0 || s > 1 {
+			sub.wrong("share", share, "a number from 0 to 1")
+		}
+	}
+	f.join(sub)
+	l.extra = sub.extra()
+	return l
+}
--- /dev/null
+++ b/core/record/codec.go
@@ -0,0 +1,167 @@
+package record
+
+import (
+	"encoding/json"
+
+	rock "bramleyrock"
+)
+
+// maxBody is the greatest size of a body, in bytes.
+const maxBody = 256 << 10
+
+// Codec decodes, converts and encodes records. It stands for what one version
+// of the program knows. The zero value knows all schema versions.
+type Codec struct {
+	limit int
+}
+
+// NewCodec returns a codec that knows the schema versions up to limit only, as
+// an older program does.
+func NewCodec(limit int) Codec { return Codec{limit: limit} }
+
+// Latest returns the greatest schema version of the kind that the codec knows.
+func (c Codec) Latest(kind rock.Kind) int {
+	latest := 1
+	if kind == rock.KindPool || kind == rock.KindBudget {
+		latest = 2
+	}
+	if c.limit > 0 {
+		latest = min(latest, c.limit)
+	}
+	return latest
+}
+
+// Decode returns the typed body of r. A malformed body is a [rock.BadInput]
+// failure that names each wrong field, its value and what is allowed; a schema
+// version that the codec does not know is [rock.SchemaUnsupported].
+func (c Codec) Decode(r rock.Record) (Body, error) {
+	if err := c.checkForm(r); err != nil {
+		return nil, err
+	}
+	f, err := readFields("", r.Body())
+	if err != nil {
+		return nil, badInput(r, err)
+	}
+	b := decodeKind(r.Key().Kind(), r.Schema(), f)
+	if err := f.err(); err != nil {
+		return nil, badInput(r, err)
+	}
+	return b, nil
+}
+
+func (c Codec) checkForm(r rock.Record) error {
+	if err := r.Key().Check(); err != nil {
+		return badInput(r, err)
+	}
+	latest := c.Latest(r.Key().Kind())
+	if r.Schema() < 1 {
+		return rock.Fail("decode", r.Key().String(), rock.BadInput, rock.NotRun).
+			Becausef("field schema_version: got %d: want a whole number from 1 to %d", r.Schema(), latest)
+	}
+	if r.Schema() > latest {
+		return rock.Fail("decode", r.Key().String(), rock.SchemaUnsupported, rock.NotRun).
+			Becausef("field schema_version: got %d: this program knows 1 to %d", r.Schema(), latest)
+	}
+	if len(r.Body()) > maxBody {
+		return rock.Fail("decode", r.Key().String(), rock.TooLarge, rock.NotRun).
+			Becausef("body has %d bytes: want at most %d", len(r.Body()), maxBody)
+	}
+	return nil
+}
+
+func badInput(r rock.Record, cause error) error {
+	return rock.Fail("decode", r.Key().String(), rock.BadInput, rock.NotRun).Because(cause)
+}
+
+func decodeKind(kind rock.Kind, schema int, f *fields) Body {
+	switch kind {
+	case rock.KindOrganisation:
+		return decodeOrganisation(f)
+	case rock.KindPool:
+		return decodePool(schema, f)
+	case rock.KindHost:
+		return decodeHost(f)
+	case rock.KindBudget:
+		return decodeBudget(schema, f)
+	case rock.KindMove:
+		return decodeMove(f)
+	default:
+		return decodeWave(f)
+	}
+}
+
+// Convert returns r in another schema version, without loss: content that the
+// version cannot express is a [rock.SchemaUnsupported] failure.
+func (c Codec) Convert(r rock.Record, schema int) (rock.Record, error) {
+	if latest := c.Latest(r.Key().Kind()); schema < 1 || schema > latest {
+		return rock.Record{}, rock.Fail("convert", r.Key().String(), rock.SchemaUnsupported, rock.NotRun).
+			Becausef("schema_version %d is not known: want 1 to %d", schema, latest)
+	}
+	if r.Schema() == schema {
+		return r, nil
+	}
+	b, err := c.Decode(r)
+	if err != nil {
+		return rock.Record{}, err
+	}
+	data, err := encode(b, r.Key().String(), schema)
+	if err != nil {
+		return rock.Record{}, err
+	}
+	return rock.NewRecord(r.Key(), schema, r.Version(), data), nil
+}
+
+// Canonical returns r in the lowest schema version that expresses its content
+// without loss. This is the form in which records are kept, so that older
+// programs can read all that they are able to express.
+func (c Codec) Canonical(r rock.Record) (rock.Record, error) {
+	for schema := 1; schema < r.Schema(); schema++ {
+		low, err := c.Convert(r, schema)
+		if err == nil {
+			return low, nil
+		}
+		if rock.ReasonOf(err) != rock.SchemaUnsupported {
+			return rock.Record{}, err
+		}
+	}
+	return r, nil
+}
+
+// CheckReplace returns a [rock.SchemaUnsupported] failure if proposed, or a
+// deletion if it is nil, would drop content of current that its author cannot
+// know: current is kept in the lowest schema version that expresses it, so a
+// proposal in a lower one says less.
+func (c Codec) CheckReplace(current rock.Record, proposed *rock.Record) error {
+	fail := rock.Fail("replace", current.Key().String(), rock.SchemaUnsupported, rock.NotRun)
+	if latest := c.Latest(current.Key().Kind()); current.Schema() > latest {
+		return fail.Becausef("the record has schema_version %d and this program knows 1 to %d", current.Schema(), latest)
+	}
+	if proposed != nil && proposed.Schema() < current.Schema() {
+		return fail.Becausef("the record says what only schema_version %d can say, the proposal has schema_version %d",
+			current.Schema(), proposed.Schema())
+	}
+	return nil
+}
+
+// Encode returns the record with that key, version and content, in the lowest
+// schema version that expresses it.
+func Encode(key rock.Key, version uint64, b Body) (rock.Record, error) {
+	var failed error
+	for schema := 1; schema <= (Codec{}).Latest(b.Kind()); schema++ {
+		data, err := encode(b, key.String(), schema)
+		if err == nil {
+			return rock.NewRecord(key, schema, version, data), nil
+		}
+		failed = err
+	}
+	return rock.Record{}, failed
+}
+
+func encode(b Body, subject string, schema int) (json.RawMessage, error) {
+	data, err := b.Encode(schema)
+	if err == nil {
+		return data, nil
+	}
+	return nil, rock.Fail("encode", subject, rock.SchemaUnsupported, rock.NotRun).
+		Becausef("schema_version %d: %w", schema, err)
+}
--- /dev/null
+++ b/core/record/pool.go
@@ -0,0 +1,124 @@
+package record
+
+import (
+	"encoding/json"
+	"errors"
+
+	rock "bramleyrock"
+)
+
+// maxPoolSlots is the greatest limit on the slots of a pool.
+const maxPoolSlots = 1_000_000
+
+// Pool is the content of a pool's record.
+//
+// Schema version 1 is {"organisation": "alpha", "spare": false}. Version 2
+// names the owner as {"owner": {"organisation": "alpha"}} or
+// {"owner": {"shared": true}} and can limit the slots of the pool's hosts by
+// "max_slots".
+type Pool struct {
+	organisation string
+	spare        bool
+	maxSlots     int
+	ownerExtra   Extra
+	extra        Extra
+}
+
+// NewPool returns a pool of the organisation, or a shared one that serves all
+// if the organisation is "". The hosts of a spare pool may be lent.
+func NewPool(organisation string, spare bool) Pool {
+	return Pool{organisation: organisation, spare: spare}
+}
+
+// Organisation returns the organisation that the pool serves, or "" for all.
+func (p Pool) Organisation() string { return p.organisation }
+
+// Spare reports whether the pool's hosts may be lent to other pools.
+func (p Pool) Spare() bool { return p.spare }
+
+// MaxSlots returns the limit on the sum of the slots of the pool's hosts, or 0
+// for none.
+func (p Pool) MaxSlots() int { return p.maxSlots }
+
+// Extra returns the fields that this program does not know.
+func (p Pool) Extra() Extra { return p.extra }
+
+// WithMaxSlots returns a copy of p with that limit on its slots.
+func (p Pool) WithMaxSlots(n int) Pool {
+	p.maxSlots = n
+	return p
+}
+
+// Kind implements [Body].
+func (p Pool) Kind() rock.Kind { return rock.KindPool }
+
+// Encode implements [Body].
+func (p Pool) Encode(schema int) (json.RawMessage, error) {
+	if schema == 1 {
+		return p.encodeV1()
+	}
+	owner := object{"organisation": p.organisation}
+	if p.organisation == "" {
+		owner = object{"shared": true}
+	}
+	data, err := owner.encode(p.ownerExtra, []string{"organisation", "shared"})
+	if err != nil {
+		return nil, err
+	}
+	o := object{"owner": data, "spare": p.spare}
+	if p.maxSlots > 0 {
+		o["max_slots"] = p.maxSlots
+	}
+	return o.encode(p.extra, []string{"owner", "spare", "max_slots"})
+}
+
+func (p Pool) encodeV1() (json.RawMessage, error) {
+	if p.maxSlots > 0 {
+		return nil, errors.New("field max_slots cannot be expressed")
+	}
+	if !p.ownerExtra.empty() {
+		return nil, errors.New("field owner." + p.ownerExtra.Names()[0] + " cannot be expressed")
+	}
+	if p.organisation == "" && !p.spare {
+		return nil, errors.New("a shared pool that is not spare cannot be expressed")
+	}
+	o := object{"spare": p.spare}
+	if p.organisation != "" {
+		o["organisation"] = p.organisation
+	}
+	return o.encode(p.extra, []string{"organisation", "spare"})
+}
+
+func decodePool(schema int, f *fields) Pool {
+	p := Pool{spare: f.flag("spare")}
+	if schema == 1 {
+		p.organisation = f.name("organisation", "the name of an organisation", false)
+		if p.organisation == "" && !p.spare {
+			f.missing("organisation", "the name of an organisation, or spare: true for a pool that serves all")
+		}
+	} else {
+		p.decodeOwner(f)
+		p.maxSlots = int(f.count("max_slots", 0, maxPoolSlots, false))
+	}
+	p.extra = f.extra()
+	return p
+}
+
+func (p *Pool) decodeOwner(f *fields) {
+	const want = `{"organisation": name} or {"shared": true}`
+	if f.raw["owner"] == nil {
+		f.missing("owner", want)
+		return
+	}
+	raw := f.raw["owner"]
+	owner := f.object("owner")
+	if owner == nil {
+		return
+	}
+	p.organisation = owner.name("organisation", "the name of an organisation", false)
+	if shared := owner.flag("shared"); shared == (p.organisation != "") {
+		f.wrong("owner", raw, want)
+	}
+	f.join(owner)
+	p.ownerExtra = owner.extra()
+}
--- /dev/null
+++ b/core/record/token.go
@@ -0,0 +1,66 @@
+package record
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+
+	rock "bramleyrock"
+)
+
+// digestPrefix begins the digest of a token.
+const digestPrefix = "sha256:"
+
+// Token is a bearer token of an organisation: who holds it, the digest of its
+// secret, and what the holder may do.
+type Token struct {
+	name   string
+	digest string
+	role   rock.Role
+	extra  Extra
+}
+
+// NewToken returns a token. The digest is that of [Digest].
+func NewToken(name, digest string, role rock.Role) Token {
+	return Token{name: name, digest: digest, role: role}
+}
+
+// Digest returns the digest of a secret as records hold it: "sha256:" and 64
+// hexadecimal digits.
+func Digest(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return digestPrefix + hex.EncodeToString(sum[:])
+}
+
+// CheckDigest reports whether s has the form of [Digest].
+func CheckDigest(s string) bool {
+	digits, ok := strings.CutPrefix(s, digestPrefix)
+	if !ok || len(digits) != hex.EncodedLen(sha256.Size) || strings.ToLower(digits) != digits {
+		return false
+	}
+	_, err := hex.DecodeString(digits)
+	return err == nil
+}
+
+// Name returns the holder's name, unique within the organisation.
+func (t Token) Name() string { return t.name }
+
+// Digest returns the digest of the secret.
+func (t Token) Digest() string { return t.digest }
+
+// Role returns what the holder may do.
+func (t Token) Role() rock.Role { return t.role }
+
+var tokenFields = []string{"name", "digest", "role"}
+
+func decodeToken(f *fields) Token {
+	t := Token{name: f.name("name", "the holder's name", true)}
+	t.digest = f.text("digest")
+	if !CheckDigest(t.digest) {
+		// The value is not shown: it may be the secret itself.
+		f.mistakes = append(f.mistakes, "field "+f.prefix+"digest: want sha256: and 64 lowercase hexadecimal digits")
+	}
+	t.role = oneOf(f, "role", rock.CallerRole, rock.OperatorRole, rock.ReaderRole)
+	t.extra = f.extra()
+	return t
+}
