--- /dev/null
+++ b/core/feed/checkdelete.go
@@ -0,0 +1,70 @@
+package feed
+
+import (
+	"slices"
+
+	rock "bramleyrock"
+	"bramleyrock/core/record"
+)
+
+// checkDelete refuses to delete a record that others still refer to.
+func (k *checker) checkDelete(key rock.Key) error {
+	switch key.Kind() {
+	case rock.KindOrganisation:
+		return k.refusePools(key)
+	case rock.KindPool:
+		if hosts := k.after.PoolHosts(key.Name(), ""); len(hosts) > 0 {
+			return inUse(key, rock.NewKey(rock.KindHost, hosts[0].Name()))
+		}
+		return k.refuse(key, func(b record.Body) bool { return refersToPool(b, key.Name()) },
+			rock.KindBudget, rock.KindWave, rock.KindMove)
+	case rock.KindHost:
+		if h, ok := k.before.Host(key.Name()); ok && h.Pool() != "" {
+			return wrong(key, "the host is in pool %s: move it out of the pool first", h.Pool())
+		}
+		return k.refuse(key, func(b record.Body) bool { return refersToHost(b, key.Name()) }, rock.KindMove)
+	}
+	return nil
+}
+
+func (k *checker) refusePools(key rock.Key) error {
+	return k.refuse(key, func(b record.Body) bool {
+		p, ok := b.(record.Pool)
+		return ok && p.Organisation() == key.Name()
+	}, rock.KindPool)
+}
+
+// refuse fails if a record of one of the kinds refers to key. A record that
+// this program cannot read might, so it counts.
+func (k *checker) refuse(key rock.Key, refers func(b record.Body) bool, kinds ...rock.Kind) error {
+	for _, kind := range kinds {
+		for _, r := range k.after.Records(kind) {
+			b, err := k.after.settings.Codec.Decode(r)
+			if err != nil || refers(b) {
+				return inUse(key, r.Key())
+			}
+		}
+	}
+	return nil
+}
+
+func inUse(key, by rock.Key) error { return wrong(key, "the record is in use by %v", by) }
+
+func refersToPool(b record.Body, pool string) bool {
+	switch b := b.(type) {
+	case record.Budget:
+		return b.Pool() == pool
+	case record.Move:
+		s := b.Spec()
+		return !s.State.Ended() && (s.From == pool || s.To == pool)
+	case record.Wave:
+		s := b.Spec()
+		return !s.State.Ended() && slices.Contains(s.Pools, pool)
+	}
+	return false
+}
+
+func refersToHost(b record.Body, host string) bool {
+	m, ok := b.(record.Move)
+	return ok && !m.Spec().State.Ended() && m.Spec().Host == host
+}
--- /dev/null
+++ b/core/feed/config.go
@@ -0,0 +1,248 @@
+package feed
+
+import (
+	"crypto/subtle"
+	"fmt"
+	"maps"
+	"slices"
+
+	rock "bramleyrock"
+	"bramleyrock/core/record"
+)
+
+// operatorName is the name of the operator of the whole system in the audit
+// trail.
+const operatorName = "operator"
+
+// Config is a configuration: all records at one revision, with indexes. It
+// never changes and is safe for concurrent use. It implements [rock.Fleet].
+type Config struct {
+	settings  Settings
+	revision  rock.Revision
+	lists     map[rock.Kind]*listing
+	pools     map[string]poolIndex
+	hosts     shards[rock.Host]
+	addresses shards[string]
+	quotas    shards[int]
+	tokens    shards[holder]
+	unread    shards[error]
+}
+
+var _ rock.Fleet = (*Config)(nil)
+
+// Revision implements [rock.Fleet].
+func (c *Config) Revision() rock.Revision { return c.revision }
+
+// Pool implements [rock.Fleet].
+func (c *Config) Pool(name string) (rock.Pool, bool) {
+	p, ok := c.pools[name]
+	if !ok || !p.known {
+		return rock.Pool{}, false
+	}
+	return rock.NewPool(name, p.body.Organisation(), p.body.Spare()), true
+}
+
+// PoolHosts implements [rock.Fleet]. The hosts are in order of name.
+func (c *Config) PoolHosts(pool, zone string) []rock.Host {
+	p := c.pools[pool]
+	if zone == "" {
+		return p.hosts
+	}
+	return p.zones[zone]
+}
+
+// Host implements [rock.Fleet].
+func (c *Config) Host(name string) (rock.Host, bool) { return c.hosts.get(name) }
+
+// Quota implements [rock.Fleet].
+func (c *Config) Quota(organisation string) int {
+	n, _ := c.quotas.get(organisation)
+	return n
+}
+
+// Authenticate implements [rock.Fleet]. Only digests are kept and compared, and
+// the comparison takes the same time for all tokens.
+func (c *Config) Authenticate(token string) (rock.Identity, error) {
+	digest := record.Digest(token)
+	if same(digest, c.settings.BootstrapDigest) {
+		return rock.NewIdentity(operatorName, "", rock.OperatorRole), nil
+	}
+	if h, ok := c.tokens.get(digest); ok && same(digest, h.digest) {
+		return h.identity, nil
+	}
+	return rock.Identity{}, rock.Fail("authenticate", "", rock.Unauthenticated, rock.NotRun).
+		Becausef("the bearer token is missing or unknown")
+}
+
+func same(a, b string) bool { return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1 }
+
+// Record implements [rock.Fleet].
+func (c *Config) Record(key rock.Key) (rock.Record, bool) {
+	l := c.lists[key.Kind()]
+	if l == nil {
+		return rock.Record{}, false
+	}
+	return l.records.get(key.Name())
+}
+
+// Records implements [rock.Fleet].
+func (c *Config) Records(kind rock.Kind) []rock.Record {
+	l := c.lists[kind]
+	if l == nil {
+		return nil
+	}
+	return l.list()
+}
+
+// All returns all records, in order of kind and name.
+func (c *Config) All() []rock.Record {
+	var all []rock.Record
+	for _, k := range rock.Kinds() {
+		all = append(all, c.Records(k)...)
+	}
+	return all
+}
+
+// Unread returns why this program cannot read some records, by key. Such
+// records are kept, but they have no effect here.
+func (c *Config) Unread() map[string]error {
+	all := map[string]error{}
+	c.unread.each(func(key string, err error) { all[key] = err })
+	return all
+}
+
+// Apply returns the configuration after the changes, which must begin at the
+// next revision and fit the records in force.
+func (c *Config) Apply(changes ...rock.Change) (*Config, error) {
+	next := c.clone()
+	for _, ch := range changes {
+		if ch.Revision() != next.revision+1 {
+			return nil, fmt.Errorf("apply change %s: it made revision %d: want %d", ch.ID(), ch.Revision(), next.revision+1)
+		}
+		for _, e := range ch.Edits() {
+			if err := next.apply(e); err != nil {
+				return nil, fmt.Errorf("apply change %s of revision %d: %w", ch.ID(), ch.Revision(), err)
+			}
+		}
+		next.revision = ch.Revision()
+	}
+	return next, nil
+}
+
+func (c *Config) clone() *Config {
+	next := *c
+	next.lists = maps.Clone(c.lists)
+	next.pools = maps.Clone(c.pools)
+	return &next
+}
+
+// apply makes one edit. The configuration must not be in use yet.
+func (c *Config) apply(e rock.Edit) error {
+	if err := e.Key().Check(); err != nil {
+		return err
+	}
+	current, ok := c.Record(e.Key())
+	switch from := e.From(); {
+	case from == nil && ok:
+		return fmt.Errorf("record %v exists already", e.Key())
+	case from != nil && !ok:
+		return fmt.Errorf("record %v does not exist", e.Key())
+	case from != nil && from.Version() != current.Version():
+		return fmt.Errorf("record %v is at version %d, not %d", e.Key(), current.Version(), from.Version())
+	}
+	if !ok {
+		c.set(e.Key(), nil, e.To())
+		return nil
+	}
+	c.set(e.Key(), &current, e.To())
+	return nil
+}
+
+// set replaces a record and mends the indexes.
+func (c *Config) set(key rock.Key, from, to *rock.Record) {
+	l := &listing{}
+	if old := c.lists[key.Kind()]; old != nil {
+		l.records = old.records
+	}
+	if to == nil {
+		l.records = l.records.without(key.Name())
+	} else {
+		l.records = l.records.with(key.Name(), *to)
+	}
+	c.lists[key.Kind()] = l
+	if from != nil {
+		c.unindex(*from)
+	}
+	if to != nil {
+		c.index(*to)
+	}
+}
+
+func (c *Config) unindex(r rock.Record) {
+	c.unread = c.unread.without(r.Key().String())
+	name := r.Key().Name()
+	b, err := c.settings.Codec.Decode(r)
+	if err != nil {
+		return
+	}
+	switch b := b.(type) {
+	case record.Organisation:
+		c.quotas = c.quotas.without(name)
+		for _, t := range b.Tokens() {
+			c.tokens = c.tokens.without(t.Digest())
+		}
+	case record.Pool:
+		p := c.pools[name]
+		p.known = false
+		c.setPool(name, p)
+	case record.Host:
+		h := b.Named(name)
+		c.hosts = c.hosts.without(name)
+		if owner, _ := c.addresses.get(h.Address()); owner == name {
+			c.addresses = c.addresses.without(h.Address())
+		}
+		if h.Pool() != "" {
+			c.setPool(h.Pool(), c.pools[h.Pool()].without(h))
+		}
+	}
+}
+
+func (c *Config) index(r rock.Record) {
+	name := r.Key().Name()
+	b, err := c.settings.Codec.Decode(r)
+	if err != nil {
+		c.unread = c.unread.with(r.Key().String(), err)
+		return
+	}
+	switch b := b.(type) {
+	case record.Organisation:
+		c.quotas = c.quotas.with(name, b.Quota())
+		for _, t := range b.Tokens() {
+			id := rock.NewIdentity(name+"/"+t.Name(), name, t.Role())
+			c.tokens = c.tokens.with(t.Digest(), holder{t.Digest(), id})
+		}
+	case record.Pool:
+		p := c.pools[name]
+		p.body, p.known = b, true
+		c.setPool(name, p)
+	case record.Host:
+		h := b.Named(name)
+		c.hosts = c.hosts.with(name, h)
+		c.addresses = c.addresses.with(h.Address(), name)
+		if h.Pool() != "" {
+			c.setPool(h.Pool(), c.pools[h.Pool()].with(h))
+		}
+	}
+}
+
+// setPool replaces a pool's index, or removes it if nothing is left of it.
+func (c *Config) setPool(name string, p poolIndex) {
+	if !p.known && len(p.hosts) == 0 {
+		delete(c.pools, name)
+		return
+	}
+	c.pools[name] = p
+}
+
+// PoolNames returns the names of the pools, sorted.
+func (c *Config) PoolNames() []string { return slices.Sorted(maps.Keys(c.pools)) }
--- /dev/null
+++ b/core/feed/config_test.go
@@ -0,0 +1,134 @@
+package feed_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	rock "bramleyrock"
+	"bramleyrock/core/feed"
+	"bramleyrock/core/record"
+
+	"gotest.tools/v3/assert"
+)
+
+// describe lists all that a configuration says through its indexes.
+func describe(c *feed.Config) []string {
+	var lines []string
+	for _, r := range c.All() {
+		lines = append(lines, fmt.Sprint(r.Key(), r.Version(), string(r.Body())))
+	}
+	for _, p := range c.PoolNames() {
+		known, ok := c.Pool(p)
+		lines = append(lines, fmt.Sprint(p, known, ok, c.PoolHosts(p, ""), c.PoolHosts(p, "z3")))
+	}
+	return lines
+}
+
+func TestApplyEqualsBuild(t *testing.T) {
+	random := rand.New(rand.NewPCG(4, 2))
+	c, err := feed.Build(7, fleet(60))
+	assert.NilError(t, err)
+	for range 400 {
+		c, err = c.Apply(change(c.Revision()+1, randomEdit(random, c)))
+		assert.NilError(t, err)
+	}
+	built, err := feed.Build(c.Revision(), c.All())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, describe(c), describe(built))
+}
+
+func randomEdit(random *rand.Rand, c *feed.Config) rock.Edit {
+	next := host(random.IntN(80), fmt.Sprintf("p%d", random.IntN(30)), 1)
+	next = new(next.WithVersion(uint64(c.Revision()) + 1))
+	current, ok := c.Record(next.Key())
+	switch {
+	case !ok:
+		return create(next)
+	case random.IntN(4) == 0:
+		return remove(&current)
+	}
+	return replace(&current, next)
+}
+
+func TestApplyTakesTheNextRevisionOnly(t *testing.T) {
+	c, err := feed.Build(7, nil)
+	assert.NilError(t, err)
+	for _, r := range []rock.Revision{6, 7, 9} {
+		_, err = c.Apply(change(r, create(org("alpha", "s"))))
+		assert.ErrorContains(t, err, "want 8")
+	}
+	next, err := c.Apply(change(8, create(org("alpha", "s"))))
+	assert.NilError(t, err)
+	assert.Equal(t, next.Revision(), rock.Revision(8))
+	assert.Equal(t, c.Quota("alpha"), 0)
+	assert.Equal(t, next.Quota("alpha"), 40)
+}
+
+func TestApplyRefusesWhatDoesNotFit(t *testing.T) {
+	c, err := feed.Build(7, []rock.Record{*org("alpha", "s")})
+	assert.NilError(t, err)
+	_, err = c.Apply(change(8, create(org("alpha", "t"))))
+	assert.ErrorContains(t, err, "exists already")
+	_, err = c.Apply(change(8, remove(new(org("alpha", "s").WithVersion(9)))))
+	assert.ErrorContains(t, err, "version 1, not 9")
+	_, err = c.Apply(change(8, remove(org("beta", "s"))))
+	assert.ErrorContains(t, err, "does not exist")
+}
+
+func TestAuthenticate(t *testing.T) {
+	c, err := feed.Settings{BootstrapDigest: record.Digest("root")}.Build(1, fleet(0))
+	assert.NilError(t, err)
+	cases := map[string]struct{ token, name, organisation string }{
+		"caller":   {"secret-7", "o7/line-4", "o7"},
+		"operator": {"root", "operator", ""},
+		"unknown":  {"secret-999", "", ""},
+		"empty":    {"", "", ""},
+		"a digest": {record.Digest("secret-7"), "", ""},
+	}
+	for name, x := range cases {
+		t.Run(name, func(t *testing.T) {
+			id, err := c.Authenticate(x.token)
+			assert.Equal(t, id.Name(), x.name)
+			assert.Equal(t, id.Organisation(), x.organisation)
+			assert.Equal(t, err == nil, x.name != "")
+		})
+	}
+}
+
+func TestUnreadRecordsHaveNoEffect(t *testing.T) {
+	old := feed.Settings{Codec: record.NewCodec(1)}
+	c, err := old.Build(1, []rock.Record{*org("alpha", "s"), *pool("tins", "alpha"), *host(1, "tins", 1)})
+	assert.NilError(t, err)
+	before, _ := c.Record(rock.NewKey(rock.KindPool, "tins"))
+	newer := rec(rock.KindPool, "tins", 2, 2, `{"owner":{"organisation":"alpha"},"max_slots":8}`)
+	c, err = c.Apply(change(2, replace(&before, newer)))
+	assert.NilError(t, err)
+	_, ok := c.Pool("tins")
+	assert.Assert(t, !ok)
+	assert.Equal(t, rock.ReasonOf(c.Unread()["pool/tins"]), rock.SchemaUnsupported)
+	_, err = c.Check([]rock.Edit{create(host(2, "tins", 1))})
+	assert.Equal(t, rock.ReasonOf(err), rock.SchemaUnsupported)
+	kept, ok := c.Record(newer.Key())
+	assert.Assert(t, ok)
+	assert.Equal(t, string(kept.Body()), string(newer.Body()))
+}
+
+// BenchmarkApply shows that the cost of one change does not grow with the
+// fleet.
+func BenchmarkApply(b *testing.B) {
+	for _, n := range []int{50, 500, 5500} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			c, err := feed.Build(1, fleet(n))
+			assert.NilError(b, err)
+			current := host(9, "p9", 1)
+			b.ReportAllocs()
+			for b.Loop() {
+				next := new(current.WithVersion(current.Version() + 1))
+				c, err = c.Apply(change(c.Revision()+1, replace(current, next)))
+				assert.NilError(b, err)
+				current = next
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/feed/listing.go
@@ -0,0 +1,28 @@
+package feed
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	rock "bramleyrock"
+)
+
+// listing holds the records of one kind. They are sorted when somebody asks.
+type listing struct {
+	records shards[rock.Record]
+	once    sync.Once
+	sorted  []rock.Record
+}
+
+// list returns the records in order of name.
+func (l *listing) list() []rock.Record {
+	l.once.Do(func() {
+		l.sorted = make([]rock.Record, 0, l.records.size)
+		l.records.each(func(_ string, r rock.Record) { l.sorted = append(l.sorted, r) })
+		slices.SortFunc(l.sorted, func(a, b rock.Record) int {
+			return cmp.Compare(a.Key().Name(), b.Key().Name())
+		})
+	})
+	return l.sorted
+}
--- /dev/null
+++ b/core/feed/poolindex.go
@@ -0,0 +1,77 @@
+package feed
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	rock "bramleyrock"
+	"bramleyrock/core/record"
+)
+
+// poolIndex is a pool with its hosts. It never changes.
+type poolIndex struct {
+	body  record.Pool
+	known bool
+	hosts []rock.Host
+	zones map[string][]rock.Host
+}
+
+// with returns a copy of p that has the host, in order of name.
+func (p poolIndex) with(h rock.Host) poolIndex {
+	p.hosts = insert(p.hosts, h)
+	p.zones = cloneZones(p.zones)
+	p.zones[h.Zone()] = insert(p.zones[h.Zone()], h)
+	return p
+}
+
+// without returns a copy of p that does not have the host.
+func (p poolIndex) without(h rock.Host) poolIndex {
+	p.hosts = remove(p.hosts, h.Name())
+	p.zones = cloneZones(p.zones)
+	p.zones[h.Zone()] = remove(p.zones[h.Zone()], h.Name())
+	if len(p.zones[h.Zone()]) == 0 {
+		delete(p.zones, h.Zone())
+	}
+	return p
+}
+
+func cloneZones(zones map[string][]rock.Host) map[string][]rock.Host {
+	if zones == nil {
+		return map[string][]rock.Host{}
+	}
+	return maps.Clone(zones)
+}
+
+// slots returns the sum of the hosts' slots.
+func (p poolIndex) slots() int {
+	sum := 0
+	for _, h := range p.hosts {
+		sum += h.Slots()
+	}
+	return sum
+}
+
+func search(hosts []rock.Host, name string) (int, bool) {
+	return slices.BinarySearchFunc(hosts, name, func(h rock.Host, name string) int {
+		return cmp.Compare(h.Name(), name)
+	})
+}
+
+func insert(hosts []rock.Host, h rock.Host) []rock.Host {
+	i, _ := search(hosts, h.Name())
+	next := make([]rock.Host, 0, len(hosts)+1)
+	next = append(next, hosts[:i]...)
+	next = append(next, h)
+	return append(next, hosts[i:]...)
+}
+
+func remove(hosts []rock.Host, name string) []rock.Host {
+	i, ok := search(hosts, name)
+	if !ok {
+		return hosts
+	}
+	next := make([]rock.Host, 0, len(hosts))
+	next = append(next, hosts[:i]...)
+	return append(next, hosts[i+1:]...)
+}
