--- /dev/null
+++ b/core/place/placer.go
@@ -0,0 +1,212 @@
+package place
+
+import (
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// Placer chooses hosts of one availability zone. It implements [rock.Placer]
+// and is not safe for concurrent use.
+type Placer struct {
+	settings Settings
+	fleet    rock.Fleet
+	nodes    map[string]*node
+	groups   map[string]*group
+	closed   []string
+}
+
+// New returns a placer that knows no host yet.
+func New(s Settings) *Placer {
+	if s.Policy == "" {
+		s.Policy = TwoChoices
+	}
+	if s.Hold <= 0 {
+		s.Hold = defaultHold
+	}
+	return &Placer{settings: s, nodes: map[string]*node{}, groups: map[string]*group{}}
+}
+
+// Revision returns the revision of the configuration in use.
+func (p *Placer) Revision() rock.Revision {
+	if p.fleet == nil {
+		return 0
+	}
+	return p.fleet.Revision()
+}
+
+// Update puts a newer configuration in use; an older one is ignored. Tasks in
+// flight stay counted, also on hosts that have left their pool.
+func (p *Placer) Update(now time.Time, fleet rock.Fleet) {
+	if p.fleet != nil && fleet.Revision() <= p.fleet.Revision() {
+		return
+	}
+	p.fleet = fleet
+	old := p.nodes
+	p.nodes = make(map[string]*node, len(old))
+	p.groups = map[string]*group{}
+	p.closed = nil
+	for _, r := range fleet.Records(rock.KindPool) {
+		p.add(now, old, r.Key().Name())
+	}
+	for name, n := range old {
+		if p.nodes[name] == nil && n.inFlight > 0 {
+			n.host = rock.NewHost(rock.HostSpec{Name: name, Zone: p.settings.Zone})
+			n.position = -1
+			p.nodes[name] = n
+		}
+	}
+}
+
+// add takes up the hosts of one pool.
+func (p *Placer) add(now time.Time, old map[string]*node, pool string) {
+	g := &group{}
+	p.groups[pool] = g
+	for _, h := range p.fleet.PoolHosts(pool, p.settings.Zone) {
+		n := &node{host: h, position: -1}
+		if o := old[h.Name()]; o != nil {
+			n.inFlight, n.heldUntil = o.inFlight, o.heldUntil
+		}
+		p.nodes[h.Name()] = n
+		g.nodes = append(g.nodes, n)
+		if !h.Open() {
+			p.closed = append(p.closed, h.Name())
+			continue
+		}
+		g.slots += h.Slots()
+		g.taken += n.inFlight
+		if now.Before(n.heldUntil) {
+			g.held = append(g.held, n)
+		}
+		g.settle(now, n)
+	}
+}
+
+// Choose implements [rock.Placer].
+func (p *Placer) Choose(now time.Time, pool string, avoid []string) (rock.Host, error) {
+	g := p.groups[pool]
+	if g == nil {
+		return rock.Host{}, rock.Fail("choose host", "pool "+pool, rock.NoHost, rock.NotRun).Becausef("the pool has no host in zone %s", p.settings.Zone)
+	}
+	g.release(now)
+	n := p.pick(g, avoid)
+	if n == nil {
+		return rock.Host{}, rock.Fail("choose host", "pool "+pool, rock.NoHost, rock.NotRun).Becausef("none of %d hosts is free", len(g.nodes))
+	}
+	n.inFlight++
+	g.taken++
+	g.settle(now, n)
+	return n.host, nil
+}
+
+// pick returns a node of the free list that is not avoided, or nil.
+func (p *Placer) pick(g *group, avoid []string) *node {
+	if len(g.ready) == 0 {
+		return nil
+	}
+	switch p.settings.Policy {
+	case RoundRobin:
+		g.turn++
+		return scan(g.ready, g.turn%len(g.ready), avoid)
+	case LeastInFlight:
+		return least(g.ready, avoid)
+	case Random:
+		return scan(g.ready, p.settings.Random.IntN(len(g.ready)), avoid)
+	}
+	first := scan(g.ready, p.settings.Random.IntN(len(g.ready)), avoid)
+	second := scan(g.ready, p.settings.Random.IntN(len(g.ready)), avoid)
+	if first != nil && second.load() < first.load() {
+		return second
+	}
+	return first
+}
+
+// scan returns the first node at or after start that is not avoided, or nil.
+// It looks at no more than one node beyond the length of avoid.
+func scan(ready []*node, start int, avoid []string) *node {
+	for i := range ready {
+		n := ready[(start+i)%len(ready)]
+		if !slices.Contains(avoid, n.host.Name()) {
+			return n
+		}
+	}
+	return nil
+}
+
+// least returns the least loaded node that is not avoided, or nil.
+func least(ready []*node, avoid []string) *node {
+	var best *node
+	for _, n := range ready {
+		if slices.Contains(avoid, n.host.Name()) {
+			continue
+		}
+		if best == nil || n.load() < best.load() {
+			best = n
+		}
+	}
+	return best
+}
+
+// Done implements [rock.Placer].
+func (p *Placer) Done(now time.Time, host string, _ time.Duration, err error) {
+	n := p.nodes[host]
+	if n == nil || n.inFlight == 0 {
+		return
+	}
+	n.inFlight--
+	g := p.groups[n.host.Pool()]
+	if g == nil {
+		if n.inFlight == 0 && n.host.Pool() == "" {
+			delete(p.nodes, host)
+		}
+		return
+	}
+	if n.host.Open() {
+		g.taken--
+	}
+	if rock.ReasonOf(err) == rock.Overloaded && rock.VerdictOf(err) == rock.NotRun {
+		g.hold(now, now.Add(p.settings.Hold), n)
+	}
+	g.settle(now, n)
+}
+
+// InFlight returns the number of tasks in flight on the host.
+func (p *Placer) InFlight(host string) int {
+	if n := p.nodes[host]; n != nil {
+		return n.inFlight
+	}
+	return 0
+}
+
+// Closed returns the tasks in flight on each host that takes no new work,
+// zeros included.
+func (p *Placer) Closed() map[string]int {
+	counts := make(map[string]int, len(p.closed))
+	for _, name := range p.closed {
+		counts[name] = p.InFlight(name)
+	}
+	return counts
+}
+
+// Slots returns the slots of the pool's open hosts and how many of them are
+// taken by tasks counted here.
+func (p *Placer) Slots(pool string) (slots, taken int) {
+	g := p.groups[pool]
+	if g == nil {
+		return 0, 0
+	}
+	return g.slots, g.taken
+}
+
+// Pools returns the names of the pools that have hosts in the zone.
+func (p *Placer) Pools() []string {
+	var names []string
+	for name, g := range p.groups {
+		if len(g.nodes) > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/core/queue/settings.go
@@ -0,0 +1,22 @@
+package queue
+
+import "time"
+
+const (
+	defaultLimit   = 512
+	defaultRunTime = 50 * time.Millisecond
+)
+
+// Settings holds the parameters of a [Queue].
+type Settings struct {
+	// Pool is the name of the pool, for errors.
+	Pool string
+	// Limit is the greatest number of waiting requests; zero means 512.
+	Limit int
+	// RunTime is assumed until run times have been observed; zero means 50 ms.
+	RunTime time.Duration
+	// FIFO orders requests by arrival alone.
+	FIFO bool
+	// AdmitAll turns the prediction off, so that only the limit refuses.
+	AdmitAll bool
+}
--- /dev/null
+++ b/core/queue/ticket.go
@@ -0,0 +1,4 @@
+package queue
+
+// Ticket names one waiting request of a [Queue].
+type Ticket uint64
--- /dev/null
+++ b/io/front/front.go
@@ -0,0 +1,122 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/io/probl"
+)
+
+const (
+	retryQuota         = 200 * time.Millisecond
+	retryConfiguration = time.Second
+)
+
+// RequestIDHeader is the header that carries the id of a request in its
+// answer, also when it is refused.
+const RequestIDHeader = "Bramleyrock-Request-Id"
+
+// door is the handler of the caller door.
+type door struct {
+	settings Settings
+	quotas   quotas
+}
+
+// New returns the handler of the caller door.
+func New(s Settings) http.Handler {
+	d := &door{settings: s.withDefaults(), quotas: quotas{counts: map[string]int{}}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/pools/{pool}/requests", d.handle(d.request))
+	mux.HandleFunc("/", d.handle(unknown))
+	return mux
+}
+
+// handle answers with the problem of an error that f returns.
+func (d *door) handle(f func(http.ResponseWriter, *http.Request) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		err := f(w, r)
+		verdict := rock.VerdictOf(err)
+		d.settings.Scope.Tagged(map[string]string{"verdict": string(verdict), "reason": string(rock.ReasonOf(err))}).Counter("requests").Inc(1)
+		if err != nil {
+			probl.Write(w, err)
+		}
+	}
+}
+
+// unknown refuses a path or method that does not exist.
+func unknown(_ http.ResponseWriter, r *http.Request) error {
+	return rock.Fail("find", r.Method+" "+r.URL.Path, rock.NotFound, rock.NotRun).Becausef("want POST /v1/pools/{pool}/requests")
+}
+
+// request runs one request of a caller.
+func (d *door) request(w http.ResponseWriter, r *http.Request) error {
+	fleet, id, err := d.caller(r)
+	if err != nil {
+		return err
+	}
+	var c call
+	if err := readJSON(w, r, d.settings.Limits.BodyBytes, &c); err != nil {
+		return err
+	}
+	if err := c.check(d.settings.Limits); err != nil {
+		return err
+	}
+	pool := r.PathValue("pool")
+	if err := checkPool(fleet, id, pool); err != nil {
+		return err
+	}
+	if err := d.quotas.take(id.Organisation(), fleet.Quota(id.Organisation())); err != nil {
+		return err
+	}
+	defer d.quotas.give(id.Organisation())
+	request := d.build(c, id, pool)
+	w.Header().Set(RequestIDHeader, request.ID())
+	answer, err := d.settings.Runner.Do(r.Context(), request)
+	if err != nil {
+		return err
+	}
+	return d.write(w, answer)
+}
+
+// build returns the request that a checked call describes.
+func (d *door) build(c call, id rock.Identity, pool string) rock.Request {
+	timeout, _ := c.timeout(d.settings.Limits)
+	return rock.NewRequest(rock.RequestSpec{
+		ID:             d.settings.NewID(),
+		Organisation:   id.Organisation(),
+		Pool:           pool,
+		Class:          c.Class,
+		Idempotent:     c.Idempotent,
+		IdempotencyKey: c.IdempotencyKey,
+		Deadline:       d.settings.Now().Add(timeout),
+		Payload:        c.Payload,
+	})
+}
+
+// reply is the JSON form of an answer.
+type reply struct {
+	RequestID string          `json:"request_id"`
+	Verdict   rock.Verdict    `json:"verdict"`
+	Host      string          `json:"host"`
+	Payload   json.RawMessage `json:"payload"`
+}
+
+// write answers with the whole answer of a target.
+func (d *door) write(w http.ResponseWriter, a rock.Answer) error {
+	if n := len(a.Payload()); n > d.settings.Limits.AnswerBytes {
+		return rock.Fail("answer", "request "+a.RequestID(), rock.TooLarge, rock.Ran).Becausef("payload has %d bytes, the limit is %d", n, d.settings.Limits.AnswerBytes)
+	}
+	data, err := json.Marshal(reply{a.RequestID(), rock.Ran, a.Host(), a.Payload()})
+	if err != nil {
+		return rock.Fail("answer", "request "+a.RequestID(), rock.Truncated, rock.Ran).Because(err)
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(data)))
+	h.Set(probl.VerdictHeader, string(rock.Ran))
+	_, _ = w.Write(data) // the caller is gone if this fails
+	return nil
+}
--- /dev/null
+++ b/io/front/limits.go
@@ -0,0 +1,31 @@
+package front
+
+import "time"
+
+// Limits holds the bounds of the caller door; zero values mean the defaults.
+type Limits struct {
+	// BodyBytes is the greatest size of a request's body; 1 MiB.
+	BodyBytes int64
+	// AnswerBytes is the greatest size of an answer's payload; 4 MiB.
+	AnswerBytes int
+	// Timeout is used for requests that state none; 5 s.
+	Timeout time.Duration
+	// MaxTimeout is the greatest timeout that a request may state; 10 min.
+	MaxTimeout time.Duration
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.BodyBytes <= 0 {
+		l.BodyBytes = 1 << 20
+	}
+	if l.AnswerBytes <= 0 {
+		l.AnswerBytes = 4 << 20
+	}
+	if l.Timeout <= 0 {
+		l.Timeout = 5 * time.Second
+	}
+	if l.MaxTimeout <= 0 {
+		l.MaxTimeout = 10 * time.Minute
+	}
+	return l
+}
--- /dev/null
+++ b/io/route/engine.go
@@ -0,0 +1,156 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/place"
+	"bramleyrock/core/queue"
+	"bramleyrock/core/sched"
+)
+
+// Engine takes requests through an entry. It is safe for concurrent use.
+type Engine struct {
+	settings Settings
+	tasks    atomic.Uint64
+
+	mu      sync.Mutex
+	sched   *sched.Scheduler
+	waiters map[sched.Ticket]chan sched.Grant
+	active  int
+	leaving bool
+	// idle is closed when the engine is leaving and the last request ended.
+	idle chan struct{}
+}
+
+// New returns an engine and starts its duty in the group.
+func New(s Settings) *Engine {
+	s = s.withDefaults()
+	e := &Engine{
+		settings: s,
+		sched: sched.New(sched.Settings{
+			Place: place.Settings{Zone: s.Member.Zone(), Random: s.Random},
+			Queue: queue.Settings{Limit: s.Limits.Queue},
+		}),
+		waiters: map[sched.Ticket]chan sched.Grant{},
+		idle:    make(chan struct{}),
+	}
+	s.Group.Go("route", e.tick)
+	return e
+}
+
+// tick grants hosts that were held back for a time.
+func (e *Engine) tick(ctx context.Context) error {
+	t := time.NewTicker(e.settings.Limits.Tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+		e.mu.Lock()
+		for _, pool := range e.sched.Waiting() {
+			e.dispatch(pool)
+		}
+		e.mu.Unlock()
+	}
+}
+
+// refresh puts the newest configuration in use. The lock is held.
+func (e *Engine) refresh(now time.Time) error {
+	fleet, ok := e.settings.Fleet.Fleet()
+	if !ok {
+		return rock.Fail("route", "", rock.Unavailable, rock.NotRun).RetryIn(time.Second).Becausef("no configuration is known yet")
+	}
+	e.sched.Update(now, fleet)
+	return nil
+}
+
+// dispatch grants free hosts to the waiting requests of the pool. The lock is
+// held.
+func (e *Engine) dispatch(pool string) {
+	now := e.settings.Now()
+	if e.refresh(now) != nil {
+		return
+	}
+	for {
+		g, ok := e.sched.Next(now, pool)
+		if !ok {
+			return
+		}
+		e.waiters[g.Ticket()] <- g
+		delete(e.waiters, g.Ticket())
+	}
+}
+
+// enter counts a request in, unless the engine is leaving.
+func (e *Engine) enter() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		return rock.Fail("route", "entry "+e.settings.Member.Name(), rock.Leaving, rock.NotRun).RetryIn(time.Second)
+	}
+	e.active++
+	return nil
+}
+
+// exit counts a request out.
+func (e *Engine) exit() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.active--
+	if e.leaving && e.active == 0 {
+		close(e.idle)
+	}
+}
+
+// Loads returns the load of each pool that has hosts in the entry's zone.
+func (e *Engine) Loads(now time.Time) []rock.PoolLoad {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.refresh(now) != nil {
+		return nil
+	}
+	return e.sched.Loads()
+}
+
+// InFlight returns the tasks in flight on each host of the zone that takes no
+// new work, zeros included.
+func (e *Engine) InFlight(now time.Time) map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.refresh(now) != nil {
+		return nil
+	}
+	return e.sched.Closed()
+}
+
+// Drain refuses new requests and waits for those taken, until ctx ends. It
+// returns how many are left.
+func (e *Engine) Drain(ctx context.Context) int {
+	e.mu.Lock()
+	if !e.leaving {
+		e.leaving = true
+		if e.active == 0 {
+			close(e.idle)
+		}
+	}
+	e.mu.Unlock()
+	select {
+	case <-e.idle:
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.active
+}
+
+// taskID returns a new task id for an attempt at the request.
+func (e *Engine) taskID(r rock.Request) string {
+	return fmt.Sprintf("%s.%s.%d", r.ID(), e.settings.Member.Name(), e.tasks.Add(1))
+}
--- /dev/null
+++ b/io/route/limits.go
@@ -0,0 +1,31 @@
+package route
+
+import "time"
+
+// Limits holds the bounds of an [Engine]; zero values mean the defaults.
+type Limits struct {
+	// Queue is the greatest number of waiting requests of a pool; 512.
+	Queue int
+	// Hops is how often a request may be forwarded; 2.
+	Hops int
+	// Attempts is how often a request may be tried in all; 4.
+	Attempts int
+	// Tick is the time between looks at hosts that were held back; 20 ms.
+	Tick time.Duration
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.Queue <= 0 {
+		l.Queue = 512
+	}
+	if l.Hops <= 0 {
+		l.Hops = 2
+	}
+	if l.Attempts <= 0 {
+		l.Attempts = 4
+	}
+	if l.Tick <= 0 {
+		l.Tick = 20 * time.Millisecond
+	}
+	return l
+}
--- /dev/null
+++ b/io/route/settings.go
@@ -0,0 +1,53 @@
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/group"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+)
+
+// Settings holds what an [Engine] works with.
+type Settings struct {
+	// Member is the entry itself.
+	Member rock.Member
+	// Fleet gives the configuration in force.
+	Fleet rock.FleetSource
+	// Target runs tasks on hosts.
+	Target rock.Target
+	// Peers are the other entries; nil means that there are none.
+	Peers rock.PeerSet
+	// Now returns the present time; nil means [time.Now].
+	Now func() time.Time
+	// Random is the source of choices; nil means a random seed.
+	Random *rand.Rand
+	// Log takes the engine's log; nil means the standard logger.
+	Log logrus.FieldLogger
+	// Scope takes the engine's metrics; nil means none.
+	Scope tally.Scope
+	// Group runs the engine's duties.
+	Group *group.Group
+	// Limits are the bounds.
+	Limits Limits
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Now == nil {
+		s.Now = time.Now
+	}
+	if s.Random == nil {
+		s.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if s.Log == nil {
+		s.Log = logrus.StandardLogger()
+	}
+	if s.Scope == nil {
+		s.Scope = tally.NoopScope
+	}
+	s.Limits = s.Limits.withDefaults()
+	return s
+}
