--- /dev/null
+++ b/core/budget/reviewer.go
@@ -0,0 +1,75 @@
+package budget
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/forms"
+)
+
+// Reviewer implements [rock.Reviewer]. It is safe for concurrent use.
+type Reviewer struct {
+	maxAge time.Duration
+
+	mu     sync.Mutex
+	seenAt time.Time
+	states map[string]rock.HostState
+}
+
+var _ rock.Reviewer = (*Reviewer)(nil)
+
+// New returns a reviewer that has not seen the platform's list yet; until it
+// has, it refuses all voluntary steps.
+func New(s Settings) *Reviewer {
+	if s.MaxAge <= 0 {
+		s.MaxAge = defaultMaxAge
+	}
+	return &Reviewer{maxAge: s.MaxAge}
+}
+
+// Observe takes the platform's list of hosts as read at the time now.
+func (r *Reviewer) Observe(now time.Time, hosts []rock.HostStatus) {
+	states := make(map[string]rock.HostState, len(hosts))
+	for _, h := range hosts {
+		states[h.Name()] = h.State()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seenAt, r.states = now, states
+}
+
+// Review implements [rock.Reviewer]. The failure of a step that would break a
+// budget has reason [rock.BudgetExceeded] and says how many hosts are
+// available and needed.
+func (r *Reviewer) Review(now time.Time, before rock.Fleet, edits []rock.Edit) error {
+	r.mu.Lock()
+	seenAt, states := r.seenAt, r.states
+	r.mu.Unlock()
+	b := ledger{before: before, states: states, after: map[string]*forms.Host{}}
+	if err := b.take(edits); err != nil {
+		return err
+	}
+	taken := b.takenFrom()
+	for _, pool := range slices.Sorted(maps.Keys(taken)) {
+		budgets, err := b.budgets(pool, edits)
+		if err != nil {
+			return err
+		}
+		if len(budgets) == 0 {
+			continue
+		}
+		if age := now.Sub(seenAt); age > r.maxAge {
+			return rock.Fail("review", "host "+taken[pool][0].Name(), rock.Unavailable, rock.NotRun).
+				Becausef("the platform's list of hosts was not read for %s: want at most %s", age.Round(time.Second), r.maxAge)
+		}
+		for _, g := range budgets {
+			if err := b.check(pool, taken[pool], g); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/budget/reviewer_test.go
@@ -0,0 +1,103 @@
+package budget_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/budget"
+	"bramleyrock/io/fakes/fleet"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func record(kind rock.Kind, schema int, name, body string) rock.Record {
+	return rock.NewRecord(rock.NewKey(kind, name), schema, 0, []byte(body))
+}
+
+func hostBody(i int, pool string, open bool) string {
+	return fmt.Sprintf(`{"zone":"z%d","rack":"r%d","pool":%q,"open":%v}`, i%2, i%4, pool, open)
+}
+
+// world returns a book with the budget and 8 hosts of pool tins, and the
+// platform's list of them.
+func world(r *budget.Reviewer, schema int, budgetBody string, gone ...string) *fleet.Book {
+	records := []rock.Record{record(rock.KindBudget, schema, "tins", budgetBody)}
+	var list []rock.HostStatus
+	for i := range 8 {
+		name := fmt.Sprintf("h%d", i)
+		records = append(records, record(rock.KindHost, 1, name, hostBody(i, "tins", true)))
+		state := rock.HostLive
+		if strings.Contains(strings.Join(gone, " "), name) {
+			state = rock.HostGone
+		}
+		list = append(list, rock.NewHostStatus(name, state, 0, 1, start))
+	}
+	r.Observe(start, list)
+	return fleet.NewBook(r, records...)
+}
+
+// closing proposes to close the hosts.
+func closing(id string, hosts ...int) rock.Proposal {
+	p := rock.Proposal{ID: id}
+	for _, i := range hosts {
+		p.Records = append(p.Records, record(rock.KindHost, 1, fmt.Sprintf("h%d", i), hostBody(i, "tins", false)).WithVersion(1))
+	}
+	return p
+}
+
+func TestReview(t *testing.T) {
+	cases := map[string]struct {
+		schema int
+		budget string
+		gone   []string
+		hosts  []int
+		want   string
+	}{
+		"count holds":            {1, `{"pool":"tins","min_available":6}`, nil, []int{0, 1}, ""},
+		"count breaks":           {1, `{"pool":"tins","min_available":7}`, nil, []int{0, 1}, "6 of 8 hosts available: its budget needs 7"},
+		"failure counts":         {1, `{"pool":"tins","min_available":6}`, []string{"h5"}, []int{0, 1}, "5 of 8"},
+		"failed host may close":  {1, `{"pool":"tins","min_available":8}`, []string{"h5"}, []int{5}, ""},
+		"share holds":            {2, `{"pool":"tins","min_available":{"share":0.75}}`, nil, []int{0, 1}, ""},
+		"share breaks":           {2, `{"pool":"tins","min_available":{"share":0.8}}`, nil, []int{0, 1}, "needs 7"},
+		"rack breaks":            {2, `{"pool":"tins","min_available":{"count":1},"max_away_per_rack":1}`, nil, []int{0, 4}, "away in rack r0"},
+		"rack holds":             {2, `{"pool":"tins","min_available":{"count":1},"max_away_per_rack":1}`, nil, []int{0, 1}, ""},
+		"zone breaks by failure": {2, `{"pool":"tins","min_available":{"count":1},"max_away_per_zone":2}`, []string{"h6"}, []int{0, 2}, "away in zone z0"},
+		"budget of another pool": {1, `{"pool":"lids","min_available":8}`, nil, []int{0, 1}, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := world(budget.New(budget.Settings{}), c.schema, c.budget, c.gone...)
+			_, err := b.Change(context.Background(), start, closing("c1", c.hosts...))
+			if c.want == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorContains(t, err, c.want)
+			assert.Equal(t, rock.ReasonOf(err), rock.BudgetExceeded)
+			assert.Equal(t, rock.VerdictOf(err), rock.NotRun)
+		})
+	}
+}
+
+func TestOneOfTwoWinsTheLastHeadroom(t *testing.T) {
+	b := world(budget.New(budget.Settings{}), 1, `{"pool":"tins","min_available":7}`)
+	_, err := b.Change(context.Background(), start, closing("c1", 0))
+	assert.NilError(t, err)
+	_, err = b.Change(context.Background(), start, closing("c2", 1))
+	assert.Equal(t, rock.ReasonOf(err), rock.BudgetExceeded)
+}
+
+func TestOldListRefusesVoluntarySteps(t *testing.T) {
+	b := world(budget.New(budget.Settings{}), 1, `{"pool":"tins","min_available":1}`)
+	_, err := b.Change(context.Background(), start.Add(2*time.Minute), closing("c1", 0))
+	assert.Equal(t, rock.ReasonOf(err), rock.Unavailable)
+	open := rock.Proposal{ID: "c2", Records: []rock.Record{record(rock.KindHost, 1, "h9", hostBody(9, "tins", true))}}
+	_, err = b.Change(context.Background(), start.Add(2*time.Minute), open)
+	assert.NilError(t, err)
+}
--- /dev/null
+++ b/core/drain/drained.go
@@ -0,0 +1,79 @@
+package drain
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// Drained reports whether the host is proved to be drained. If it is not, it
+// returns what the proof lacks.
+func (v View) Drained(q Question) (string, bool) {
+	newest := q.Since
+	for _, e := range v.byZone[q.Zone] {
+		if v.cannotAct(e, q.CountedOut) {
+			continue
+		}
+		if wait, ok := settled(e, q); !ok {
+			return wait, false
+		}
+		if e.At().After(newest) {
+			newest = e.At()
+		}
+	}
+	return v.unleased(q, newest)
+}
+
+// cannotAct reports whether there is evidence that the entry is not running
+// any more.
+func (v View) cannotAct(e rock.EntryStatus, countedOut []string) bool {
+	m := e.Member()
+	if e.State() == rock.EntryGone {
+		return true
+	}
+	if v.byAddress[m.Address()].Member().Incarnation() != m.Incarnation() {
+		return true
+	}
+	if h, ok := v.hosts[m.Name()]; ok && h.State() == rock.HostGone {
+		return true
+	}
+	return slices.Contains(countedOut, m.Name()+"/"+m.Incarnation())
+}
+
+// settled reports whether the entry knows that the host is closed and has
+// nothing in flight there.
+func settled(e rock.EntryStatus, q Question) (string, bool) {
+	name := e.Member().Name()
+	inFlight, known := e.InFlight(q.Host)
+	switch {
+	case e.Revision() <= q.After || !known:
+		return fmt.Sprintf("entry %s, last heard at %s, to learn that host %s is closed",
+			name, e.At().UTC().Format(time.RFC3339), q.Host), false
+	case inFlight > 0:
+		return fmt.Sprintf("%d tasks in flight from entry %s to host %s", inFlight, name, q.Host), false
+	}
+	return "", true
+}
+
+// unleased reports whether the platform's view of the host, taken after the
+// time, shows no running lease.
+func (v View) unleased(q Question, after time.Time) (string, bool) {
+	skew := q.Skew
+	if skew <= 0 {
+		skew = defaultSkew
+	}
+	h, ok := v.hosts[q.Host]
+	switch {
+	case !ok:
+		return fmt.Sprintf("host %s to appear in the platform's list", q.Host), false
+	case !h.AsOf().After(after.Add(skew)):
+		return fmt.Sprintf("a view of host %s by the platform that is newer than the drain", q.Host), false
+	case h.State() == rock.HostGone:
+		return "", true
+	case h.Leases() > 0:
+		return fmt.Sprintf("%d leases running on host %s by the platform's view", h.Leases(), q.Host), false
+	}
+	return "", true
+}
--- /dev/null
+++ b/core/drain/question.go
@@ -0,0 +1,30 @@
+package drain
+
+import (
+	"time"
+
+	rock "bramleyrock"
+)
+
+// defaultSkew is by how much the clocks of an entry and of the platform may
+// differ.
+const defaultSkew = 2 * time.Second
+
+// Question asks whether a host is drained.
+type Question struct {
+	// Host is the host's name.
+	Host string
+	// Zone is the host's availability zone.
+	Zone string
+	// After is a revision in which the host was still open: the last one
+	// before the change that closed it, or an earlier one since when its
+	// record did not change.
+	After rock.Revision
+	// Since is when the host was closed.
+	Since time.Time
+	// CountedOut names entries that an operator vouches for, each as
+	// "<name>/<incarnation>".
+	CountedOut []string
+	// Skew is by how much clocks may differ; the default is 2 s.
+	Skew time.Duration
+}
--- /dev/null
+++ b/core/lease/lease.go
@@ -0,0 +1,82 @@
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// keyPrefix begins the keys of all lease rows.
+const keyPrefix = "lease/"
+
+// Lease is the state of a duty's lease row. The zero value is a lease that
+// nobody has taken yet.
+type Lease struct {
+	duty    string
+	holder  string
+	epoch   uint64
+	expiry  time.Time
+	version uint64
+}
+
+// Key returns the key of the duty's lease row.
+func Key(duty string) string { return keyPrefix + duty }
+
+type form struct {
+	Holder string    `json:"holder"`
+	Epoch  uint64    `json:"epoch"`
+	Expiry time.Time `json:"expiry"`
+}
+
+// Parse returns the lease of the duty that the row holds. A row that does not
+// exist is a lease that nobody has taken yet.
+func Parse(duty string, row rock.Row) (Lease, error) {
+	l := Lease{duty: duty, version: row.Version()}
+	if !row.Exists() {
+		return l, nil
+	}
+	var f form
+	if err := json.Unmarshal(row.Value(), &f); err != nil {
+		return Lease{}, fmt.Errorf("parse lease row %q: %w", row.Key(), err)
+	}
+	l.holder, l.epoch, l.expiry = f.Holder, f.Epoch, f.Expiry
+	return l, nil
+}
+
+// Duty returns the name of the duty.
+func (l Lease) Duty() string { return l.duty }
+
+// Holder returns the name of the entry that took the lease last, or "".
+func (l Lease) Holder() string { return l.holder }
+
+// Epoch returns how often the lease was taken.
+func (l Lease) Epoch() uint64 { return l.epoch }
+
+// Expiry returns the time at which the lease lapses unless it is renewed.
+func (l Lease) Expiry() time.Time { return l.expiry }
+
+// Version returns the version of the lease row.
+func (l Lease) Version() uint64 { return l.version }
+
+// Claim adds to t the write that makes l, as returned by [Terms.Next], the
+// state of the row, on condition that the row is still as in before.
+func (l Lease) Claim(t *rock.Transaction, before Lease) error {
+	value, err := json.Marshal(form{l.holder, l.epoch, l.expiry})
+	if err != nil {
+		return fmt.Errorf("encode lease of %q: %w", l.duty, err)
+	}
+	t.Require(Key(l.duty), before.version)
+	t.Put(Key(l.duty), value)
+	return nil
+}
+
+// Guard returns the conditions that make a write fail if the lease was taken
+// or renewed since l was read, so that a holder which was paused past its
+// lease cannot write any more.
+func (l Lease) Guard() rock.Transaction {
+	var t rock.Transaction
+	t.Require(Key(l.duty), l.version)
+	return t
+}
--- /dev/null
+++ b/core/move/next.go
@@ -0,0 +1,171 @@
+package move
+
+import (
+	"fmt"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/drain"
+	"bramleyrock/core/forms"
+)
+
+// Next returns the next step of the move in the record, in the configuration
+// fleet.
+func Next(now time.Time, fleet rock.Fleet, record rock.Record, view drain.View) Step {
+	m, err := forms.DecodeMove(record)
+	if err != nil {
+		return waiting(record.Key().Name(), now, "a readable record: %v", err)
+	}
+	p := planner{now: now, fleet: fleet, view: view, record: record, move: m}
+	hostRecord, ok := fleet.Record(rock.NewKey(rock.KindHost, m.Host))
+	if !ok {
+		return p.withoutHost()
+	}
+	p.hostRecord = hostRecord
+	if p.host, err = forms.DecodeHost(hostRecord); err != nil {
+		return p.wait("a readable record: %v", err)
+	}
+	return p.next()
+}
+
+// planner holds what one decision is made of.
+type planner struct {
+	now        time.Time
+	fleet      rock.Fleet
+	view       drain.View
+	record     rock.Record
+	move       forms.Move
+	hostRecord rock.Record
+	host       forms.Host
+}
+
+func (p planner) next() Step {
+	switch p.move.State {
+	case forms.MoveWanted:
+		return p.start()
+	case forms.MoveDraining:
+		return p.release()
+	case forms.MoveReleased:
+		return p.join()
+	case forms.MoveJoining:
+		return p.finish()
+	case forms.MoveCancelled:
+		return p.reopen()
+	}
+	return Step{move: p.name(), since: p.move.Since}
+}
+
+// start closes the host in its old pool.
+func (p planner) start() Step {
+	switch {
+	case p.host.Pool != p.move.From:
+		return p.end(forms.MoveCancelled, "host %s is in pool %q, not in %q", p.move.Host, p.host.Pool, p.move.From)
+	case p.host.ClosedBy != "" && p.host.ClosedBy != p.owner():
+		return p.wait("host %s, which is closed for %s", p.move.Host, p.host.ClosedBy)
+	}
+	p.host.Open, p.host.ClosedBy = false, p.owner()
+	p.move.After = p.fleet.Revision()
+	return p.step(forms.MoveDraining, true)
+}
+
+// release records the proof that nobody can act on the host any more.
+func (p planner) release() Step {
+	if !p.owned() {
+		return p.step(forms.MoveWanted, false)
+	}
+	wait, ok := p.view.Drained(drain.Question{
+		Host:       p.move.Host,
+		Zone:       p.host.Zone,
+		After:      p.move.After,
+		Since:      p.move.Since,
+		CountedOut: p.move.CountedOut,
+	})
+	if !ok {
+		return p.wait("%s", wait)
+	}
+	return p.step(forms.MoveReleased, true)
+}
+
+// join puts the host into its new pool under a new generation.
+func (p planner) join() Step {
+	if !p.owned() {
+		return p.step(forms.MoveWanted, false)
+	}
+	p.host.Pool = p.move.To
+	p.host.Generation++
+	return p.step(forms.MoveJoining, true)
+}
+
+// finish opens the host in its new pool once the platform lists it as live.
+func (p planner) finish() Step {
+	if !p.owned() {
+		return p.end(forms.MoveDone, "host %s was opened by another change", p.move.Host)
+	}
+	if s, ok := p.view.Host(p.move.Host); !ok || s.State() != rock.HostLive {
+		return p.wait("host %s to be live in the platform's list", p.move.Host)
+	}
+	p.host.Open, p.host.ClosedBy = true, ""
+	return p.step(forms.MoveDone, true)
+}
+
+// reopen gives the host of a cancelled move back to the pool that it is in.
+func (p planner) reopen() Step {
+	if !p.owned() {
+		return Step{move: p.name(), since: p.move.Since}
+	}
+	p.host.Open, p.host.ClosedBy = true, ""
+	return p.step(forms.MoveCancelled, true)
+}
+
+func (p planner) withoutHost() Step {
+	if p.move.State.Ended() {
+		return Step{move: p.name(), since: p.move.Since}
+	}
+	return p.end(forms.MoveCancelled, "host %s does not exist", p.move.Host)
+}
+
+func (p planner) name() string { return p.record.Key().Name() }
+
+// owner is the value of closed_by by which the move owns its host.
+func (p planner) owner() string { return p.record.Key().String() }
+
+func (p planner) owned() bool { return !p.host.Open && p.host.ClosedBy == p.owner() }
+
+func (p planner) wait(format string, args ...any) Step {
+	return waiting(p.name(), p.move.Since, format, args...)
+}
+
+func (p planner) end(state forms.MoveState, format string, args ...any) Step {
+	p.move.WaitsFor = fmt.Sprintf(format, args...)
+	return p.write(state, false)
+}
+
+func (p planner) step(state forms.MoveState, withHost bool) Step {
+	p.move.WaitsFor = ""
+	return p.write(state, withHost)
+}
+
+// write returns the step to the state, which writes the move's record and, if
+// withHost is true, the host's.
+func (p planner) write(state forms.MoveState, withHost bool) Step {
+	p.move.State, p.move.Since = state, p.now.UTC()
+	record, err := forms.Encode(p.record, p.move)
+	if err != nil {
+		return p.wait("a readable record: %v", err)
+	}
+	s := Step{
+		move:  p.name(),
+		id:    fmt.Sprintf("move.%s.%d.%s", p.name(), p.record.Version(), state),
+		why:   fmt.Sprintf("move %s of host %s: %s", p.name(), p.move.Host, state),
+		since: p.move.Since,
+	}
+	if withHost {
+		host, err := forms.Encode(p.hostRecord, p.host)
+		if err != nil {
+			return p.wait("a readable record: %v", err)
+		}
+		s.records = append(s.records, host)
+	}
+	s.records = append(s.records, record)
+	return s
+}
--- /dev/null
+++ b/core/move/next_test.go
@@ -0,0 +1,168 @@
+package move_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/drain"
+	"bramleyrock/core/forms"
+	"bramleyrock/core/move"
+	"bramleyrock/io/fakes/fleet"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func record(kind rock.Kind, name, body string) rock.Record {
+	return rock.NewRecord(rock.NewKey(kind, name), 1, 0, []byte(body))
+}
+
+func hostRecord(name, pool string) rock.Record {
+	return record(rock.KindHost, name,
+		fmt.Sprintf(`{"address":"127.0.0.1:9000","zone":"a","rack":"a1","pool":%q,"generation":1,"slots":8,"open":true,"site":"hall 2"}`, pool))
+}
+
+func moveRecord(name, host, from, to string) rock.Record {
+	return record(rock.KindMove, name, fmt.Sprintf(`{"host":%q,"from":%q,"to":%q,"state":"wanted"}`, host, from, to))
+}
+
+// entry returns a status of an entry of zone a.
+func entry(name string, revision rock.Revision, at time.Time, inFlight map[string]int) rock.EntryStatus {
+	m := rock.NewMember(name, "a", "10.0.0."+name[1:]+":7000", name+"-1")
+	return rock.NewEntryStatus(m, rock.EntryRunning, revision, at, inFlight)
+}
+
+func listed(leases int, asOf time.Time) []rock.HostStatus {
+	return []rock.HostStatus{rock.NewHostStatus("h1", rock.HostLive, leases, 1, asOf)}
+}
+
+// step makes the move's next step and returns it.
+func step(t *testing.T, b *fleet.Book, now time.Time, name string, v drain.View) move.Step {
+	t.Helper()
+	f, _ := b.Fleet()
+	r, ok := f.Record(rock.NewKey(rock.KindMove, name))
+	assert.Assert(t, ok)
+	s := move.Next(now, f, r, v)
+	if s.Pending() {
+		_, err := b.Change(context.Background(), now, s.Proposal("e1", rock.Transaction{}))
+		assert.NilError(t, err)
+	}
+	return s
+}
+
+func state(t *testing.T, b *fleet.Book, name string) forms.MoveState {
+	t.Helper()
+	f, _ := b.Fleet()
+	r, _ := f.Record(rock.NewKey(rock.KindMove, name))
+	m, err := forms.DecodeMove(r)
+	assert.NilError(t, err)
+	return m.State
+}
+
+func hostBody(t *testing.T, b *fleet.Book) forms.Host {
+	t.Helper()
+	f, _ := b.Fleet()
+	r, _ := f.Record(rock.NewKey(rock.KindHost, "h1"))
+	h, err := forms.DecodeHost(r)
+	assert.NilError(t, err)
+	return h
+}
+
+func TestMoveGoesThroughItsStates(t *testing.T) {
+	b := fleet.NewBook(nil, hostRecord("h1", "tins"), moveRecord("m1", "h1", "tins", "lids"))
+	now := start
+	step(t, b, now, "m1", drain.View{})
+	assert.Equal(t, state(t, b, "m1"), forms.MoveDraining)
+	assert.Assert(t, !hostBody(t, b).Open)
+
+	now = now.Add(10 * time.Second)
+	v := drain.NewView([]rock.EntryStatus{entry("e1", 2, now.Add(-5*time.Second), map[string]int{"h1": 0})}, listed(0, now))
+	for _, want := range []forms.MoveState{forms.MoveReleased, forms.MoveJoining, forms.MoveDone} {
+		step(t, b, now, "m1", v)
+		assert.Equal(t, state(t, b, "m1"), want)
+	}
+	h := hostBody(t, b)
+	assert.Equal(t, h.Pool, "lids")
+	assert.Equal(t, h.Generation, uint64(2))
+	assert.Assert(t, h.Open)
+	assert.Equal(t, h.ClosedBy, "")
+	assert.Assert(t, !step(t, b, now, "m1", v).Pending())
+	f, _ := b.Fleet()
+	r, _ := f.Record(rock.NewKey(rock.KindHost, "h1"))
+	assert.Assert(t, strings.Contains(string(r.Body()), `"hall 2"`), "unknown fields must survive")
+}
+
+func TestReleaseWaits(t *testing.T) {
+	at := start.Add(5 * time.Second)
+	fresh := start.Add(10 * time.Second)
+	zero := map[string]int{"h1": 0}
+	cases := map[string]struct {
+		entries []rock.EntryStatus
+		hosts   []rock.HostStatus
+		want    string
+	}{
+		"old revision": {
+			[]rock.EntryStatus{entry("e1", 2, at, zero), entry("e2", 1, at, nil)}, listed(0, fresh), "entry e2",
+		},
+		"work in flight": {
+			[]rock.EntryStatus{entry("e1", 2, at, map[string]int{"h1": 3})}, listed(0, fresh), "3 tasks in flight",
+		},
+		"leases": {
+			[]rock.EntryStatus{entry("e1", 2, at, zero)}, listed(2, fresh), "2 leases running",
+		},
+		"lagging list": {
+			[]rock.EntryStatus{entry("e1", 2, at, zero)}, listed(0, at.Add(time.Second)), "newer than the drain",
+		},
+		"unlisted host": {
+			[]rock.EntryStatus{entry("e1", 2, at, zero)}, nil, "to appear in the platform's list",
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := fleet.NewBook(nil, hostRecord("h1", "tins"), moveRecord("m1", "h1", "tins", "lids"))
+			step(t, b, start, "m1", drain.View{})
+			s := step(t, b, start.Add(time.Hour), "m1", drain.NewView(c.entries, c.hosts))
+			assert.Assert(t, !s.Pending())
+			assert.Assert(t, s.Since().Equal(start))
+			assert.Assert(t, strings.Contains(s.WaitsFor(), c.want), s.WaitsFor())
+		})
+	}
+}
+
+func TestTwoMovesOfOneHost(t *testing.T) {
+	b := fleet.NewBook(nil, hostRecord("h1", "tins"),
+		moveRecord("m1", "h1", "tins", "lids"), moveRecord("m2", "h1", "tins", "caps"))
+	step(t, b, start, "m1", drain.View{})
+	s := step(t, b, start, "m2", drain.View{})
+	assert.Equal(t, s.WaitsFor(), "host h1, which is closed for move/m1")
+	now := start.Add(10 * time.Second)
+	v := drain.NewView([]rock.EntryStatus{entry("e1", 2, start.Add(time.Second), map[string]int{"h1": 0})}, listed(0, now))
+	for range 3 {
+		step(t, b, now, "m1", v)
+	}
+	step(t, b, now, "m2", v)
+	assert.Equal(t, state(t, b, "m2"), forms.MoveCancelled)
+	assert.Equal(t, hostBody(t, b).Pool, "lids")
+}
+
+func TestCancelledMoveReopensHost(t *testing.T) {
+	b := fleet.NewBook(nil, hostRecord("h1", "tins"), moveRecord("m1", "h1", "tins", "lids"))
+	step(t, b, start, "m1", drain.View{})
+	f, _ := b.Fleet()
+	r, _ := f.Record(rock.NewKey(rock.KindMove, "m1"))
+	m, err := forms.DecodeMove(r)
+	assert.NilError(t, err)
+	m.State = forms.MoveCancelled
+	cancelled, err := forms.Encode(r, m)
+	assert.NilError(t, err)
+	_, err = b.Change(context.Background(), start, rock.Proposal{ID: "stop", Records: []rock.Record{cancelled}})
+	assert.NilError(t, err)
+	step(t, b, start, "m1", drain.View{})
+	assert.Assert(t, hostBody(t, b).Open)
+	assert.Equal(t, hostBody(t, b).Pool, "tins")
+}
--- /dev/null
+++ b/io/duty/duty.go
@@ -0,0 +1,27 @@
+package duty
+
+import (
+	"context"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// Duty is work that must have one holder.
+type Duty interface {
+	// Name returns the name of the duty, which names its lease.
+	Name() string
+	// Round does what is to be done at the time now. Every write must carry
+	// the guard of the turn.
+	Round(ctx context.Context, now time.Time, turn Turn) error
+}
+
+// Turn is what a holder needs for one round.
+type Turn struct {
+	// Holder is the name of the entry.
+	Holder string
+	// Fleet is the configuration in force.
+	Fleet rock.Fleet
+	// Guard holds the conditions that fence a holder whose lease was lost.
+	Guard rock.Transaction
+}
--- /dev/null
+++ b/io/duty/holding.go
@@ -0,0 +1,103 @@
+package duty
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/lease"
+)
+
+// holding takes and renews the lease of one duty and runs its rounds.
+type holding struct {
+	set  Settings
+	duty Duty
+}
+
+// run keeps the duty until ctx ends, and then gives the lease up.
+func (h *holding) run(ctx context.Context) error {
+	for {
+		next, err := h.turn(ctx)
+		if err != nil && ctx.Err() == nil {
+			h.set.Log.WithField("duty", h.duty.Name()).WithError(err).Warn("round failed")
+			h.set.Scope.Counter("duty_failures").Inc(1)
+		}
+		if err := pause(ctx, next); err != nil {
+			h.release(context.WithoutCancel(ctx))
+			return err
+		}
+	}
+}
+
+// turn does one round if the lease is held, and returns the time to the next.
+func (h *holding) turn(ctx context.Context) (time.Duration, error) {
+	now := h.set.Now()
+	l, action, err := h.claim(ctx, now)
+	if err != nil {
+		return h.set.Interval, err
+	}
+	if action == lease.Wait {
+		return max(h.set.Interval, l.Expiry().Sub(now)), nil
+	}
+	fleet, ok := h.set.Fleet.Fleet()
+	if !ok {
+		return h.set.Interval, nil
+	}
+	t := Turn{Holder: h.set.Name, Fleet: fleet, Guard: l.Guard()}
+	return h.set.Interval, h.duty.Round(ctx, now, t)
+}
+
+// claim reads the lease and takes or renews it if that is due.
+func (h *holding) claim(ctx context.Context, now time.Time) (lease.Lease, lease.Action, error) {
+	name := h.duty.Name()
+	before, err := h.read(ctx)
+	if err != nil {
+		return before, lease.Wait, err
+	}
+	after, action := h.set.Terms.Next(now, h.set.Name, before)
+	if action != lease.Take && action != lease.Renew {
+		return after, action, nil
+	}
+	var t rock.Transaction
+	if err := after.Claim(&t, before); err != nil {
+		return before, lease.Wait, err
+	}
+	if err := h.set.Table.Commit(ctx, t); err != nil {
+		return before, lease.Wait, fmt.Errorf("%s lease of %s: %w", action, name, err)
+	}
+	if action == lease.Take {
+		h.set.Log.WithField("duty", name).WithField("epoch", after.Epoch()).Info("lease taken")
+	}
+	return after, action, nil
+}
+
+func (h *holding) read(ctx context.Context) (lease.Lease, error) {
+	name := h.duty.Name()
+	rows, err := h.set.Table.Read(ctx, lease.Key(name))
+	if err != nil {
+		return lease.Lease{}, fmt.Errorf("read lease of %s: %w", name, err)
+	}
+	return lease.Parse(name, rows[0])
+}
+
+// releaseTimeout bounds how long a shutdown waits for the platform.
+const releaseTimeout = 2 * time.Second
+
+// release frees the lease if it is held, so that another entry need not wait
+// for its expiry.
+func (h *holding) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	before, err := h.read(ctx)
+	if err != nil || before.Holder() != h.set.Name {
+		return
+	}
+	var t rock.Transaction
+	if err := h.set.Terms.Release(before).Claim(&t, before); err != nil {
+		return
+	}
+	if err := h.set.Table.Commit(ctx, t); err != nil {
+		h.set.Log.WithField("duty", h.duty.Name()).WithError(err).Info("lease left to lapse")
+	}
+}
--- /dev/null
+++ b/io/duty/settings.go
@@ -0,0 +1,72 @@
+package duty
+
+import (
+	"io"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/lease"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+)
+
+// Defaults of [Settings].
+const (
+	defaultInterval     = time.Second
+	defaultListInterval = 10 * time.Second
+)
+
+// Settings are the settings of a [Runner].
+type Settings struct {
+	// Name is the name of the entry.
+	Name string
+	// Table holds the leases.
+	Table rock.Table
+	// Changer makes the steps' changes.
+	Changer rock.Changer
+	// Fleet gives the configuration in force.
+	Fleet rock.FleetSource
+	// HostList is the platform's list of hosts.
+	HostList rock.HostList
+	// Roster gives the entries' status rows.
+	Roster Roster
+	// Observer is told the list of hosts; nil for none.
+	Observer Observer
+	// Duties are further duties.
+	Duties []Duty
+	// Terms are the durations of the leases.
+	Terms lease.Terms
+	// Interval is the time between two rounds; the default is 1 s.
+	Interval time.Duration
+	// ListInterval is the time between two reads of the list of hosts while no
+	// duty needs it; the default is 10 s.
+	ListInterval time.Duration
+	// Now returns the present time; the default is [time.Now].
+	Now func() time.Time
+	// Log takes the log; nil for none.
+	Log logrus.FieldLogger
+	// Scope takes the metrics; nil for none.
+	Scope tally.Scope
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Interval <= 0 {
+		s.Interval = defaultInterval
+	}
+	if s.ListInterval <= 0 {
+		s.ListInterval = defaultListInterval
+	}
+	if s.Now == nil {
+		s.Now = time.Now
+	}
+	if s.Scope == nil {
+		s.Scope = tally.NoopScope
+	}
+	if s.Log == nil {
+		quiet := logrus.New()
+		quiet.SetOutput(io.Discard)
+		s.Log = quiet
+	}
+	return s
+}
--- /dev/null
+++ b/io/fakes/fleet/book.go
@@ -0,0 +1,140 @@
+package fleet
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// Book implements [rock.Changer] and [rock.FleetSource] in memory. It is safe
+// for concurrent use.
+type Book struct {
+	reviewer rock.Reviewer
+
+	mu      sync.Mutex
+	fleet   *Fleet
+	changes map[string]rock.Change
+	// guard checks the conditions of a proposal's guard; nil allows all.
+	guard func(rock.Transaction) error
+	// lose is the number of coming changes whose answer is lost.
+	lose int
+}
+
+var (
+	_ rock.Changer     = (*Book)(nil)
+	_ rock.FleetSource = (*Book)(nil)
+)
+
+// NewBook returns a book that holds the records at revision 1, each with
+// version 1. The reviewer may be nil.
+func NewBook(reviewer rock.Reviewer, records ...rock.Record) *Book {
+	for i, r := range records {
+		records[i] = r.WithVersion(1)
+	}
+	return &Book{reviewer: reviewer, fleet: New(1, records...), changes: map[string]rock.Change{}}
+}
+
+// Guard makes check decide whether the guard of a proposal holds.
+func (b *Book) Guard(check func(rock.Transaction) error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.guard = check
+}
+
+// LoseAnswers makes the next n changes take effect without an answer.
+func (b *Book) LoseAnswers(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lose = n
+}
+
+// Fleet implements [rock.FleetSource].
+func (b *Book) Fleet() (rock.Fleet, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fleet, true
+}
+
+// Settle implements [rock.Changer].
+func (b *Book) Settle(_ context.Context, id string) (rock.Change, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c, ok := b.changes[id]
+	if !ok {
+		return rock.Change{}, rock.Fail("settle", "change "+id, rock.NotFound, rock.NotRun)
+	}
+	return c, nil
+}
+
+// Change implements [rock.Changer].
+func (b *Book) Change(_ context.Context, now time.Time, p rock.Proposal) (rock.Change, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c, ok := b.changes[p.ID]; ok {
+		return c, nil
+	}
+	if b.guard != nil {
+		if err := b.guard(p.Guard); err != nil {
+			return rock.Change{}, err
+		}
+	}
+	edits, err := b.edits(p)
+	if err != nil {
+		return rock.Change{}, err
+	}
+	if b.reviewer != nil {
+		if err := b.reviewer.Review(now, b.fleet, edits); err != nil {
+			return rock.Change{}, err
+		}
+	}
+	if p.DryRun {
+		return rock.Change{}, nil
+	}
+	return b.accept(now, p, edits)
+}
+
+// edits returns the edits of the proposal, or a conflict.
+func (b *Book) edits(p rock.Proposal) ([]rock.Edit, error) {
+	var edits []rock.Edit
+	for _, r := range slices.Concat(p.Records, p.Deletes) {
+		was, ok := b.fleet.Record(r.Key())
+		if was.Version() != r.Version() {
+			return nil, rock.Fail("change", r.Key().String(), rock.Conflict, rock.NotRun).
+				Becausef("record has version %d, not %d", was.Version(), r.Version())
+		}
+		from, to := &was, &r
+		if !ok {
+			from = nil
+		}
+		next := r.WithVersion(r.Version() + 1)
+		to = &next
+		if len(edits) >= len(p.Records) {
+			to = nil
+		}
+		edits = append(edits, rock.NewEdit(r.Key(), from, to))
+	}
+	return edits, nil
+}
+
+func (b *Book) accept(now time.Time, p rock.Proposal, edits []rock.Edit) (rock.Change, error) {
+	records := b.fleet.all()
+	for _, e := range edits {
+		delete(records, e.Key())
+		if e.To() != nil {
+			records[e.Key()] = *e.To()
+		}
+	}
+	revision := b.fleet.Revision() + 1
+	c := rock.NewChange(p.ID, revision, now, p.Who, p.Why, edits)
+	b.fleet = New(revision, slices.Collect(maps.Values(records))...)
+	b.changes[p.ID] = c
+	if b.lose > 0 {
+		b.lose--
+		return rock.Change{}, rock.Fail("change", p.ID, rock.Unsettled, rock.MayHaveRun)
+	}
+	return c, nil
+}
