--- a/io/fakes/fleet/book.go
+++ b/io/fakes/fleet/book.go
@@ -106,14 +106,13 @@
 			return nil, rock.Fail("change", r.Key().String(), rock.Conflict, rock.NotRun).
 				Becausef("record has version %d, not %d", was.Version(), r.Version())
 		}
-		from, to := &was, &r
-		if !ok {
-			from = nil
+		var from, to *rock.Record
+		if ok {
+			from = &was
 		}
-		next := r.WithVersion(r.Version() + 1)
-		to = &next
-		if len(edits) >= len(p.Records) {
-			to = nil
+		if len(edits) < len(p.Records) {
+			next := r.WithVersion(r.Version() + 1)
+			to = &next
 		}
 		edits = append(edits, rock.NewEdit(r.Key(), from, to))
 	}
