--- a/core/feed/check.go
+++ b/core/feed/check.go
@@ -35,7 +35,7 @@
 func (c *Config) checkEdit(e rock.Edit) error {
 	codec := c.settings.Codec
 	if current, ok := c.Record(e.Key()); ok {
-		if err := codec.CheckReplace(current, e.To()); err != nil {
+		if err := codec.CheckReplace(current, nil); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/core/feed/propose_test.go
@@ -0,0 +1,65 @@
+package feed_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	rock "bramleyrock"
+	"bramleyrock/core/feed"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestProposeRefuses(t *testing.T) {
+	small := rec(rock.KindPool, "small", 2, 5, `{"owner":{"shared":true},"max_slots":8}`)
+	c, err := feed.Build(7, []rock.Record{*org("alpha", "a"), *small})
+	assert.NilError(t, err)
+	cases := map[string]struct {
+		proposal rock.Proposal
+		reason   rock.Reason
+		want     string
+	}{
+		"no records":       {rock.Proposal{ID: "c1", Who: "w"}, rock.BadInput, "0 records"},
+		"no id":            {rock.Proposal{Who: "w"}, rock.BadInput, "change_id"},
+		"no author":        {rock.Proposal{ID: "c1"}, rock.BadInput, "author"},
+		"long reason":      {rock.Proposal{ID: "c1", Who: "w", Why: strings.Repeat("x", 2001)}, rock.BadInput, "at most 2000"},
+		"record twice":     {rock.Proposal{ID: "c1", Who: "w", Records: []rock.Record{*small}, Deletes: []rock.Record{*small}}, rock.BadInput, "twice"},
+		"old version":      {rock.Proposal{ID: "c1", Who: "w", Records: []rock.Record{small.WithVersion(4)}}, rock.Conflict, "at version 5"},
+		"exists already":   {rock.Proposal{ID: "c1", Who: "w", Records: []rock.Record{org("alpha", "b").WithVersion(0)}}, rock.Conflict, "at version 1"},
+		"missing":          {rock.Proposal{ID: "c1", Who: "w", Deletes: []rock.Record{*org("beta", "b")}}, rock.Conflict, "does not exist"},
+		"unknown kind":     {rock.Proposal{ID: "c1", Who: "w", Records: []rock.Record{*rec("rack", "r1", 1, 0, `{}`)}}, rock.BadInput, `unknown kind "rack"`},
+		"name with slash":  {rock.Proposal{ID: "c1", Who: "w", Records: []rock.Record{*rec("pool", "a/b", 1, 0, `{}`)}}, rock.BadInput, "not allowed"},
+		"v1 drops v2 part": {rock.Proposal{ID: "c1", Who: "w", Records: []rock.Record{*rec("pool", "small", 1, 5, `{"spare":true}`)}}, rock.SchemaUnsupported, "only schema_version 2 can say"},
+	}
+	for name, x := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := c.Propose(x.proposal)
+			assert.ErrorContains(t, err, x.want)
+			assert.Equal(t, rock.ReasonOf(err), x.reason)
+			assert.Equal(t, rock.VerdictOf(err), rock.NotRun)
+		})
+	}
+}
+
+func TestConflictHoldsBothSides(t *testing.T) {
+	c, err := feed.Build(7, []rock.Record{*pool("tins", "alpha")})
+	assert.NilError(t, err)
+	mine := rec(rock.KindPool, "tins", 1, 9, `{"spare":true}`)
+	_, err = c.Propose(rock.Proposal{ID: "c1", Who: "w", Records: []rock.Record{*mine}})
+	var v *rock.VersionConflict
+	assert.Assert(t, errors.As(err, &v))
+	assert.Equal(t, string(v.Current().Body()), `{"organisation":"alpha"}`)
+	assert.Equal(t, string(v.Proposed().Body()), `{"spare":true}`)
+}
+
+func TestKeptInTheLowestSchema(t *testing.T) {
+	c, err := feed.Build(7, []rock.Record{*rec(rock.KindPool, "small", 2, 5, `{"owner":{"shared":true},"spare":true,"max_slots":8}`)})
+	assert.NilError(t, err)
+	edits, err := c.Propose(rock.Proposal{ID: "c1", Who: "w", Records: []rock.Record{*rec(rock.KindPool, "small", 2, 5, `{"owner":{"shared":true},"spare":true}`)}})
+	assert.NilError(t, err)
+	assert.Equal(t, edits[0].To().Schema(), 1)
+	assert.Equal(t, edits[0].To().Version(), uint64(8))
+	_, err = c.Check(edits)
+	assert.NilError(t, err)
+}
--- /dev/null
+++ b/io/books/batch.go
@@ -0,0 +1,206 @@
+package books
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/feed"
+)
+
+const (
+	// maxAttempts is how often a batch is checked again because another entry
+	// committed first.
+	maxAttempts = 20
+	// conflictPause is the mean wait between such attempts.
+	conflictPause = 5 * time.Millisecond
+	// maxThrottleWait is the longest wait that the platform may ask for when
+	// its rate is used up.
+	maxThrottleWait = 2 * time.Second
+)
+
+// errAgain means that the batch must be checked again on newer rows.
+var errAgain = errors.New("another change was committed first")
+
+// commitBatch gives every proposal of the batch its outcome.
+func (b *Books) commitBatch(ctx context.Context, batch []*pending) {
+	for range maxAttempts {
+		left, err := b.attempt(ctx, batch)
+		if len(left) == 0 {
+			return
+		}
+		batch = left
+		wait, ok := retryWait(err)
+		if !ok {
+			endAll(batch, err)
+			return
+		}
+		_ = pause(ctx, b.jitter(wait))
+	}
+	endAll(batch, rock.Fail("change", "head", rock.Overloaded, rock.NotRun).
+		RetryIn(time.Second).Because(errAgain))
+}
+
+// retryWait returns the mean wait before the next attempt, and false if there
+// is to be none.
+func retryWait(err error) (time.Duration, bool) {
+	if errors.Is(err, errAgain) {
+		return conflictPause, true
+	}
+	var f *rock.Failure
+	if !errors.As(err, &f) || f.Verdict() != rock.NotRun {
+		return 0, false
+	}
+	wait := f.RetryAfter()
+	return wait, wait > 0 && wait <= maxThrottleWait
+}
+
+func endAll(batch []*pending, err error) {
+	for _, w := range batch {
+		w.end(rock.Change{}, err)
+	}
+}
+
+// attempt checks the batch against the newest configuration and commits it. It
+// returns the proposals that have no outcome yet, and why.
+func (b *Books) attempt(ctx context.Context, batch []*pending) ([]*pending, error) {
+	rows, err := b.readRows(ctx, batch)
+	if err != nil {
+		return batch, err
+	}
+	head, err := readRevision(rows[headKey])
+	if err != nil {
+		return batch, err
+	}
+	b.sawHead(head)
+	if err := b.catchUp(ctx, head); err != nil {
+		return batch, err
+	}
+	config := b.Config()
+	if config.Revision() > head {
+		return batch, errAgain
+	}
+	t := newTransaction(config, rows)
+	batch = b.endRepeated(ctx, batch, rows)
+	batch = slices.DeleteFunc(batch, func(w *pending) bool { return b.add(t, w) })
+	if len(batch) == 0 {
+		return nil, nil
+	}
+	return b.commit(ctx, t, batch)
+}
+
+// readRows reads head and all rows that the batch touches.
+func (b *Books) readRows(ctx context.Context, batch []*pending) (map[string]rock.Row, error) {
+	keys := []string{headKey}
+	for _, w := range batch {
+		keys = append(keys, changeIDKey(w.proposal.ID))
+		for _, r := range w.proposal.Records {
+			keys = append(keys, recordKey(r.Key()))
+		}
+		for _, r := range w.proposal.Deletes {
+			keys = append(keys, recordKey(r.Key()))
+		}
+	}
+	slices.Sort(keys[1:])
+	keys = slices.Compact(keys)
+	ctx, cancel := b.call(ctx)
+	defer cancel()
+	found, err := b.settings.Table.Read(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	rows := make(map[string]rock.Row, len(found))
+	for _, r := range found {
+		rows[r.Key()] = r
+	}
+	return rows, nil
+}
+
+// endRepeated ends the proposals whose change id was accepted before: with the
+// accepted change if it is the same, else with a Duplicate failure. It returns
+// the others.
+func (b *Books) endRepeated(ctx context.Context, batch []*pending, rows map[string]rock.Row) []*pending {
+	return slices.DeleteFunc(batch, func(w *pending) bool {
+		if !rows[changeIDKey(w.proposal.ID)].Exists() {
+			return false
+		}
+		accepted, err := b.Settle(ctx, w.proposal.ID)
+		switch {
+		case err != nil:
+			w.end(rock.Change{}, unsettled(w.proposal.ID, err))
+		case !makes(w.proposal, accepted):
+			w.end(rock.Change{}, rock.Fail("change", "change "+w.proposal.ID, rock.Duplicate, rock.NotRun).
+				Becausef("the change id was used for another change, which made revision %d", accepted.Revision()))
+		default:
+			w.end(accepted, nil)
+		}
+		return true
+	})
+}
+
+// makes reports whether the accepted change is the one that p proposes: of the
+// same author, to the same records, replacing the same versions.
+func makes(p rock.Proposal, accepted rock.Change) bool {
+	want := map[rock.Key]uint64{}
+	for _, r := range append(p.Records[:len(p.Records):len(p.Records)], p.Deletes...) {
+		want[r.Key()] = r.Version()
+	}
+	if p.Who != accepted.Who() || len(want) != len(accepted.Edits()) {
+		return false
+	}
+	for _, e := range accepted.Edits() {
+		var from uint64
+		if e.From() != nil {
+			from = e.From().Version()
+		}
+		if v, ok := want[e.Key()]; !ok || v != from {
+			return false
+		}
+	}
+	return true
+}
+
+// add checks the proposal against the configuration after the ones before it
+// and adds it to the transaction. It reports whether the proposal has ended.
+func (b *Books) add(t *transaction, w *pending) bool {
+	c, next, err := b.check(t.config, w)
+	if err == nil {
+		err = t.checkRows(c)
+	}
+	if err != nil {
+		w.end(rock.Change{}, err)
+		return true
+	}
+	if w.proposal.DryRun {
+		w.end(c, nil)
+		return true
+	}
+	t.add(c, next, w.proposal.Guard)
+	return false
+}
+
+// check returns the change that the proposal makes to config, and the
+// configuration after it.
+func (b *Books) check(config *feed.Config, w *pending) (rock.Change, *feed.Config, error) {
+	p := w.proposal
+	edits, err := config.Propose(p)
+	if err != nil {
+		return rock.Change{}, nil, err
+	}
+	if err := checkAddresses(edits); err != nil {
+		return rock.Change{}, nil, err
+	}
+	next, err := config.Check(edits)
+	if err != nil {
+		return rock.Change{}, nil, err
+	}
+	if r := b.settings.Reviewer; r != nil {
+		if err := r.Review(w.now, config, edits); err != nil {
+			return rock.Change{}, nil, err
+		}
+	}
+	c := rock.NewChange(p.ID, next.Revision(), w.now.UTC(), p.Who, p.Why, edits)
+	return c, next, nil
+}
--- /dev/null
+++ b/io/books/books.go
@@ -0,0 +1,182 @@
+package books
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/feed"
+	"bramleyrock/core/ring"
+)
+
+// maxHints is the number of hints that may wait.
+const maxHints = 64
+
+// Books keeps the configuration of one entry. It is safe for concurrent use.
+type Books struct {
+	settings Settings
+	feed     feed.Settings
+	state    atomic.Pointer[state]
+	hints    *ring.Ring[hint]
+	turn     chan struct{}
+
+	mu      sync.Mutex
+	recent  recent
+	changed chan struct{}
+	waiting []*pending
+	random  *rand.Rand
+}
+
+var (
+	_ rock.Changer     = (*Books)(nil)
+	_ rock.FleetSource = (*Books)(nil)
+)
+
+// New returns books that know no configuration yet.
+func New(s Settings) *Books {
+	s = s.withDefaults()
+	b := &Books{
+		settings: s,
+		feed:     feed.Settings{Codec: s.Codec, BootstrapDigest: s.BootstrapDigest},
+		hints:    ring.New[hint](maxHints),
+		turn:     make(chan struct{}, 1),
+		changed:  make(chan struct{}),
+		random:   rand.New(rand.NewPCG(s.Seed, 0)),
+	}
+	b.state.Store(&state{config: b.feed.Empty()})
+	return b
+}
+
+// Fleet implements [rock.FleetSource].
+func (b *Books) Fleet() (rock.Fleet, bool) {
+	s := b.state.Load()
+	return s.config, s.known
+}
+
+// Config returns the configuration in force; it is empty if none is known yet.
+func (b *Books) Config() *feed.Config { return b.state.Load().config }
+
+// Revision returns the revision in force, or 0 if none is known yet.
+func (b *Books) Revision() rock.Revision { return b.Config().Revision() }
+
+// Confirmed reports whether the revision in force was seen in the platform's
+// table. It is false as long as only peers have vouched for it.
+func (b *Books) Confirmed() bool {
+	s := b.state.Load()
+	return s.known && s.config.Revision() <= s.head && s.contacted
+}
+
+// Watch returns a channel that is closed when a newer configuration is in
+// force or the one in force is first known.
+func (b *Books) Watch() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changed
+}
+
+// Changes returns up to limit changes after the revision, for a lagging peer.
+// If they are no longer held, it returns a [rock.NotFound] failure.
+func (b *Books) Changes(after rock.Revision, limit int) ([]rock.Change, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.state.Load(); after >= s.config.Revision() {
+		return nil, nil
+	}
+	changes, ok := b.recent.after(after, limit)
+	if !ok {
+		return nil, rock.Fail("read", "changes", rock.NotFound, rock.NotRun).
+			Becausef("the changes after revision %d are no longer held", after)
+	}
+	return changes, nil
+}
+
+// Snapshot returns all records in force and their revision, for a peer that
+// knows nothing yet. It is an [rock.Unavailable] failure if none is known.
+func (b *Books) Snapshot() (rock.Revision, []rock.Record, error) {
+	s := b.state.Load()
+	if !s.known {
+		return 0, nil, rock.Fail("read", "snapshot", rock.Unavailable, rock.NotRun).
+			Becausef("no configuration is known yet")
+	}
+	return s.config.Revision(), s.config.All(), nil
+}
+
+// putInForce makes next the configuration in force if it is newer. Changes are
+// those that led to it, if they are known.
+func (b *Books) putInForce(next *feed.Config, changes []rock.Change) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.state.Load()
+	if old.known && next.Revision() <= old.config.Revision() {
+		return false
+	}
+	b.recent.add(after(changes, old.config.Revision()))
+	b.state.Store(&state{config: next, known: true, contacted: old.contacted, head: old.head})
+	close(b.changed)
+	b.changed = make(chan struct{})
+	b.note(next, changes)
+	return true
+}
+
+// after returns the changes that are newer than the revision.
+func after(changes []rock.Change, r rock.Revision) []rock.Change {
+	for len(changes) > 0 && changes[0].Revision() <= r {
+		changes = changes[1:]
+	}
+	return changes
+}
+
+// note writes the log and the metrics of a configuration put in force.
+func (b *Books) note(next *feed.Config, changes []rock.Change) {
+	now := b.settings.Now()
+	for _, c := range changes {
+		b.settings.Scope.Timer("books_force_delay").Record(now.Sub(c.At()))
+	}
+	b.settings.Scope.Counter("books_changes").Inc(int64(len(changes)))
+	b.settings.Scope.Gauge("books_revision").Update(float64(next.Revision()))
+	log := b.settings.Log.WithField("revision", next.Revision())
+	if n := len(next.Unread()); n > 0 {
+		log.WithField("records", n).Warn("Some records cannot be read by this program.")
+	}
+	log.Debug("Configuration is in force.")
+}
+
+// sawHead notes the revision of the platform's row head.
+func (b *Books) sawHead(head rock.Revision) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.state.Load()
+	next := *old
+	next.head = max(old.head, head)
+	next.contacted = true
+	if next != *old {
+		b.state.Store(&next)
+	}
+}
+
+// call bounds a call of the platform or a peer.
+func (b *Books) call(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, b.settings.CallTimeout)
+}
+
+// jitter returns a time between 0.8 and 1.2 times d.
+func (b *Books) jitter(d time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Duration(float64(d) * (0.8 + 0.4*b.random.Float64()))
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/io/books/change.go
@@ -0,0 +1,122 @@
+package books
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+)
+
+const (
+	// maxWaiting is the number of proposals that may wait.
+	maxWaiting = 1024
+	// maxBatch is the greatest number of changes in one transaction.
+	maxBatch = 64
+)
+
+// Change implements [rock.Changer]. Proposals that wait at the same time are
+// committed together by the goroutine of one of them.
+func (b *Books) Change(ctx context.Context, now time.Time, p rock.Proposal) (rock.Change, error) {
+	w := newPending(now, p)
+	if !b.enqueue(w) {
+		return rock.Change{}, rock.Fail("change", "change "+p.ID, rock.Overloaded, rock.NotRun).
+			RetryIn(time.Second).Becausef("%d changes are waiting", maxWaiting)
+	}
+	for {
+		select {
+		case <-w.done:
+			return w.change, w.err
+		case b.turn <- struct{}{}:
+			if !w.ended() {
+				b.commitWaiting(ctx)
+			}
+			<-b.turn
+		case <-ctx.Done():
+			return b.giveUp(w, ctx.Err())
+		}
+	}
+}
+
+func (b *Books) enqueue(w *pending) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.waiting) >= maxWaiting {
+		return false
+	}
+	b.waiting = append(b.waiting, w)
+	return true
+}
+
+// giveUp ends a proposal whose author has gone. One that still waits did not
+// run; one in a transaction may have.
+func (b *Books) giveUp(w *pending, cause error) (rock.Change, error) {
+	b.mu.Lock()
+	i := slices.Index(b.waiting, w)
+	if i >= 0 {
+		b.waiting = slices.Delete(b.waiting, i, i+1)
+	}
+	b.mu.Unlock()
+	if i >= 0 {
+		return rock.Change{}, rock.Fail("change", "change "+w.proposal.ID, rock.Cancelled, rock.NotRun).Because(cause)
+	}
+	return rock.Change{}, unsettled(w.proposal.ID, cause)
+}
+
+func unsettled(id string, cause error) error {
+	return rock.Fail("change", "change "+id, rock.Unsettled, rock.MayHaveRun).Because(cause)
+}
+
+// take removes the next batch from the queue: one proposal that must be alone,
+// or several without repeated change ids.
+func (b *Books) take() []*pending {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var batch []*pending
+	ids := map[string]bool{}
+	for _, w := range b.waiting {
+		if len(batch) == maxBatch || ids[w.proposal.ID] || w.alone() && len(batch) > 0 {
+			break
+		}
+		ids[w.proposal.ID] = true
+		batch = append(batch, w)
+		if w.alone() {
+			break
+		}
+	}
+	b.waiting = slices.Delete(b.waiting, 0, len(batch))
+	return batch
+}
+
+// commitWaiting commits the next batch. Other authors' proposals are in it, so
+// it goes on when ctx ends.
+func (b *Books) commitWaiting(ctx context.Context) {
+	batch := b.take()
+	if len(batch) == 0 {
+		return
+	}
+	b.commitBatch(context.WithoutCancel(ctx), batch)
+}
+
+// Settle implements [rock.Changer].
+func (b *Books) Settle(ctx context.Context, changeID string) (rock.Change, error) {
+	ctx, cancel := b.call(ctx)
+	defer cancel()
+	key := changeIDKey(changeID)
+	rows, err := b.settings.Table.Read(ctx, key)
+	if err != nil {
+		return rock.Change{}, err
+	}
+	if !rows[0].Exists() {
+		return rock.Change{}, rock.Fail("settle", "change "+changeID, rock.NotFound, rock.NotRun)
+	}
+	revision, err := readRevision(rows[0])
+	if err != nil {
+		return rock.Change{}, err
+	}
+	rows, err = b.settings.Table.Read(ctx, changeKey(revision))
+	if err != nil {
+		return rock.Change{}, err
+	}
+	return readChange(rows[0])
+}
--- /dev/null
+++ b/io/books/change_test.go
@@ -0,0 +1,183 @@
+package books_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/group"
+	"bramleyrock/io/books"
+	"bramleyrock/io/fakes/depot"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	d := depot.New(depot.Settings{})
+	a, b := entry(t, settings(d)), entry(t, settings(d))
+	c := change(t, a, "c1", organisation("alpha", 0, 40))
+	assert.Equal(t, c.Revision(), rock.Revision(1))
+	assert.Equal(t, a.Revision(), rock.Revision(1))
+	reaches(t, b, 1)
+	assert.Equal(t, b.Config().Quota("alpha"), 40)
+	assert.Assert(t, b.Confirmed())
+	settled, err := b.Settle(context.Background(), "c1")
+	assert.NilError(t, err)
+	assert.Equal(t, settled.Who(), "operator")
+}
+
+func TestRacingOperatorsSeeBothSides(t *testing.T) {
+	d := depot.New(depot.Settings{})
+	a, b := entry(t, settings(d)), entry(t, settings(d))
+	change(t, a, "c1", organisation("alpha", 0, 40))
+	change(t, a, "c2", organisation("alpha", 1, 50))
+	_, err := b.Change(context.Background(), time.Now(), proposal("c3", organisation("alpha", 1, 60)))
+	var v *rock.VersionConflict
+	assert.Assert(t, errors.As(err, &v), "%v", err)
+	assert.Equal(t, string(v.Current().Body()), `{"quota":50}`)
+	assert.Equal(t, string(v.Proposed().Body()), `{"quota":60}`)
+	assert.Equal(t, rock.VerdictOf(err), rock.NotRun)
+}
+
+func TestLostAnswersAreSettled(t *testing.T) {
+	cases := map[string]depot.Faults{
+		"took effect":          {LoseAnswers: 1},
+		"did not take effect":  {LoseCalls: 1},
+		"fence is lost too":    {LoseCalls: 2},
+		"both sorts":           {LoseCalls: 1, LoseAnswers: 1},
+		"answer of the fence":  {LoseAnswers: 2},
+		"answers of all calls": {LoseAnswers: 4},
+	}
+	for name, f := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := depot.New(depot.Settings{})
+			b := books.New(settings(d))
+			change(t, b, "c1", organisation("alpha", 0, 1))
+			d.SetFaults(f)
+			c := change(t, b, "c2", organisation("alpha", 1, 2))
+			assert.Equal(t, c.Revision(), rock.Revision(2))
+			d.SetFaults(depot.Faults{})
+			all, _, err := b.History(context.Background(), books.Filter{})
+			assert.NilError(t, err)
+			assert.Equal(t, len(all), 2)
+		})
+	}
+}
+
+func TestUnknownOutcomeSaysSo(t *testing.T) {
+	d := depot.New(depot.Settings{})
+	s := settings(d)
+	s.SettleTimeout = 50 * time.Millisecond
+	s.Table = &cutAfterCommit{Table: d, depot: d}
+	_, err := books.New(s).Change(context.Background(), time.Now(), proposal("c1", organisation("alpha", 0, 1)))
+	assert.Equal(t, rock.ReasonOf(err), rock.Unsettled)
+	assert.Equal(t, rock.VerdictOf(err), rock.MayHaveRun)
+	d.SetFaults(depot.Faults{})
+	c, err := books.New(settings(d)).Settle(context.Background(), "c1")
+	assert.NilError(t, err)
+	assert.Equal(t, c.Revision(), rock.Revision(1))
+}
+
+// cutAfterCommit is a platform that goes away with the answer of a commit.
+type cutAfterCommit struct {
+	rock.Table
+	depot *depot.Depot
+}
+
+func (c *cutAfterCommit) Commit(ctx context.Context, t rock.Transaction) error {
+	c.depot.SetFaults(depot.Faults{LoseAnswers: 1})
+	err := c.Table.Commit(ctx, t)
+	c.depot.SetFaults(depot.Faults{Down: true})
+	return err
+}
+
+func TestChangeIDIsUsedOnce(t *testing.T) {
+	b := books.New(settings(depot.New(depot.Settings{})))
+	first := change(t, b, "c1", organisation("alpha", 0, 1))
+	again := change(t, b, "c1", organisation("alpha", 0, 1))
+	assert.Equal(t, again.Revision(), first.Revision())
+	_, err := b.Change(context.Background(), time.Now(), proposal("c1", organisation("beta", 0, 1)))
+	assert.Equal(t, rock.ReasonOf(err), rock.Duplicate)
+	assert.Equal(t, b.Revision(), rock.Revision(1))
+}
+
+func TestPlatformDownRefusesChanges(t *testing.T) {
+	d := depot.New(depot.Settings{})
+	b := books.New(settings(d))
+	d.SetFaults(depot.Faults{Down: true})
+	_, err := b.Change(context.Background(), time.Now(), proposal("c1", organisation("alpha", 0, 1)))
+	assert.Equal(t, rock.ReasonOf(err), rock.Unavailable)
+	assert.Equal(t, rock.VerdictOf(err), rock.NotRun)
+}
+
+func TestDryRunWritesNothing(t *testing.T) {
+	d := depot.New(depot.Settings{})
+	b := books.New(settings(d))
+	p := proposal("c1", organisation("alpha", 0, 1))
+	p.DryRun = true
+	c, err := b.Change(context.Background(), time.Now(), p)
+	assert.NilError(t, err)
+	assert.Equal(t, c.Revision(), rock.Revision(1))
+	assert.Equal(t, d.Stats().Writes, uint64(0))
+}
+
+func TestGuardIsPartOfTheTransaction(t *testing.T) {
+	d := depot.New(depot.Settings{})
+	b := books.New(settings(d))
+	p := proposal("c1", organisation("alpha", 0, 1))
+	p.Guard.Require("lease/waves", 3)
+	_, err := b.Change(context.Background(), time.Now(), p)
+	assert.Equal(t, rock.ReasonOf(err), rock.Conflict)
+	p.Guard = rock.Transaction{}
+	p.Guard.Require("lease/waves", 0)
+	p.Guard.Put("lease/waves", []byte("{}"))
+	_, err = b.Change(context.Background(), time.Now(), p)
+	assert.NilError(t, err)
+	rows, err := d.Read(context.Background(), "lease/waves")
+	assert.NilError(t, err)
+	assert.Equal(t, string(rows[0].Value()), "{}")
+}
+
+// reviewer refuses a quota above 10.
+type reviewer struct{}
+
+func (reviewer) Review(_ time.Time, _ rock.Fleet, edits []rock.Edit) error {
+	if string(edits[0].To().Body()) == `{"quota":11}` {
+		return rock.Fail("review", "organisation alpha", rock.BudgetExceeded, rock.NotRun)
+	}
+	return nil
+}
+
+func TestReviewerRefuses(t *testing.T) {
+	s := settings(depot.New(depot.Settings{}))
+	s.Reviewer = reviewer{}
+	b := books.New(s)
+	_, err := b.Change(context.Background(), time.Now(), proposal("c1", organisation("alpha", 0, 11)))
+	assert.Equal(t, rock.ReasonOf(err), rock.BudgetExceeded)
+	change(t, b, "c2", organisation("alpha", 0, 10))
+}
+
+// TestBurst makes 100 changes at once through two entries and wants each
+// accepted once and in force at both.
+func TestBurst(t *testing.T) {
+	d := depot.New(depot.Settings{})
+	entries := []*books.Books{entry(t, settings(d)), entry(t, settings(d))}
+	g := group.New(context.Background())
+	for i := range 100 {
+		g.Go("change", func(ctx context.Context) error {
+			p := proposal(fmt.Sprintf("c%d", i), organisation(fmt.Sprintf("o%d", i), 0, i))
+			_, err := entries[i%2].Change(ctx, time.Now(), p)
+			return err
+		})
+	}
+	assert.NilError(t, g.Wait())
+	for _, e := range entries {
+		reaches(t, e, 100)
+		assert.Equal(t, e.Revision(), rock.Revision(100))
+		assert.Equal(t, len(e.Config().Records(rock.KindOrganisation)), 100)
+	}
+	t.Logf("commits %d, writes %d, reads %d, conflicts %d", d.Stats().Commits, d.Stats().Writes, d.Stats().Reads, d.Stats().Conflicts)
+}
--- /dev/null
+++ b/io/books/entry_test.go
@@ -0,0 +1,89 @@
+package books_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/group"
+	"bramleyrock/io/books"
+	"bramleyrock/io/fakes/depot"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// patience bounds how long a test waits for what must come.
+const patience = 20 * time.Second
+
+// settings returns settings that poll fast.
+func settings(d *depot.Depot) books.Settings {
+	return books.Settings{
+		Table:         d,
+		Objects:       d,
+		Now:           time.Now,
+		Poll:          10 * time.Millisecond,
+		MaxBackoff:    40 * time.Millisecond,
+		Grace:         100 * time.Millisecond,
+		SettleTimeout: 2 * time.Second,
+	}
+}
+
+// entry returns books that follow the feed until the test ends.
+func entry(t testing.TB, s books.Settings) *books.Books {
+	b, _ := stoppable(t, s)
+	return b
+}
+
+// stoppable is entry with a function that stops the entry.
+func stoppable(t testing.TB, s books.Settings) (*books.Books, func()) {
+	b := books.New(s)
+	g := group.New(context.Background())
+	g.Go("follow", b.Follow)
+	stop := func() {
+		g.Stop()
+		assert.Check(t, g.Wait() == nil)
+	}
+	t.Cleanup(stop)
+	return b, stop
+}
+
+// eventually polls until the condition holds.
+func eventually(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(patience), poll.WithDelay(2*time.Millisecond))
+}
+
+// reaches waits until the entry has the revision in force.
+func reaches(t testing.TB, b *books.Books, r rock.Revision) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("revision %d", r), func() bool { return b.Revision() >= r })
+}
+
+func record(kind rock.Kind, name string, version uint64, body string) rock.Record {
+	return rock.NewRecord(rock.NewKey(kind, name), 1, version, json.RawMessage(body))
+}
+
+func organisation(name string, version uint64, quota int) rock.Record {
+	return record(rock.KindOrganisation, name, version, fmt.Sprintf(`{"quota":%d}`, quota))
+}
+
+func proposal(id string, records ...rock.Record) rock.Proposal {
+	return rock.Proposal{ID: id, Who: "operator", Why: "test", Records: records}
+}
+
+// change makes a change that must be accepted.
+func change(t testing.TB, b *books.Books, id string, records ...rock.Record) rock.Change {
+	t.Helper()
+	c, err := b.Change(context.Background(), time.Now(), proposal(id, records...))
+	assert.NilError(t, err)
+	return c
+}
--- /dev/null
+++ b/io/books/history.go
@@ -0,0 +1,77 @@
+package books
+
+import (
+	"context"
+	"slices"
+
+	rock "bramleyrock"
+)
+
+const (
+	defaultHistory = 100
+	// maxHistoryPages bounds the pages of the feed that one question reads.
+	maxHistoryPages = 40
+)
+
+// History returns the changes that the filter selects, oldest first, from the
+// platform's table. It reads up to 20,000 changes; the second result is the
+// revision up to which it read when it went forward, or from which on when it
+// looked for the newest.
+func (b *Books) History(ctx context.Context, f Filter) ([]rock.Change, rock.Revision, error) {
+	f.Limit = either(f.Limit, defaultHistory)
+	if f.After != nil {
+		return b.historyAfter(ctx, f)
+	}
+	return b.historyNewest(ctx, f)
+}
+
+func (b *Books) historyAfter(ctx context.Context, f Filter) ([]rock.Change, rock.Revision, error) {
+	var found []rock.Change
+	at := *f.After
+	for range maxHistoryPages {
+		page, err := b.readChanges(ctx, at, pageSize)
+		if err != nil {
+			return nil, 0, err
+		}
+		for _, c := range page {
+			at = c.Revision()
+			if f.matches(c) {
+				found = append(found, c)
+			}
+			if len(found) == f.Limit {
+				return found, at, nil
+			}
+		}
+		if len(page) < pageSize {
+			break
+		}
+	}
+	return found, at, nil
+}
+
+// historyNewest reads backwards from head.
+func (b *Books) historyNewest(ctx context.Context, f Filter) ([]rock.Change, rock.Revision, error) {
+	_, end, err := b.readHead(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	var found []rock.Change
+	for range maxHistoryPages {
+		size := min(end, pageSize)
+		page, err := b.readChanges(ctx, end-size, int(max(size, 1)))
+		if err != nil {
+			return nil, 0, err
+		}
+		for _, c := range slices.Backward(page) {
+			if f.matches(c) && len(found) < f.Limit {
+				found = append(found, c)
+			}
+		}
+		end -= size
+		if end == 0 || len(found) == f.Limit || len(page) > 0 && page[0].At().Before(f.Since) {
+			break
+		}
+	}
+	slices.Reverse(found)
+	return found, end, nil
+}
--- /dev/null
+++ b/io/books/pending.go
@@ -0,0 +1,42 @@
+package books
+
+import (
+	"time"
+
+	rock "bramleyrock"
+)
+
+// pending is a proposal that waits for its outcome.
+type pending struct {
+	now      time.Time
+	proposal rock.Proposal
+	done     chan struct{}
+	change   rock.Change
+	err      error
+}
+
+func newPending(now time.Time, p rock.Proposal) *pending {
+	return &pending{now: now, proposal: p, done: make(chan struct{})}
+}
+
+// end gives the outcome.
+func (p *pending) end(c rock.Change, err error) {
+	p.change, p.err = c, err
+	close(p.done)
+}
+
+// ended reports whether the outcome is known.
+func (p *pending) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// alone reports whether the proposal must have a transaction of its own.
+func (p *pending) alone() bool {
+	g := p.proposal.Guard
+	return p.proposal.DryRun || len(g.Conditions()) > 0 || len(g.Writes()) > 0
+}
