--- a/io/books/batch.go
+++ b/io/books/batch.go
@@ -185,6 +185,9 @@
 // configuration after it.
 func (b *Books) check(config *feed.Config, w *pending) (rock.Change, *feed.Config, error) {
 	p := w.proposal
+	if err := w.check(config); err != nil {
+		return rock.Change{}, nil, err
+	}
 	edits, err := config.Propose(p)
 	if err != nil {
 		return rock.Change{}, nil, err
--- a/io/books/change.go
+++ b/io/books/change.go
@@ -6,6 +6,7 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/feed"
 )
 
 const (
@@ -18,7 +19,14 @@
 // Change implements [rock.Changer]. Proposals that wait at the same time are
 // committed together by the goroutine of one of them.
 func (b *Books) Change(ctx context.Context, now time.Time, p rock.Proposal) (rock.Change, error) {
-	w := newPending(now, p)
+	return b.ChangeIf(ctx, now, p, nil)
+}
+
+// ChangeIf is [Books.Change] with a further check, which is given the
+// configuration that the change is made to. It may run more than once, and by
+// any goroutine.
+func (b *Books) ChangeIf(ctx context.Context, now time.Time, p rock.Proposal, check func(before *feed.Config) error) (rock.Change, error) {
+	w := newPending(now, p, check)
 	if !b.enqueue(w) {
 		return rock.Change{}, rock.Fail("change", "change "+p.ID, rock.Overloaded, rock.NotRun).
 			RetryIn(time.Second).Becausef("%d changes are waiting", maxWaiting)
--- a/io/books/filter.go
+++ b/io/books/filter.go
@@ -23,16 +23,25 @@
 	Change string
 	// Since leaves out changes before this time.
 	Since time.Time
-	// Allowed selects the changes that the reader may see; nil allows all.
-	Allowed func(c rock.Change) bool
+	// View returns the part of a change that the reader may see, and false if
+	// there is none; nil shows all.
+	View func(c rock.Change) (rock.Change, bool)
 }
 
-// matches reports whether the filter selects c.
-func (f Filter) matches(c rock.Change) bool {
+// match returns what the reader may see of c, and whether the filter selects
+// it.
+func (f Filter) match(c rock.Change) (rock.Change, bool) {
 	if f.Who != "" && f.Who != c.Who() || f.Change != "" && f.Change != c.ID() || c.At().Before(f.Since) {
-		return false
+		return rock.Change{}, false
 	}
-	return f.touches(c) && (f.Allowed == nil || f.Allowed(c))
+	if f.View != nil {
+		seen, ok := f.View(c)
+		if !ok {
+			return rock.Change{}, false
+		}
+		c = seen
+	}
+	return c, f.touches(c)
 }
 
 // touches reports whether c edits a record that the filter selects.
--- a/io/books/history.go
+++ b/io/books/history.go
@@ -35,8 +35,8 @@
 		}
 		for _, c := range page {
 			at = c.Revision()
-			if f.matches(c) {
-				found = append(found, c)
+			if seen, ok := f.match(c); ok {
+				found = append(found, seen)
 			}
 			if len(found) == f.Limit {
 				return found, at, nil
@@ -63,8 +63,8 @@
 			return nil, 0, err
 		}
 		for _, c := range slices.Backward(page) {
-			if f.matches(c) && len(found) < f.Limit {
-				found = append(found, c)
+			if seen, ok := f.match(c); ok && len(found) < f.Limit {
+				found = append(found, seen)
 			}
 		}
 		end -= size
--- a/io/books/pending.go
+++ b/io/books/pending.go
@@ -4,19 +4,24 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/feed"
 )
 
 // pending is a proposal that waits for its outcome.
 type pending struct {
 	now      time.Time
 	proposal rock.Proposal
+	check    func(before *feed.Config) error
 	done     chan struct{}
 	change   rock.Change
 	err      error
 }
 
-func newPending(now time.Time, p rock.Proposal) *pending {
-	return &pending{now: now, proposal: p, done: make(chan struct{})}
+func newPending(now time.Time, p rock.Proposal, check func(before *feed.Config) error) *pending {
+	if check == nil {
+		check = func(*feed.Config) error { return nil }
+	}
+	return &pending{now: now, proposal: p, check: check, done: make(chan struct{})}
 }
 
 // end gives the outcome.
--- /dev/null
+++ b/io/oper/answers.go
@@ -0,0 +1,46 @@
+package oper
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	rock "bramleyrock"
+	"bramleyrock/io/probl"
+)
+
+// recordsAnswer answers the reading of a kind.
+type recordsAnswer struct {
+	Revision  rock.Revision `json:"revision"`
+	Confirmed bool          `json:"confirmed"`
+	Records   []rock.Record `json:"records"`
+}
+
+// changeAnswer answers a change.
+type changeAnswer struct {
+	Change rock.Change `json:"change"`
+	DryRun bool        `json:"dry_run"`
+}
+
+// changesAnswer answers a question about history. ReadTo is the revision at
+// which the search ended.
+type changesAnswer struct {
+	Changes []rock.Change `json:"changes"`
+	ReadTo  rock.Revision `json:"read_to"`
+}
+
+// answer writes v as JSON.
+func answer(w http.ResponseWriter, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		probl.Write(w, rock.Fail("answer", "", rock.Internal, rock.Ran).Because(err))
+		return
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Cache-Control", "no-store")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(probl.VerdictHeader, string(rock.Ran))
+	// The client is gone if this fails, and there is nobody left to tell.
+	_, _ = w.Write(body)
+}
