--- /dev/null
+++ b/core/claim/book.go
@@ -0,0 +1,128 @@
+package claim
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// Book remembers the keys that were claimed at their home, until they expire.
+// A key is never forgotten before. It is not safe for concurrent use.
+type Book struct {
+	limits  Limits
+	entries map[string]*entry
+	expiry  entries
+	// answers holds the entries with an answer, the oldest first.
+	answers []*entry
+	bytes   int
+	// latest is the greatest time seen. Keys that expired before it may have
+	// been forgotten, so a clock that goes back must not revive them.
+	latest time.Time
+	closed bool
+}
+
+// NewBook returns an empty book.
+func NewBook(l Limits) *Book {
+	return &Book{limits: l.withDefaults(), entries: map[string]*entry{}}
+}
+
+// Len returns the number of keys remembered.
+func (b *Book) Len() int { return len(b.entries) }
+
+// Claim claims a key that expires at that time, or tells what became of it. A
+// key that may have been forgotten is refused as [rock.MayHaveRun]; one that
+// is new but finds no room as [rock.NotRun].
+func (b *Book) Claim(now time.Time, key string, expires time.Time) (Claimed, error) {
+	b.sweep(now)
+	if !b.latest.Before(expires) {
+		return Claimed{}, refuse(rock.Expired, rock.MayHaveRun).Becausef("the key expired at %s", expires.UTC().Format(time.RFC3339))
+	}
+	if e := b.entries[key]; e != nil {
+		return e.claimed(), nil
+	}
+	if b.closed {
+		return Claimed{}, refuse(rock.Leaving, rock.NotRun).Becausef("its home is shutting down and the key was not claimed")
+	}
+	if len(b.entries) >= b.limits.Claims {
+		return Claimed{}, refuse(rock.Overloaded, rock.NotRun).RetryIn(b.expiry[0].expires.Sub(b.latest)).Becausef("%d keys are remembered, the limit", len(b.entries))
+	}
+	e := &entry{key: key, expires: expires}
+	b.entries[key] = e
+	heap.Push(&b.expiry, e)
+	return Claimed{state: Fresh}, nil
+}
+
+// Close makes the book refuse new keys; it goes on to tell what became of the
+// others.
+func (b *Book) Close() { b.closed = true }
+
+// Closing returns the statement of the keys claimed by that incarnation. The
+// book must be closed.
+func (b *Book) Closing(now time.Time, incarnation string) Closing {
+	b.sweep(now)
+	c := Closing{Incarnation: incarnation, ClosedAt: b.latest, Claimed: make([]string, 0, len(b.entries))}
+	for key := range b.entries {
+		c.Claimed = append(c.Claimed, digest(key))
+	}
+	slices.Sort(c.Claimed)
+	return c
+}
+
+// Settle notes the outcome of a claimed key. If it did not run, the key may be
+// claimed again.
+func (b *Book) Settle(now time.Time, key string, o Outcome) {
+	b.sweep(now)
+	e := b.entries[key]
+	if e == nil || e.settled {
+		return
+	}
+	if _, err := o.Result(); rock.VerdictOf(err) == rock.NotRun {
+		delete(b.entries, key)
+		heap.Remove(&b.expiry, e.index)
+		return
+	}
+	e.settled, e.outcome = true, o
+	b.bytes += o.size()
+	b.answers = append(b.answers, e)
+	for b.bytes > b.limits.AnswerBytes {
+		b.forget(b.answers[0])
+		b.answers = b.answers[1:]
+	}
+}
+
+// forget drops the answer of an entry.
+func (b *Book) forget(e *entry) {
+	b.bytes -= e.outcome.size()
+	if _, err := e.outcome.Result(); err == nil {
+		e.outcome = NewOutcome(rock.Answer{}, refuse(rock.Duplicate, rock.MayHaveRun).Becausef("the key ran and its answer is no longer held"))
+	}
+}
+
+// sweep forgets the keys that have expired.
+func (b *Book) sweep(now time.Time) {
+	if now.After(b.latest) {
+		b.latest = now
+	}
+	for len(b.expiry) > 0 && !b.latest.Before(b.expiry[0].expires) {
+		e := heap.Pop(&b.expiry).(*entry)
+		delete(b.entries, e.key)
+		b.forget(e)
+	}
+	for len(b.answers) > 0 && !b.latest.Before(b.answers[0].expires) {
+		b.answers = b.answers[1:]
+	}
+}
+
+// claimed returns the state of the entry for a later send.
+func (e *entry) claimed() Claimed {
+	if !e.settled {
+		return Claimed{state: Running}
+	}
+	return Claimed{state: Settled, outcome: e.outcome}
+}
+
+func refuse(reason rock.Reason, verdict rock.Verdict) *rock.Failure {
+	return rock.Fail("claim", "idempotency key", reason, verdict)
+}
--- /dev/null
+++ b/core/claim/book_test.go
@@ -0,0 +1,150 @@
+package claim_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/claim"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ran(payload string) claim.Outcome {
+	return claim.NewOutcome(rock.NewAnswer("r1", "h1", json.RawMessage(payload)), nil)
+}
+
+func TestClaimStates(t *testing.T) {
+	b := claim.NewBook(claim.Limits{})
+	expires := start.Add(time.Minute)
+	for _, want := range []claim.State{claim.Fresh, claim.Running, claim.Running} {
+		c, err := b.Claim(start, "k", expires)
+		assert.NilError(t, err)
+		assert.Equal(t, c.State(), want)
+	}
+	b.Settle(start, "k", ran(`"whole"`))
+	c, err := b.Claim(start, "k", expires)
+	assert.NilError(t, err)
+	answer, err := c.Outcome().Result()
+	assert.NilError(t, err)
+	assert.Equal(t, string(answer.Payload()), `"whole"`)
+}
+
+func TestOutcomeDecidesWhetherKeyIsFree(t *testing.T) {
+	cases := map[string]struct {
+		err  error
+		want claim.State
+	}{
+		"not run":      {rock.Fail("run", "", rock.Overloaded, rock.NotRun), claim.Fresh},
+		"may have run": {rock.Fail("run", "", rock.Unavailable, rock.MayHaveRun), claim.Settled},
+		"unclassified": {errors.New("broken pipe"), claim.Settled},
+		"answered":     {nil, claim.Settled},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := claim.NewBook(claim.Limits{})
+			_, err := b.Claim(start, "k", start.Add(time.Minute))
+			assert.NilError(t, err)
+			b.Settle(start, "k", claim.NewOutcome(rock.Answer{}, c.err))
+			again, err := b.Claim(start, "k", start.Add(time.Minute))
+			assert.NilError(t, err)
+			assert.Equal(t, again.State(), c.want)
+		})
+	}
+}
+
+func TestExpiredKeyIsNeverFresh(t *testing.T) {
+	b := claim.NewBook(claim.Limits{})
+	expires := start.Add(time.Minute)
+	_, err := b.Claim(start, "k", expires)
+	assert.NilError(t, err)
+	for _, now := range []time.Time{expires, expires.Add(time.Hour), start} {
+		_, err = b.Claim(now, "k", expires)
+		assert.Equal(t, rock.ReasonOf(err), rock.Expired)
+		assert.Equal(t, rock.VerdictOf(err), rock.MayHaveRun)
+	}
+	assert.Equal(t, b.Len(), 0)
+}
+
+func TestFullBookRefusesNewKeysOnly(t *testing.T) {
+	b := claim.NewBook(claim.Limits{Claims: 2})
+	for _, key := range []string{"k1", "k2", "k1"} {
+		_, err := b.Claim(start, key, start.Add(time.Minute))
+		assert.NilError(t, err)
+	}
+	_, err := b.Claim(start, "k3", start.Add(time.Minute))
+	assert.Equal(t, rock.ReasonOf(err), rock.Overloaded)
+	assert.Equal(t, rock.VerdictOf(err), rock.NotRun)
+}
+
+func TestForgottenAnswerKeepsKey(t *testing.T) {
+	b := claim.NewBook(claim.Limits{AnswerBytes: 10})
+	for _, key := range []string{"k1", "k2"} {
+		_, err := b.Claim(start, key, start.Add(time.Minute))
+		assert.NilError(t, err)
+		b.Settle(start, key, ran(`"123456"`))
+	}
+	for key, want := range map[string]rock.Verdict{"k1": rock.MayHaveRun, "k2": rock.Ran} {
+		c, err := b.Claim(start, key, start.Add(time.Minute))
+		assert.NilError(t, err)
+		_, err = c.Outcome().Result()
+		assert.Equal(t, rock.VerdictOf(err), want)
+	}
+}
+
+func TestClosing(t *testing.T) {
+	ring := claim.NewKeyring([]byte("shared"))
+	spec := claim.KeySpec{Home: "e1", Incarnation: "i1", Expires: start.Add(time.Minute), Nonce: "1"}
+	claimed := ring.Issue(spec, "alpha")
+	spec.Nonce = "2"
+	unsent := ring.Issue(spec, "alpha")
+	spec.Incarnation = "i2"
+	other := ring.Issue(spec, "alpha")
+	b := claim.NewBook(claim.Limits{})
+	_, err := b.Claim(start, claimed, spec.Expires)
+	assert.NilError(t, err)
+	b.Close()
+	_, err = b.Claim(start, unsent, spec.Expires)
+	assert.Equal(t, rock.ReasonOf(err), rock.Leaving)
+	c := b.Closing(start, "i1")
+	for text, want := range map[string]bool{claimed: false, unsent: true, other: false} {
+		key, err := ring.Open(text, "alpha")
+		assert.NilError(t, err)
+		assert.Equal(t, c.Rules(key, text), want)
+	}
+	key, err := ring.Open(unsent, "alpha")
+	assert.NilError(t, err)
+	assert.Assert(t, !b.Closing(key.Expires(), "i1").Rules(key, unsent), "a key that had expired may have been forgotten")
+}
+
+func BenchmarkClaim(b *testing.B) {
+	for _, n := range []int{50, 500, 5500} {
+		b.Run(fmt.Sprintf("remembered=%d", n), func(b *testing.B) {
+			ring, book := claim.NewKeyring([]byte("shared")), claim.NewBook(claim.Limits{})
+			expires := start.Add(time.Minute)
+			for i := range n {
+				if _, err := book.Claim(start, fmt.Sprint(i), expires); err != nil {
+					b.Fatal(err)
+				}
+			}
+			text := ring.Issue(claim.KeySpec{Home: "e1", Incarnation: "i1", Expires: expires, Nonce: "1"}, "alpha")
+			refused := claim.NewOutcome(rock.Answer{}, rock.Fail("run", "", rock.Overloaded, rock.NotRun))
+			b.ReportAllocs()
+			for b.Loop() {
+				key, err := ring.Open(text, "alpha")
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := book.Claim(start, text, key.Expires()); err != nil {
+					b.Fatal(err)
+				}
+				book.Settle(start, text, refused)
+			}
+		})
+	}
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -30,6 +30,7 @@
 	d := &door{settings: s.withDefaults(), quotas: quotas{counts: map[string]int{}}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/pools/{pool}/requests", d.handle(d.request))
+	mux.HandleFunc("POST /v1/keys", d.handle(d.keys))
 	mux.HandleFunc("/", d.handle(unknown))
 	return mux
 }
@@ -48,7 +49,7 @@
 
 // unknown refuses a path or method that does not exist.
 func unknown(_ http.ResponseWriter, r *http.Request) error {
-	return rock.Fail("find", r.Method+" "+r.URL.Path, rock.NotFound, rock.NotRun).Becausef("want POST /v1/pools/{pool}/requests")
+	return rock.Fail("find", r.Method+" "+r.URL.Path, rock.NotFound, rock.NotRun).Becausef("want POST /v1/pools/{pool}/requests or POST /v1/keys")
 }
 
 // request runs one request of a caller.
@@ -109,9 +110,14 @@
 	if n := len(a.Payload()); n > d.settings.Limits.AnswerBytes {
 		return rock.Fail("answer", "request "+a.RequestID(), rock.TooLarge, rock.Ran).Becausef("payload has %d bytes, the limit is %d", n, d.settings.Limits.AnswerBytes)
 	}
-	data, err := json.Marshal(reply{a.RequestID(), rock.Ran, a.Host(), a.Payload()})
+	return writeJSON(w, reply{a.RequestID(), rock.Ran, a.Host(), a.Payload()})
+}
+
+// writeJSON answers with v, whole.
+func writeJSON(w http.ResponseWriter, v any) error {
+	data, err := json.Marshal(v)
 	if err != nil {
-		return rock.Fail("answer", "request "+a.RequestID(), rock.Truncated, rock.Ran).Because(err)
+		return rock.Fail("answer", "", rock.Truncated, rock.MayHaveRun).Because(err)
 	}
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	rock "bramleyrock"
 	"bramleyrock/io/fakes/config"
@@ -28,12 +30,17 @@
 	return rock.NewAnswer(r.ID(), "h1", r.Payload()), e.err
 }
 
+// IssueKeys implements [rock.KeyIssuer].
+func (e *echo) IssueKeys(now time.Time, organisation string, count int) ([]string, time.Time, error) {
+	return slices.Repeat([]string{organisation}, count), now, nil
+}
+
 func handler(e *echo, l front.Limits) http.Handler {
 	f := config.New(1, []rock.Pool{rock.NewPool("tins", "alpha", false), rock.NewPool("spare", "", true)}, nil)
 	f.Admit("good", rock.NewIdentity("line-4", "alpha", rock.CallerRole))
 	f.Admit("rival", rock.NewIdentity("line-1", "beta", rock.CallerRole))
 	f.Admit("reader", rock.NewIdentity("screen", "alpha", rock.ReaderRole))
-	return front.New(front.Settings{Runner: e, Fleet: config.NewSource(f), Limits: l, NewID: func() string { return "r1" }})
+	return front.New(front.Settings{Runner: e, Keys: e, Fleet: config.NewSource(f), Limits: l, NewID: func() string { return "r1" }})
 }
 
 func post(h http.Handler, path, token, body string) *http.Response {
@@ -113,3 +120,14 @@
 	assert.Equal(t, rock.ReasonOf(err), rock.Unavailable)
 	assert.Equal(t, rock.VerdictOf(err), rock.NotRun)
 }
+
+func TestKeysAreForTheCallersOrganisation(t *testing.T) {
+	resp := post(handler(&echo{}, front.Limits{}), "/v1/keys", "good", `{"count":2}`)
+	var got struct {
+		Keys []string `json:"keys"`
+	}
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&got))
+	assert.DeepEqual(t, got.Keys, []string{"alpha", "alpha"})
+	err := probl.Read(post(handler(&echo{}, front.Limits{}), "/v1/keys", "reader", `{"count":2}`))
+	assert.Equal(t, rock.ReasonOf(err), rock.Forbidden)
+}
--- /dev/null
+++ b/io/front/keys.go
@@ -0,0 +1,39 @@
+package front
+
+import (
+	"net/http"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// keysCall is the JSON form of a request for idempotency keys.
+type keysCall struct {
+	Count int `json:"count"`
+}
+
+// keysReply is the JSON form of the keys issued.
+type keysReply struct {
+	Keys      []string  `json:"keys"`
+	ExpiresAt time.Time `json:"expires_at"`
+}
+
+// keys issues idempotency keys to a caller.
+func (d *door) keys(w http.ResponseWriter, r *http.Request) error {
+	_, id, err := d.caller(r)
+	if err != nil {
+		return err
+	}
+	c := keysCall{Count: 1}
+	if err := readJSON(w, r, d.settings.Limits.BodyBytes, &c); err != nil {
+		return err
+	}
+	if d.settings.Keys == nil {
+		return rock.Fail("issue", "idempotency keys", rock.Unavailable, rock.NotRun).Becausef("this entry issues none")
+	}
+	keys, expires, err := d.settings.Keys.IssueKeys(d.settings.Now(), id.Organisation(), c.Count)
+	if err != nil {
+		return err
+	}
+	return writeJSON(w, keysReply{Keys: keys, ExpiresAt: expires.UTC()})
+}
--- a/io/front/settings.go
+++ b/io/front/settings.go
@@ -14,6 +14,8 @@
 type Settings struct {
 	// Runner runs the requests.
 	Runner rock.Runner
+	// Keys issues idempotency keys; nil means that there are none.
+	Keys rock.KeyIssuer
 	// Fleet gives the configuration in force.
 	Fleet rock.FleetSource
 	// Limits are the bounds.
--- a/io/route/engine.go
+++ b/io/route/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/claim"
 	"bramleyrock/core/place"
 	"bramleyrock/core/queue"
 	"bramleyrock/core/sched"
@@ -16,6 +17,9 @@
 // Engine takes requests through an entry. It is safe for concurrent use.
 type Engine struct {
 	settings Settings
+	keyring  *claim.Keyring
+	ledger   *ledger
+	closings *closings
 	tasks    atomic.Uint64
 
 	mu      sync.Mutex
@@ -32,6 +36,9 @@
 	s = s.withDefaults()
 	e := &Engine{
 		settings: s,
+		keyring:  claim.NewKeyring(s.Secret),
+		ledger:   newLedger(s.Claims),
+		closings: newClosings(s.Objects),
 		sched: sched.New(sched.Settings{
 			Place: place.Settings{Zone: s.Member.Zone(), Random: s.Random},
 			Queue: queue.Settings{Limit: s.Limits.Queue},
@@ -130,26 +137,6 @@
 	return e.sched.Closed()
 }
 
-// Drain refuses new requests and waits for those taken, until ctx ends. It
-// returns how many are left.
-func (e *Engine) Drain(ctx context.Context) int {
-	e.mu.Lock()
-	if !e.leaving {
-		e.leaving = true
-		if e.active == 0 {
-			close(e.idle)
-		}
-	}
-	e.mu.Unlock()
-	select {
-	case <-e.idle:
-	case <-ctx.Done():
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.active
-}
-
 // taskID returns a new task id for an attempt at the request.
 func (e *Engine) taskID(r rock.Request) string {
 	return fmt.Sprintf("%s.%s.%d", r.ID(), e.settings.Member.Name(), e.tasks.Add(1))
--- /dev/null
+++ b/io/route/ledger.go
@@ -0,0 +1,73 @@
+package route
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/claim"
+)
+
+// ledger is the book of the keys that are at home here, and the runs under
+// way. It is safe for concurrent use.
+type ledger struct {
+	mu   sync.Mutex
+	book *claim.Book
+	runs map[string]*run
+}
+
+func newLedger(l claim.Limits) *ledger {
+	return &ledger{book: claim.NewBook(l), runs: map[string]*run{}}
+}
+
+// claim claims a key. It returns the run under way, unless the key is settled.
+func (l *ledger) claim(now time.Time, key string, expires time.Time) (claim.Claimed, *run, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, err := l.book.Claim(now, key, expires)
+	if err != nil {
+		return c, nil, err
+	}
+	if c.State() == claim.Fresh {
+		l.runs[key] = &run{done: make(chan struct{})}
+	}
+	return c, l.runs[key], nil
+}
+
+// settle notes the outcome of a key's run and tells those who wait for it.
+func (l *ledger) settle(now time.Time, key string, o claim.Outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.book.Settle(now, key, o)
+	r := l.runs[key]
+	delete(l.runs, key)
+	r.outcome = o
+	close(r.done)
+}
+
+// close refuses new keys from now on.
+func (l *ledger) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.book.Close()
+}
+
+// closing returns the statement of the keys claimed here.
+func (l *ledger) closing(now time.Time, incarnation string) claim.Closing {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.book.Closing(now, incarnation)
+}
+
+// await waits for the end of a run and returns its outcome.
+func (l *ledger) await(ctx context.Context, r rock.Request, under *run) (rock.Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline())
+	defer cancel()
+	select {
+	case <-under.done:
+		return under.outcome.Result()
+	case <-ctx.Done():
+		return rock.Answer{}, rock.Fail("wait", "idempotency key", rock.Duplicate, rock.MayHaveRun).Becausef("a send of the key is running: %w", ctx.Err())
+	}
+}
--- a/io/route/limits.go
+++ b/io/route/limits.go
@@ -10,6 +10,8 @@
 	Hops int
 	// Attempts is how often a request may be tried in all; 4.
 	Attempts int
+	// KeyLifetime is how long an idempotency key is valid; 10 min.
+	KeyLifetime time.Duration
 	// Tick is the time between looks at hosts that were held back; 20 ms.
 	Tick time.Duration
 }
@@ -24,6 +26,9 @@
 	if l.Attempts <= 0 {
 		l.Attempts = 4
 	}
+	if l.KeyLifetime <= 0 {
+		l.KeyLifetime = 10 * time.Minute
+	}
 	if l.Tick <= 0 {
 		l.Tick = 20 * time.Millisecond
 	}
--- a/io/route/serve.go
+++ b/io/route/serve.go
@@ -12,13 +12,17 @@
 // target stops it.
 const leaseMargin = time.Second
 
-// Do runs a request of a caller and returns its whole answer.
+// Do runs a request of a caller and returns its whole answer. A request that
+// is not idempotent and has an idempotency key runs at most once.
 func (e *Engine) Do(ctx context.Context, r rock.Request) (rock.Answer, error) {
+	if r.IdempotencyKey() != "" && !r.Idempotent() {
+		return e.once(ctx, r)
+	}
 	if err := e.enter(); err != nil {
 		return rock.Answer{}, err
 	}
 	defer e.exit()
-	return e.serve(ctx, r)
+	return e.try(ctx, r)
 }
 
 // ServeForward runs a request that a peer forwarded.
@@ -26,11 +30,14 @@
 	if r.Hops() > e.settings.Limits.Hops {
 		return rock.Answer{}, rock.Fail("forward", "request "+r.ID(), rock.BadInput, rock.NotRun).Becausef("%d hops, at most %d are allowed", r.Hops(), e.settings.Limits.Hops)
 	}
+	if r.Hops() == 0 {
+		r = r.Forwarded()
+	}
 	return e.Do(ctx, r)
 }
 
-// serve tries the request until it is answered or must not be tried again.
-func (e *Engine) serve(ctx context.Context, r rock.Request) (rock.Answer, error) {
+// try tries the request until it is answered or must not be tried again.
+func (e *Engine) try(ctx context.Context, r rock.Request) (rock.Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline())
 	defer cancel()
 	history := newHistory(r)
@@ -62,7 +69,7 @@
 	h.sent = false
 	if peer := e.elsewhere(r, h); peer != nil {
 		h.forwarded = true
-		answer, err := peer.Forward(ctx, r.Forwarded())
+		answer, err := peer.Forward(ctx, r)
 		if err == nil || rock.VerdictOf(err) != rock.NotRun {
 			h.sent = true
 			return answer, err
--- a/io/route/settings.go
+++ b/io/route/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/claim"
 	"bramleyrock/core/group"
 
 	"github.com/sirupsen/logrus"
@@ -21,6 +22,14 @@
 	Target rock.Target
 	// Peers are the other entries; nil means that there are none.
 	Peers rock.PeerSet
+	// Secret is the secret that all entries share; it authenticates
+	// idempotency keys.
+	Secret []byte
+	// Claims bounds the memory of idempotency keys.
+	Claims claim.Limits
+	// Objects keeps the statement of the keys claimed here when the entry
+	// stops; nil means that keys not yet sent are lost with it.
+	Objects rock.Objects
 	// Now returns the present time; nil means [time.Now].
 	Now func() time.Time
 	// Random is the source of choices; nil means a random seed.
