--- /dev/null
+++ b/core/peers/view.go
@@ -0,0 +1,146 @@
+package peers
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// roundTripShare is the part of a new reading in the smoothed round-trip time:
+// one in so many.
+const roundTripShare = 4
+
+// View is what an entry believes about its peers. It is not safe for
+// concurrent use.
+type View struct {
+	self   rock.Member
+	limits Limits
+	peers  map[string]*Sighting
+}
+
+// NewView returns the view of an entry that knows no peers yet.
+func NewView(self rock.Member, limits Limits) *View {
+	return &View{self: self, limits: limits.withDefaults(), peers: map[string]*Sighting{}}
+}
+
+// Hear takes a heartbeat that came in now. RoundTrip is 0 if it was not
+// measured. It reports whether the heartbeat was taken: one of an older
+// incarnation, of a peer that is gone, or of the entry itself is not.
+func (v *View) Hear(now time.Time, h rock.Heartbeat, roundTrip time.Duration) bool {
+	s := v.admit(h.Member())
+	if s == nil || s.state == rock.EntryGone {
+		return false
+	}
+	s.heartbeat = h
+	s.heardAt = now
+	s.roundTrip = smooth(s.roundTrip, roundTrip)
+	return true
+}
+
+// Learn takes status rows. A row tells who exists, who is leaving and who is
+// gone; it says nothing about who can be reached.
+func (v *View) Learn(statuses []rock.EntryStatus) {
+	for _, st := range statuses {
+		s := v.admit(st.Member())
+		if s != nil {
+			s.state = later(s.state, st.State())
+		}
+	}
+}
+
+// State returns the state of the named peer, and whether the peer is known.
+func (v *View) State(now time.Time, name string) (State, bool) {
+	s, ok := v.peers[name]
+	if !ok {
+		return "", false
+	}
+	return s.stateAt(now, v.limits), true
+}
+
+// Find returns what is known of the named peer.
+func (v *View) Find(name string) (Sighting, bool) {
+	s, ok := v.peers[name]
+	if !ok {
+		return Sighting{}, false
+	}
+	return *s, true
+}
+
+// Alive returns the peers that are alive: those of the own availability zone
+// first, then by round-trip time, then by name.
+func (v *View) Alive(now time.Time) []Sighting {
+	alive := make([]Sighting, 0, len(v.peers))
+	for _, s := range v.peers {
+		if s.stateAt(now, v.limits) == Alive {
+			alive = append(alive, *s)
+		}
+	}
+	slices.SortFunc(alive, v.compare)
+	return alive
+}
+
+// Members returns the newest identity of every peer that is not gone, in order
+// of name.
+func (v *View) Members() []rock.Member {
+	members := make([]rock.Member, 0, len(v.peers))
+	for _, s := range v.peers {
+		if s.state != rock.EntryGone {
+			members = append(members, s.member)
+		}
+	}
+	slices.SortFunc(members, func(a, b rock.Member) int { return cmp.Compare(a.Name(), b.Name()) })
+	return members
+}
+
+// admit returns the sighting of m, or nil if m is the entry itself or an older
+// incarnation.
+func (v *View) admit(m rock.Member) *Sighting {
+	if m.Name() == "" || m.Name() == v.self.Name() {
+		return nil
+	}
+	s, ok := v.peers[m.Name()]
+	if ok && s.member.Incarnation() > m.Incarnation() {
+		return nil
+	}
+	if !ok || s.member.Incarnation() < m.Incarnation() {
+		s = &Sighting{member: m, state: rock.EntryRunning}
+		v.peers[m.Name()] = s
+	}
+	return s
+}
+
+func (v *View) compare(a, b Sighting) int {
+	return cmp.Or(
+		cmp.Compare(v.distance(a), v.distance(b)),
+		cmp.Compare(a.roundTrip, b.roundTrip),
+		cmp.Compare(a.member.Name(), b.member.Name()),
+	)
+}
+
+func (v *View) distance(s Sighting) int {
+	if s.member.Zone() == v.self.Zone() {
+		return 0
+	}
+	return 1
+}
+
+// later returns the state that comes later in the life of an incarnation.
+func later(a, b rock.EntryState) rock.EntryState {
+	order := []rock.EntryState{rock.EntryRunning, rock.EntryLeaving, rock.EntryGone}
+	if slices.Index(order, b) > slices.Index(order, a) {
+		return b
+	}
+	return a
+}
+
+func smooth(old, reading time.Duration) time.Duration {
+	switch {
+	case reading <= 0:
+		return old
+	case old == 0:
+		return reading
+	}
+	return old + (reading-old)/roundTripShare
+}
--- /dev/null
+++ b/io/link/conn.go
@@ -0,0 +1,251 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	rock "bramleyrock"
+	"bramleyrock/core/group"
+)
+
+// frameOverhead is the greatest size of a frame's envelope in bytes.
+const frameOverhead = 1024
+
+// maxUrgent is the number of heartbeats that may wait to be sent.
+const maxUrgent = 4
+
+// conn is the dialling end of one link. Heartbeats go before other calls and
+// do not count against the limit of calls: a busy link is not a broken one.
+type conn struct {
+	ws     *websocket.Conn
+	peer   rock.Member
+	limits Limits
+	queue  chan *call
+	urgent chan *call
+	done   chan struct{}
+
+	mu     sync.Mutex
+	next   uint64
+	calls  map[uint64]*call
+	closed bool
+}
+
+func newConn(ws *websocket.Conn, peer rock.Member, limits Limits) *conn {
+	return &conn{
+		ws:     ws,
+		peer:   peer,
+		limits: limits,
+		queue:  make(chan *call, limits.Calls),
+		urgent: make(chan *call, maxUrgent),
+		done:   make(chan struct{}),
+		calls:  map[uint64]*call{},
+	}
+}
+
+// run carries calls until the connection breaks or a heartbeat fails. It
+// returns the cause; calls in flight then end.
+func (c *conn) run(ctx context.Context, beat func(ctx context.Context, c *conn) error) error {
+	g := group.New(ctx)
+	g.Go("read", c.read)
+	g.Go("write", c.write)
+	g.Go("beat", func(ctx context.Context) error { return c.beatAtIntervals(ctx, beat) })
+	g.Go("close", func(ctx context.Context) error {
+		<-ctx.Done()
+		c.close()
+		return nil
+	})
+	return g.Wait()
+}
+
+func (c *conn) read(ctx context.Context) error {
+	for {
+		_, data, err := c.ws.Read(ctx)
+		if err != nil {
+			return err
+		}
+		f, err := decodeFrame(data)
+		if err != nil {
+			return err
+		}
+		if waiting := c.remove(f.ID); waiting != nil && f.Kind == frameAnswer {
+			waiting.reply <- f
+		}
+	}
+}
+
+func (c *conn) write(ctx context.Context) error {
+	for {
+		next, err := c.nextCall(ctx)
+		if err != nil {
+			return err
+		}
+		if !next.send() {
+			continue
+		}
+		if err := c.writeFrame(ctx, next.frame); err != nil {
+			return err
+		}
+	}
+}
+
+// nextCall returns the call to be sent next.
+func (c *conn) nextCall(ctx context.Context) (*call, error) {
+	select {
+	case next := <-c.urgent:
+		return next, nil
+	default:
+	}
+	select {
+	case next := <-c.urgent:
+		return next, nil
+	case next := <-c.queue:
+		return next, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (c *conn) writeFrame(ctx context.Context, f frame) error {
+	data, err := encoder.Marshal(f)
+	if err != nil {
+		return fmt.Errorf("encode frame: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.limits.WriteTimeout)
+	defer cancel()
+	return c.ws.Write(ctx, websocket.MessageBinary, data)
+}
+
+func (c *conn) beatAtIntervals(ctx context.Context, beat func(ctx context.Context, c *conn) error) error {
+	ticker := time.NewTicker(c.limits.BeatInterval)
+	defer ticker.Stop()
+	for {
+		if err := beat(ctx, c); err != nil {
+			return err
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// close ends the connection and every call in flight.
+func (c *conn) close() {
+	c.mu.Lock()
+	if !c.closed {
+		c.closed = true
+		close(c.done)
+	}
+	c.mu.Unlock()
+	_ = c.ws.CloseNow()
+}
+
+// invoke makes one call and returns the answer's body.
+func (c *conn) invoke(ctx context.Context, op operation, body any) ([]byte, error) {
+	data, err := encoder.Marshal(body)
+	if err != nil {
+		return nil, c.fail(op, rock.BadInput, rock.NotRun).Because(err)
+	}
+	if limit := c.limits.MessageBytes - frameOverhead; len(data) > limit {
+		return nil, c.fail(op, rock.TooLarge, rock.NotRun).Becausef("message of %d bytes: at most %d are allowed", len(data), limit)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.limits.CallTimeout)
+	defer cancel()
+	if err := ctx.Err(); err != nil {
+		return nil, c.fail(op, reasonOf(err), rock.NotRun).Because(err)
+	}
+	next, err := c.enqueue(ctx, op, data)
+	if err != nil {
+		return nil, err
+	}
+	defer c.remove(next.frame.ID)
+	return c.await(ctx, next)
+}
+
+func (c *conn) enqueue(ctx context.Context, op operation, body []byte) (*call, error) {
+	deadline, _ := ctx.Deadline()
+	within := max(time.Until(deadline).Milliseconds(), 1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, c.fail(op, rock.Unavailable, rock.NotRun).Becausef("link is closed")
+	}
+	queue := c.queue
+	if op == opBeat {
+		queue = c.urgent
+	} else if len(c.calls) >= c.limits.Calls {
+		return nil, c.fail(op, rock.Overloaded, rock.NotRun).Becausef("%d calls in flight", len(c.calls))
+	}
+	c.next++
+	next := newCall(frame{Kind: frameCall, ID: c.next, Op: op, Within: within, Body: body})
+	select {
+	case queue <- next:
+		c.calls[next.frame.ID] = next
+		return next, nil
+	default:
+		return nil, c.fail(op, rock.Overloaded, rock.NotRun).Becausef("send queue is full")
+	}
+}
+
+func (c *conn) await(ctx context.Context, waiting *call) ([]byte, error) {
+	op := waiting.frame.Op
+	select {
+	case f := <-waiting.reply:
+		return settle(f)
+	case <-ctx.Done():
+		if waiting.drop() {
+			return nil, c.fail(op, reasonOf(ctx.Err()), rock.NotRun).Because(ctx.Err())
+		}
+		c.sendCancel(waiting.frame.ID)
+		return nil, c.fail(op, reasonOf(ctx.Err()), rock.MayHaveRun).Because(ctx.Err())
+	case <-c.done:
+	}
+	select {
+	case f := <-waiting.reply:
+		return settle(f)
+	default:
+	}
+	if waiting.drop() {
+		return nil, c.fail(op, rock.Unavailable, rock.NotRun).Becausef("link broke before the call was sent")
+	}
+	return nil, c.fail(op, rock.Unavailable, rock.MayHaveRun).Becausef("link broke before the answer came")
+}
+
+func settle(f frame) ([]byte, error) {
+	if f.Failure != nil {
+		return nil, f.Failure.failure()
+	}
+	return f.Body, nil
+}
+
+// sendCancel tells the peer that nobody waits for the answer.
+func (c *conn) sendCancel(id uint64) {
+	select {
+	case c.queue <- newCall(frame{Kind: frameCancel, ID: id}):
+	default:
+	}
+}
+
+func (c *conn) remove(id uint64) *call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waiting := c.calls[id]
+	delete(c.calls, id)
+	return waiting
+}
+
+func (c *conn) fail(op operation, reason rock.Reason, verdict rock.Verdict) *rock.Failure {
+	return rock.Fail(string(op), "peer "+c.peer.Name(), reason, verdict)
+}
+
+func reasonOf(err error) rock.Reason {
+	if err == context.DeadlineExceeded {
+		return rock.DeadlineExceeded
+	}
+	return rock.Cancelled
+}
--- /dev/null
+++ b/io/link/entry_test.go
@@ -0,0 +1,163 @@
+package link_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/group"
+	"bramleyrock/io/link"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+const secret = "a secret of the test"
+
+// entry is one end of the links under test. It implements [rock.PeerServer].
+type entry struct {
+	member  rock.Member
+	server  *link.Server
+	set     *link.Set
+	forward func(ctx context.Context, r rock.Request) (rock.Answer, error)
+	stop    func()
+
+	mu       sync.Mutex
+	revision rock.Revision
+	leaving  bool
+	loads    []rock.PoolLoad
+	heard    rock.Revision
+}
+
+// entrySpec holds what differs between entries of a test.
+type entrySpec struct {
+	name        string
+	zone        string
+	incarnation string
+	secret      string
+	address     string
+	seeds       []string
+	limits      link.Limits
+	forward     func(ctx context.Context, r rock.Request) (rock.Answer, error)
+}
+
+// startEntry starts an entry on a loopback address.
+func startEntry(t *testing.T, s entrySpec) *entry {
+	t.Helper()
+	if s.address == "" {
+		s.address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", s.address)
+	assert.NilError(t, err)
+	if s.zone == "" {
+		s.zone = "a"
+	}
+	if s.incarnation == "" {
+		s.incarnation = "1"
+	}
+	if s.secret == "" {
+		s.secret = secret
+	}
+	e := &entry{
+		member:  rock.NewMember(s.name, s.zone, listener.Addr().String(), s.incarnation),
+		forward: s.forward,
+	}
+	settings := link.Settings{
+		Self: e.member, Secret: s.secret, Seeds: s.seeds, Server: e, Limits: s.limits,
+		Beat:       func(time.Time) rock.Heartbeat { return e.beat() },
+		OnRevision: func(r rock.Revision, _ rock.Peer) { e.hearRevision(r) },
+	}
+	e.server, e.set = link.NewServer(settings), link.NewSet(settings)
+	e.server.Notify(e.set)
+	e.serve(t, listener)
+	return e
+}
+
+func (e *entry) serve(t *testing.T, listener net.Listener) {
+	door := &http.Server{Handler: e.server, ReadHeaderTimeout: time.Second}
+	g := group.New(context.Background())
+	g.Go("door", func(context.Context) error { _ = door.Serve(listener); return nil })
+	g.Go("set", e.set.Run)
+	e.stop = sync.OnceFunc(func() {
+		g.Stop()
+		_ = door.Close()
+		e.server.Close()
+		assert.Check(t, g.Wait())
+	})
+	t.Cleanup(e.stop)
+}
+
+func (e *entry) beat() rock.Heartbeat {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return rock.NewHeartbeat(e.member, e.revision, e.leaving, e.loads)
+}
+
+func (e *entry) setRevision(r rock.Revision) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.revision = r
+}
+
+func (e *entry) hearRevision(r rock.Revision) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.heard = max(e.heard, r)
+}
+
+func (e *entry) heardRevision() rock.Revision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.heard
+}
+
+func (e *entry) ServeForward(ctx context.Context, r rock.Request) (rock.Answer, error) {
+	if e.forward != nil {
+		return e.forward(ctx, r)
+	}
+	return rock.NewAnswer(r.ID(), "h1", r.Payload()), nil
+}
+
+func (e *entry) ServeBeat(context.Context, rock.Heartbeat) (rock.Heartbeat, error) {
+	return e.beat(), nil
+}
+
+func (e *entry) ServeChanges(_ context.Context, after rock.Revision, _ int) ([]rock.Change, error) {
+	if after < 1 {
+		return nil, rock.Fail("changes", "", rock.NotFound, rock.NotRun)
+	}
+	record := rock.NewRecord(rock.NewKey(rock.KindPool, "tins"), 1, 1, json.RawMessage(`{"spare":true}`))
+	edits := []rock.Edit{rock.NewEdit(record.Key(), nil, &record)}
+	return []rock.Change{rock.NewChange("c2", after+1, time.Unix(5, 0).UTC(), "op", "why", edits)}, nil
+}
+
+func (e *entry) ServeSnapshot(context.Context) (rock.Revision, []rock.Record, error) {
+	return 7, []rock.Record{rock.NewRecord(rock.NewKey(rock.KindPool, "tins"), 1, 3, json.RawMessage(`{}`))}, nil
+}
+
+// peer waits until the named peer is alive at e and returns it.
+func (e *entry) peer(t *testing.T, name string) rock.Peer {
+	t.Helper()
+	var found rock.Peer
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, v := range e.set.Alive(time.Now()) {
+			if v.Peer().Member().Name() == name {
+				found = v.Peer()
+				return poll.Success()
+			}
+		}
+		return poll.Continue("%s does not see %s", e.member.Name(), name)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+	return found
+}
+
+func request(id string) rock.Request {
+	return rock.NewRequest(rock.RequestSpec{
+		ID: id, Organisation: "alpha", Pool: "tins", Deadline: time.Now().Add(20 * time.Second), Payload: json.RawMessage(`{"n":1}`),
+	})
+}
