--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -124,8 +124,10 @@
 }
 
 func TestLimits(t *testing.T) {
+	started := make(chan struct{}, 2)
 	release := make(chan struct{})
 	b := startEntry(t, entrySpec{name: "e2", forward: func(_ context.Context, r rock.Request) (rock.Answer, error) {
+		started <- struct{}{}
 		<-release
 		return rock.NewAnswer(r.ID(), "h1", []byte(`"`+strings.Repeat("y", 9000)+`"`)), nil
 	}, limits: link.Limits{MessageBytes: 8192}})
@@ -142,13 +144,11 @@
 	var first, second error
 	g.Go("first", func(ctx context.Context) error { _, first = p.Forward(ctx, request("r1")); return nil })
 	g.Go("second", func(ctx context.Context) error { _, second = p.Forward(ctx, request("r2")); return nil })
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		_, err := p.Forward(context.Background(), request("r3"))
-		if rock.ReasonOf(err) == rock.Overloaded && rock.VerdictOf(err) == rock.NotRun {
-			return poll.Success()
-		}
-		return poll.Continue("got %v", err)
-	}, poll.WithTimeout(20*time.Second))
+	<-started
+	<-started
+	_, err = p.Forward(context.Background(), request("r3"))
+	assert.Equal(t, rock.ReasonOf(err), rock.Overloaded)
+	assert.Equal(t, rock.VerdictOf(err), rock.NotRun)
 	close(release)
 	assert.NilError(t, g.Wait())
 	for _, err := range []error{first, second} {
