--- a/io/fakes/work/handler.go
+++ b/io/fakes/work/handler.go
@@ -47,12 +47,14 @@
 	return w.guard(m)
 }
 
-// guard breaks connections while the worker is down, but for its switches.
+// guard breaks connections while the worker is down, but for its switches, and
+// answers each call with its id.
 func (w *Worker) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if w.Faults().Down && r.URL.Path != "/faults" && r.URL.Path != "/runs" {
 			panic(http.ErrAbortHandler)
 		}
+		rw.Header().Set(targ.CallHeader, r.Header.Get(targ.CallHeader))
 		next.ServeHTTP(rw, r)
 	})
 }
--- a/io/fakes/work/tasks.go
+++ b/io/fakes/work/tasks.go
@@ -45,11 +45,17 @@
 	if t, ok := w.tasks[id]; ok {
 		return t.status(id, now), nil
 	}
+	w.forbid(now, id)
+	return rock.NewTaskStatus(id, rock.TaskUnknown, 0, nil, nil), nil
+}
+
+// forbid makes sure that a task that was not started never will be. The caller
+// holds the lock.
+func (w *Worker) forbid(now time.Time, id string) {
 	if !w.revoked[id] {
 		w.revoked[id] = true
 		w.revocation = append(w.revocation, revocation{id, now})
 	}
-	return rock.NewTaskStatus(id, rock.TaskUnknown, 0, nil, nil), nil
 }
 
 // cancel stops a task and frees its slot, or revokes it if it was not started.
--- a/io/fakes/work/worker.go
+++ b/io/fakes/work/worker.go
@@ -110,6 +110,7 @@
 		return f, nil
 	}
 	if err := w.check(now, t, f); err != nil {
+		w.forbid(now, t.ID())
 		return f, err
 	}
 	if t.Generation() >= w.generation {
--- a/io/targ/answer.go
+++ b/io/targ/answer.go
@@ -35,6 +35,7 @@
 	op     string
 	host   string
 	taskID string
+	callID string
 	limit  int64
 }
 
@@ -42,6 +43,9 @@
 // tells. A refusal is checked like an answer, so that no other task's refusal
 // is taken for this one's.
 func (a answerReader) read(resp *http.Response) ([]byte, error) {
+	if id := resp.Header.Get(CallHeader); id != a.callID {
+		return nil, a.fail(rock.Truncated).Becausef("answer belongs to call %q, not %q", id, a.callID)
+	}
 	if id := resp.Header.Get(TaskHeader); id != a.taskID {
 		return nil, a.fail(rock.Truncated).Becausef("answer belongs to task %q, not %q", id, a.taskID)
 	}
--- a/io/targ/call.go
+++ b/io/targ/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 
 	rock "bramleyrock"
 	"bramleyrock/io/calls"
@@ -24,24 +25,31 @@
 	return call{op: op, host: host, taskID: taskID, request: sling.New().Base("http://" + host.Address() + "/")}
 }
 
-// do makes the call over c and returns the body of its whole answer.
-func (a call) do(ctx context.Context, c *http.Client, limit int64) ([]byte, error) {
+// do makes the call over h and returns the body of its whole answer.
+func (c *Client) do(ctx context.Context, h *http.Client, a call) ([]byte, error) {
+	callID := c.nextCallID()
+	a.request.Set(CallHeader, callID)
 	req, err := a.request.Request()
 	if err != nil {
 		return nil, rock.Fail(a.op, a.subject(), rock.BadInput, rock.NotRun).Because(err)
 	}
-	resp, sent, err := calls.Do(c, req.WithContext(ctx))
+	resp, sent, err := calls.Do(h, req.WithContext(ctx))
 	if err != nil {
 		return nil, a.lost(ctx, sent, err)
 	}
 	defer resp.Body.Close()
-	body, err := answerReader{a.op, a.host.Name(), a.taskID, limit}.read(resp)
+	body, err := answerReader{a.op, a.host.Name(), a.taskID, callID, c.settings.MaxAnswer}.read(resp)
 	if ctx.Err() != nil && rock.ReasonOf(err) == rock.Truncated {
 		return nil, a.lost(ctx, true, err)
 	}
 	return body, err
 }
 
+// nextCallID returns an id that no other call has.
+func (c *Client) nextCallID() string {
+	return c.callPrefix + strconv.FormatUint(c.callCount.Add(1), 36)
+}
+
 // lost returns the failure of a call without an answer.
 func (a call) lost(ctx context.Context, sent bool, err error) error {
 	verdict := rock.NotRun
--- a/io/targ/client.go
+++ b/io/targ/client.go
@@ -6,10 +6,13 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 
 	rock "bramleyrock"
 	"bramleyrock/core/group"
 	"bramleyrock/core/ring"
+
+	"github.com/google/uuid"
 )
 
 // Client is a client of targets. It implements [rock.Target] and is safe for
@@ -19,7 +22,10 @@
 	kept     *http.Client
 	fresh    *http.Client
 	duties   *group.Group
-	left     *ring.Ring[leftTask]
+	// callPrefix and callCount make the ids of calls.
+	callPrefix string
+	callCount  atomic.Uint64
+	left       *ring.Ring[leftTask]
 }
 
 // New returns a client. It must be closed.
@@ -30,7 +36,9 @@
 		kept:     &http.Client{Transport: s.Kept},
 		fresh:    &http.Client{Transport: s.Fresh},
 		duties:   group.New(context.Background()),
-		left:     ring.New[leftTask](maxLeft),
+		left:     ring.New[leftTask](s.MaxLeft),
+
+		callPrefix: uuid.NewString() + ".",
 	}
 	for range cancelDuties {
 		c.duties.Go("cancel tasks", c.cancelLeft)
@@ -151,7 +159,7 @@
 func (c *Client) askOver(ctx context.Context, h *http.Client, a call, value any) error {
 	short, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
 	defer cancel()
-	body, err := a.do(short, h, c.settings.MaxAnswer)
+	body, err := c.do(short, h, a)
 	if err != nil {
 		if rock.ReasonOf(err) == rock.DeadlineExceeded && ctx.Err() == nil {
 			return rock.Fail(a.op, a.subject(), rock.Unavailable, rock.VerdictOf(err)).Because(err)
--- a/io/targ/doc.go
+++ b/io/targ/doc.go
@@ -15,14 +15,16 @@
 // of a task that it knows joins that task, so that a call may be repeated on
 // another connection. It refuses a task whose deadline has passed. A refusal
 // is a problem body, see [bramleyrock/io/probl], whose verdict tells whether
-// the task was started. Revoking a task that was not started makes sure that it
+// the task was started; a task that was refused as not_run is never started
+// later, so that a late copy of the call changes nothing. Revoking a task that was not started makes sure that it
 // never will be, and answers the state unknown; a task that was started goes on.
 // Deleting a task stops it, or revokes it if it was not started.
 //
-// An answer carries the task id in the header Bramleyrock-Task and a digest in
+// A call carries an id in the header Bramleyrock-Call. Its answer, or refusal,
+// carries this id, the task id in the header Bramleyrock-Task and a digest in
 // the header Content-Digest (RFC 9530). The client takes an answer only if it
-// has its whole length, the digest of its bytes and the id of its task. An
-// answer that is lost, cut short or another task's is fetched again by task
+// has its whole length, the digest of its bytes and the ids of its call and
+// task. An answer that is lost, cut short or another's is fetched again by task
 // id on a new connection.
 //
 // While an answer is outstanding the client asks for the task's status on new
--- a/io/targ/forms.go
+++ b/io/targ/forms.go
@@ -7,8 +7,13 @@
 	rock "bramleyrock"
 )
 
-// TaskHeader is the HTTP header that carries the task id of an answer.
-const TaskHeader = "Bramleyrock-Task"
+const (
+	// TaskHeader is the HTTP header that carries the task id of an answer.
+	TaskHeader = "Bramleyrock-Task"
+	// CallHeader is the HTTP header that carries the id of a call, and that of
+	// the call that is answered.
+	CallHeader = "Bramleyrock-Call"
+)
 
 // TaskForm is the JSON form of a task.
 type TaskForm struct {
--- a/io/targ/left.go
+++ b/io/targ/left.go
@@ -6,17 +6,14 @@
 	rock "bramleyrock"
 )
 
-const (
-	// maxLeft is the number of tasks that may be waiting to be cancelled.
-	maxLeft = 16384
-	// cancelDuties is the number of tasks that are cancelled at the same time.
-	cancelDuties = 16
-)
+// cancelDuties is the number of tasks that are cancelled at the same time.
+const cancelDuties = 16
 
 // leftTask is a task whose caller gave up while it may be running.
 type leftTask struct {
-	host   rock.Host
-	taskID string
+	host    string
+	address string
+	taskID  string
 }
 
 // cancelLeft cancels tasks whose caller gave up. A task that cannot be
@@ -27,6 +24,7 @@
 		if err != nil {
 			return err
 		}
-		_ = c.Cancel(ctx, t.host, t.taskID)
+		host := rock.NewHost(rock.HostSpec{Name: t.host, Address: t.address})
+		_ = c.Cancel(ctx, host, t.taskID)
 	}
 }
--- /dev/null
+++ b/io/targ/norace_test.go
@@ -0,0 +1,10 @@
+//go:build !race
+
+package targ_test
+
+const (
+	// schedules is the number of seeded schedules.
+	schedules = 10_000
+	// parallelShards is true if shards run at the same time.
+	parallelShards = true
+)
--- a/io/targ/run.go
+++ b/io/targ/run.go
@@ -55,7 +55,7 @@
 	r.send(c.kept)
 	end := r.wait(ctx)
 	if ctx.Err() != nil && rock.VerdictOf(end.err) == rock.MayHaveRun {
-		c.left.Put(leftTask{host, task.ID()})
+		c.left.Put(leftTask{host.Name(), host.Address(), task.ID()})
 	}
 	return end.answer, end.err
 }
@@ -105,7 +105,7 @@
 	a := r.call()
 	a.request.Post("run").BodyJSON(FromTask(r.task))
 	r.duties.Go("run task", func(context.Context) error {
-		body, err := a.do(ctx, h, r.client.settings.MaxAnswer)
+		body, err := r.client.do(ctx, h, a)
 		replies <- reply{body, err}
 		return nil
 	})
--- a/io/targ/settings.go
+++ b/io/targ/settings.go
@@ -14,6 +14,7 @@
 	defaultMaxPayload  = 1 << 20
 	defaultMaxAnswer   = 8 << 20
 	defaultProbes      = 3
+	defaultMaxLeft     = 16384
 )
 
 // Settings are the parameters of a [Client]. The zero value is usable.
@@ -35,6 +36,10 @@
 	MaxPayload int
 	// MaxAnswer is the greatest size of an answer, in bytes; 0 means 8 MiB.
 	MaxAnswer int64
+	// MaxLeft is the number of given up tasks that may be waiting to be
+	// cancelled; 0 means 16384. One that finds no room ends when its lease
+	// lapses.
+	MaxLeft int
 	// Kept sends requests over kept connections; nil means HTTP over TCP.
 	Kept http.RoundTripper
 	// Fresh sends each request over a new connection; nil means HTTP over
@@ -49,6 +54,7 @@
 	setDefault(&s.PerHost, defaultPerHost)
 	setDefault(&s.MaxPayload, defaultMaxPayload)
 	setDefault(&s.MaxAnswer, defaultMaxAnswer)
+	setDefault(&s.MaxLeft, defaultMaxLeft)
 	if s.Kept == nil {
 		s.Kept = calls.NewTransport(calls.Limits{PerHost: s.PerHost})
 	}
