--- /dev/null
+++ b/core/eject/host.go
@@ -0,0 +1,46 @@
+package eject
+
+import "time"
+
+// Host is the health of one host.
+type Host struct {
+	name string
+	// rate is the moving share of failures, from 0 to 1.
+	rate float64
+	// score is the logarithm of how many times likelier the recent outcomes
+	// are for a broken host than for one like the others; 0 at least.
+	score float64
+	state State
+	until time.Time
+	rest  time.Duration
+	// limit is the number of tasks allowed while the host returns.
+	limit int
+}
+
+// Name returns the host's name.
+func (h *Host) Name() string { return h.name }
+
+// State returns whether the host is in use at that time.
+func (h *Host) State(now time.Time) State {
+	if h.state == Ejected && !now.Before(h.until) {
+		return Returning
+	}
+	return h.state
+}
+
+// Until returns the time until which the host is ejected.
+func (h *Host) Until() time.Time { return h.until }
+
+// Rate returns the moving share of failures, from 0 to 1.
+func (h *Host) Rate() float64 { return h.rate }
+
+// Limit returns how many tasks the host may have in flight, out of its slots.
+func (h *Host) Limit(now time.Time, slots int) int {
+	switch h.State(now) {
+	case Ejected:
+		return 0
+	case Returning:
+		return min(max(h.limit, 1), slots)
+	}
+	return slots
+}
--- /dev/null
+++ b/core/eject/quarantine.go
@@ -0,0 +1,113 @@
+package eject
+
+import (
+	"crypto/sha256"
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// Quarantine remembers work that failed and refuses what failed on several
+// hosts. It is not safe for concurrent use.
+type Quarantine struct {
+	settings Settings
+	works    map[workID]*failing
+	// order holds the ids in the order of their first failure.
+	order []workID
+}
+
+// workID tells a piece of work from others: the digest of its organisation,
+// pool and payload.
+type workID [sha256.Size]byte
+
+// probeInterval is the time between tries of quarantined work, which end the
+// quarantine if they succeed.
+const probeInterval = time.Second
+
+// failing is what is known of work that failed.
+type failing struct {
+	hosts []string
+	until time.Time
+	probe time.Time
+}
+
+// NewQuarantine returns an empty quarantine.
+func NewQuarantine(s Settings) *Quarantine {
+	return &Quarantine{settings: s.withDefaults(), works: map[workID]*failing{}}
+}
+
+// Check refuses a request whose work is quarantined. Hosts is the number of
+// hosts on which it could run. Now and then one request is let through, so that
+// work which failed for another reason comes back soon.
+func (q *Quarantine) Check(now time.Time, r rock.Request, hosts int) error {
+	if len(q.works) == 0 {
+		return nil
+	}
+	f := q.works[idOf(r)]
+	if f == nil || len(f.hosts) < q.enough(hosts) || !now.Before(f.until) {
+		return nil
+	}
+	if !now.Before(f.probe) {
+		f.probe = now.Add(probeInterval)
+		return nil
+	}
+	return rock.Fail("admit", "request "+r.ID(), rock.Quarantined, rock.NotRun).RetryIn(f.until.Sub(now)).Becausef("the same work failed on %d hosts", len(f.hosts))
+}
+
+// Holds reports whether the work of a request that failed is quarantined.
+func (q *Quarantine) Holds(r rock.Request, hosts int) bool {
+	f := q.works[idOf(r)]
+	return f != nil && len(f.hosts) >= q.enough(hosts)
+}
+
+// enough returns on how many of a number of hosts work must fail.
+func (q *Quarantine) enough(hosts int) int {
+	return max(2, min(q.settings.Hosts, hosts))
+}
+
+// Note notes the outcome of a request's work on a host. It reports whether a
+// failure speaks against the host: that of work which failed on another host
+// before does not.
+func (q *Quarantine) Note(now time.Time, r rock.Request, host string, failed bool) bool {
+	if !failed {
+		if len(q.works) > 0 {
+			delete(q.works, idOf(r))
+		}
+		return false
+	}
+	id := idOf(r)
+	f := q.works[id]
+	if f == nil || !now.Before(f.until) {
+		q.add(id, &failing{hosts: []string{host}, until: now.Add(q.settings.Quarantine)})
+		return true
+	}
+	first := f.hosts[0] == host
+	if !slices.Contains(f.hosts, host) && len(f.hosts) < q.settings.Hosts {
+		f.hosts = append(f.hosts, host)
+		f.until, f.probe = now.Add(q.settings.Quarantine), now.Add(probeInterval)
+	}
+	return first && len(f.hosts) == 1
+}
+
+// add remembers failing work, in place of the oldest if there is no room.
+func (q *Quarantine) add(id workID, f *failing) {
+	if _, known := q.works[id]; !known {
+		q.order = append(q.order, id)
+	}
+	q.works[id] = f
+	for len(q.order) > q.settings.Works {
+		delete(q.works, q.order[0])
+		q.order = q.order[1:]
+	}
+}
+
+func idOf(r rock.Request) workID {
+	h := sha256.New()
+	h.Write([]byte(r.Organisation()))
+	h.Write([]byte{0})
+	h.Write([]byte(r.Pool()))
+	h.Write([]byte{0})
+	h.Write(r.Payload())
+	return workID(h.Sum(nil))
+}
--- /dev/null
+++ b/core/eject/settings.go
@@ -0,0 +1,51 @@
+package eject
+
+import "time"
+
+// Settings holds the parameters of a [Watch] and of a [Quarantine]; zero
+// values mean the defaults.
+type Settings struct {
+	// Odds is how many times likelier a host's recent outcomes must be for a
+	// broken host than for one like the others of its pool, before it is
+	// ejected; 1,000,000.
+	Odds float64
+	// MaxShare is the greatest share of a pool's hosts that is ejected; 1/3.
+	// One host of a pool of two or more may always be ejected.
+	MaxShare float64
+	// Rest is how long a host is first ejected; 5 s. It doubles each time.
+	Rest time.Duration
+	// MaxRest is the longest time for which a host is ejected; 1 min.
+	MaxRest time.Duration
+	// Hosts is the number of different hosts on which work must fail before
+	// it is quarantined; 3, or all hosts of a smaller pool, but 2 at least.
+	Hosts int
+	// Quarantine is how long work is quarantined; 30 s.
+	Quarantine time.Duration
+	// Works is the greatest number of failing works remembered; 4096.
+	Works int
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Odds <= 1 {
+		s.Odds = 1e6
+	}
+	if s.MaxShare <= 0 {
+		s.MaxShare = 1.0 / 3
+	}
+	if s.Rest <= 0 {
+		s.Rest = 5 * time.Second
+	}
+	if s.MaxRest <= 0 {
+		s.MaxRest = time.Minute
+	}
+	if s.Hosts <= 0 {
+		s.Hosts = 3
+	}
+	if s.Quarantine <= 0 {
+		s.Quarantine = 30 * time.Second
+	}
+	if s.Works <= 0 {
+		s.Works = 4096
+	}
+	return s
+}
--- a/core/place/group.go
+++ b/core/place/group.go
@@ -1,14 +1,29 @@
 package place
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+
+	"bramleyrock/core/eject"
+)
+
+// memory is what is kept of a pool over configurations. Each pool has a random
+// source of its own, so that no pool's choices depend on another's load.
+type memory struct {
+	watch  *eject.Watch
+	random *rand.Rand
+}
 
 // group is the hosts of one pool in the zone.
 type group struct {
+	memory
 	nodes []*node
 	// ready holds the nodes that are free, in no order.
 	ready []*node
-	// held holds the nodes that are held back for a time.
-	held []*node
+	// held holds the nodes that are held back for a time; nextRelease is the
+	// least of their times.
+	held        []*node
+	nextRelease time.Time
 	// slots counts the slots of open hosts.
 	slots int
 	// taken counts the tasks in flight on open hosts.
@@ -33,24 +48,38 @@
 	}
 }
 
-// hold leaves n alone until a time.
-func (g *group) hold(now, until time.Time, n *node) {
-	if !now.Before(n.heldUntil) {
-		g.held = append(g.held, n)
+// hold looks at n again at a time.
+func (g *group) hold(n *node, until time.Time) {
+	if len(g.held) == 0 || until.Before(g.nextRelease) {
+		g.nextRelease = until
 	}
-	n.heldUntil = until
-	g.settle(now, n)
+	g.held = append(g.held, n)
 }
 
-// release puts back the nodes whose time has passed.
+// release settles the held nodes whose time has passed.
 func (g *group) release(now time.Time) {
-	kept := g.held[:0]
-	for _, n := range g.held {
-		if now.Before(n.heldUntil) {
-			kept = append(kept, n)
+	if len(g.held) == 0 || now.Before(g.nextRelease) {
+		return
+	}
+	held := g.held
+	g.held = nil
+	for _, n := range held {
+		if until := n.releaseAt(now); !until.IsZero() {
+			g.hold(n, until)
 			continue
 		}
 		g.settle(now, n)
 	}
-	g.held = kept
+}
+
+// releaseAt returns the time at which the node is to be looked at again, or
+// zero if it is not held back.
+func (n *node) releaseAt(now time.Time) time.Time {
+	if n.health.State(now) == eject.Ejected {
+		return n.health.Until()
+	}
+	if now.Before(n.heldUntil) {
+		return n.heldUntil
+	}
+	return time.Time{}
 }
--- a/core/place/node.go
+++ b/core/place/node.go
@@ -4,12 +4,16 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/eject"
 )
 
 // node is what is known of one host.
 type node struct {
-	host      rock.Host
-	inFlight  int
+	host     rock.Host
+	health   *eject.Host
+	inFlight int
+	// most is the number of tasks allowed until heldUntil.
+	most      int
 	heldUntil time.Time
 	// position is the index in the pool's free list, or -1.
 	position int
@@ -17,10 +21,18 @@
 
 // free reports whether the host may be given one more task.
 func (n *node) free(now time.Time) bool {
-	return n.host.Open() && n.inFlight < n.host.Slots() && !now.Before(n.heldUntil)
+	if !n.host.Open() {
+		return false
+	}
+	limit := n.health.Limit(now, n.host.Slots())
+	if now.Before(n.heldUntil) {
+		limit = min(limit, n.most)
+	}
+	return n.inFlight < limit
 }
 
-// load returns the share of the host's slots that is taken.
+// load returns the share of the host's slots that is taken, and more if its
+// work fails, since a host that fails fast always looks idle.
 func (n *node) load() float64 {
-	return float64(n.inFlight) / float64(n.host.Slots())
+	return float64(n.inFlight)/float64(n.host.Slots()) + n.health.Rate()
 }
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -1,10 +1,12 @@
 package place
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/eject"
 )
 
 // Placer chooses hosts of one availability zone. It implements [rock.Placer]
@@ -15,6 +17,7 @@
 	nodes    map[string]*node
 	groups   map[string]*group
 	closed   []string
+	memories map[string]memory
 }
 
 // New returns a placer that knows no host yet.
@@ -25,7 +28,7 @@
 	if s.Hold <= 0 {
 		s.Hold = defaultHold
 	}
-	return &Placer{settings: s, nodes: map[string]*node{}, groups: map[string]*group{}}
+	return &Placer{settings: s, nodes: map[string]*node{}, groups: map[string]*group{}, memories: map[string]memory{}}
 }
 
 // Revision returns the revision of the configuration in use.
@@ -53,6 +56,7 @@
 	for name, n := range old {
 		if p.nodes[name] == nil && n.inFlight > 0 {
 			n.host = rock.NewHost(rock.HostSpec{Name: name, Zone: p.settings.Zone})
+			n.health = &eject.Host{}
 			n.position = -1
 			p.nodes[name] = n
 		}
@@ -61,12 +65,12 @@
 
 // add takes up the hosts of one pool.
 func (p *Placer) add(now time.Time, old map[string]*node, pool string) {
-	g := &group{}
+	g := &group{memory: p.memory(pool)}
 	p.groups[pool] = g
 	for _, h := range p.fleet.PoolHosts(pool, p.settings.Zone) {
-		n := &node{host: h, position: -1}
+		n := &node{host: h, health: g.watch.Join(h.Name()), position: -1}
 		if o := old[h.Name()]; o != nil {
-			n.inFlight, n.heldUntil = o.inFlight, o.heldUntil
+			n.inFlight, n.most, n.heldUntil = o.inFlight, o.most, o.heldUntil
 		}
 		p.nodes[h.Name()] = n
 		g.nodes = append(g.nodes, n)
@@ -76,11 +80,29 @@
 		}
 		g.slots += h.Slots()
 		g.taken += n.inFlight
-		if now.Before(n.heldUntil) {
-			g.held = append(g.held, n)
+		if until := n.releaseAt(now); !until.IsZero() {
+			g.hold(n, until)
 		}
 		g.settle(now, n)
 	}
+	for _, name := range g.watch.Names() {
+		if n := p.nodes[name]; n == nil || n.host.Pool() != pool {
+			g.watch.Leave(name)
+		}
+	}
+}
+
+// memory returns what is kept of the pool over configurations.
+func (p *Placer) memory(pool string) memory {
+	m, ok := p.memories[pool]
+	if !ok {
+		m = memory{
+			watch:  eject.NewWatch(p.settings.Eject),
+			random: rand.New(rand.NewPCG(p.settings.Random.Uint64(), p.settings.Random.Uint64())),
+		}
+		p.memories[pool] = m
+	}
+	return m
 }
 
 // Choose implements [rock.Placer].
@@ -112,10 +134,10 @@
 	case LeastInFlight:
 		return least(g.ready, avoid)
 	case Random:
-		return scan(g.ready, p.settings.Random.IntN(len(g.ready)), avoid)
+		return scan(g.ready, g.random.IntN(len(g.ready)), avoid)
 	}
-	first := scan(g.ready, p.settings.Random.IntN(len(g.ready)), avoid)
-	second := scan(g.ready, p.settings.Random.IntN(len(g.ready)), avoid)
+	first := scan(g.ready, g.random.IntN(len(g.ready)), avoid)
+	second := scan(g.ready, g.random.IntN(len(g.ready)), avoid)
 	if first != nil && second.load() < first.load() {
 		return second
 	}
@@ -148,7 +170,8 @@
 	return best
 }
 
-// Done implements [rock.Placer].
+// Done implements [rock.Placer]. An outcome that says nothing about the host,
+// such as a cancelled request, is not held against it.
 func (p *Placer) Done(now time.Time, host string, _ time.Duration, err error) {
 	n := p.nodes[host]
 	if n == nil || n.inFlight == 0 {
@@ -165,10 +188,51 @@
 	if n.host.Open() {
 		g.taken--
 	}
+	p.learn(now, g, n, err)
+	g.settle(now, n)
+}
+
+// learn learns from the outcome of a task on the node.
+func (p *Placer) learn(now time.Time, g *group, n *node, err error) {
 	if rock.ReasonOf(err) == rock.Overloaded && rock.VerdictOf(err) == rock.NotRun {
-		g.hold(now, now.Add(p.settings.Hold), n)
+		n.most, n.heldUntil = n.inFlight, now.Add(p.settings.Hold)
+		g.hold(n, n.heldUntil)
+		return
+	}
+	failed, known := Failed(err)
+	if p.settings.NoEjection || !known {
+		return
+	}
+	if g.watch.Note(now, n.health, failed) {
+		g.hold(n, n.health.Until())
 	}
-	g.settle(now, n)
+}
+
+// Failed reports whether the outcome of a task is a failure of its host, and
+// whether it says anything about the host at all.
+func Failed(err error) (failed, known bool) {
+	switch rock.ReasonOf(err) {
+	case "":
+		return false, true
+	case rock.WorkFailed, rock.Truncated, rock.Internal, rock.Unsettled, rock.Unavailable:
+		return true, true
+	case rock.DeadlineExceeded:
+		return true, rock.VerdictOf(err) == rock.MayHaveRun
+	}
+	return false, false
+}
+
+// Ejected returns the names of the pool's hosts that are ejected at that time.
+func (p *Placer) Ejected(now time.Time, pool string) []string {
+	var names []string
+	if g := p.groups[pool]; g != nil {
+		for _, n := range g.nodes {
+			if n.health.State(now) == eject.Ejected {
+				names = append(names, n.host.Name())
+			}
+		}
+	}
+	return names
 }
 
 // InFlight returns the number of tasks in flight on the host.
@@ -199,6 +263,14 @@
 	return g.slots, g.taken
 }
 
+// Hosts returns the number of the pool's hosts in the zone.
+func (p *Placer) Hosts(pool string) int {
+	if g := p.groups[pool]; g != nil {
+		return len(g.nodes)
+	}
+	return 0
+}
+
 // Pools returns the names of the pools that have hosts in the zone.
 func (p *Placer) Pools() []string {
 	var names []string
--- a/core/place/settings.go
+++ b/core/place/settings.go
@@ -3,11 +3,13 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"bramleyrock/core/eject"
 )
 
-// defaultHold is how long a target that refused a task for want of a slot is
-// left alone.
-const defaultHold = 20 * time.Millisecond
+// defaultHold is how long a target that refused a task for want of a slot gets
+// no more tasks than it holds.
+const defaultHold = 100 * time.Millisecond
 
 // Settings holds the parameters of a [Placer].
 type Settings struct {
@@ -17,7 +19,11 @@
 	Random *rand.Rand
 	// Policy is the way of choosing; the zero value means [TwoChoices].
 	Policy Policy
-	// Hold is how long a target that refused a task for want of a slot is
-	// left alone; zero means 20 ms.
+	// Hold is how long a target that refused a task for want of a slot gets
+	// no more tasks than it holds of this entry; zero means 100 ms.
 	Hold time.Duration
+	// Eject holds the parameters of ejection.
+	Eject eject.Settings
+	// NoEjection turns ejection off.
+	NoEjection bool
 }
--- a/core/queue/doc.go
+++ b/core/queue/doc.go
@@ -6,9 +6,10 @@
 // admitted only if its predicted wait and run end before its deadline, so
 // that late work is refused at once, as not_run, instead of after waiting.
 //
-// The prediction divides the work ahead by the number of requests that ran at
-// the same time while the queue was not empty, which takes in that other
-// entries use the same hosts.
+// The prediction multiplies the number of requests ahead by the mean interval
+// between the ends of requests while others wait. That interval takes in that
+// other entries use the same hosts. When nothing waits, it is what the run
+// times let expect.
 //
 // # Usage
 //
@@ -17,7 +18,7 @@
 //	if err := q.Admit(now, r); err != nil {
 //		return err
 //	}
-//	ticket := q.Push(r)
+//	ticket := q.Push(now, r)
 //	next, ticket, ok := q.Pop()
-//	q.Observe(took)
+//	q.Observe(now, took)
 package queue
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -7,8 +7,20 @@
 	rock "bramleyrock"
 )
 
-// smoothing is the weight of one observed run time in the moving average.
-const smoothing = 0.05
+const (
+	// smoothing is the least weight of one observation in a moving average;
+	// earlier observations have more, so that a new queue learns fast.
+	smoothing = 0.01
+	// deviations is how many mean deviations above the mean run time a request
+	// needs to be left when it starts.
+	deviations = 3
+	// waitMargin is the part of the predicted wait by which the real one may be
+	// longer, as a divisor.
+	waitMargin = 2
+	// unusualDeviations is how many mean deviations above the mean run time a
+	// run is unusual.
+	unusualDeviations = 6
+)
 
 // Queue is the waiting requests of one pool. It implements [rock.Admitter]
 // and is not safe for concurrent use.
@@ -19,8 +31,12 @@
 	urgent   int
 	arrivals Ticket
 	runTime  time.Duration
-	slots    int
-	inFlight int
+	// deviation is the moving mean distance of run times from runTime.
+	deviation time.Duration
+	observed  int
+	drain     drain
+	slots     int
+	inFlight  int
 }
 
 // New returns an empty queue.
@@ -38,9 +54,38 @@
 // its requests in flight from this entry.
 func (q *Queue) Adjust(slots, inFlight int) { q.slots, q.inFlight = slots, inFlight }
 
-// Observe tells the queue how long a request ran.
-func (q *Queue) Observe(took time.Duration) {
-	q.runTime += time.Duration(smoothing * float64(took-q.runTime))
+// Observe tells the queue that a request ended, after it ran that long.
+func (q *Queue) Observe(now time.Time, took time.Duration) {
+	q.ended(now)
+	q.observed++
+	w := weight(q.observed)
+	q.deviation += time.Duration(w * float64((took-q.runTime).Abs()-q.deviation))
+	q.runTime += time.Duration(w * float64(took-q.runTime))
+}
+
+// ObserveCut tells the queue that a request ended because it was cut off after
+// it ran that long. Uncut, it would have run for about the mean run time more.
+func (q *Queue) ObserveCut(now time.Time, took time.Duration) {
+	q.Observe(now, took+q.runTime)
+}
+
+// ObserveFailure tells the queue that a request ended without a run time that
+// tells anything.
+func (q *Queue) ObserveFailure(now time.Time) { q.ended(now) }
+
+// ended notes that a slot became free.
+func (q *Queue) ended(now time.Time) {
+	if q.Len() > 0 {
+		q.drain.ended(now)
+	}
+}
+
+// weight returns the weight of the n-th observation in a moving average.
+func weight(n int) float64 { return max(smoothing, 1/float64(n+1)) }
+
+// Usual reports whether a run of that length is nothing unusual.
+func (q *Queue) Usual(took time.Duration) bool {
+	return took <= q.runTime+unusualDeviations*q.deviation
 }
 
 // Len returns the number of waiting requests.
@@ -55,14 +100,26 @@
 	if ahead == 0 && q.inFlight < q.slots {
 		return 0
 	}
+	interval := q.drain.interval
+	if q.Len() == 0 {
+		interval = q.expected()
+	}
+	return time.Duration(ahead+1) * interval
+}
+
+// expected returns the interval between the ends of requests that the run
+// times let expect.
+func (q *Queue) expected() time.Duration {
 	width := q.slots
-	if q.Len() > 0 && q.inFlight > 0 {
+	if q.inFlight > 0 {
 		width = min(width, q.inFlight)
 	}
-	return time.Duration(float64(ahead+1) * float64(q.runTime) / float64(max(width, 1)))
+	return q.runTime / time.Duration(max(width, 1))
 }
 
-// Admit implements [rock.Admitter].
+// Admit implements [rock.Admitter]. A request that need not wait is admitted
+// whatever its deadline, since the run times of others say little about its
+// own.
 func (q *Queue) Admit(now time.Time, r rock.Request) error {
 	refusal := rock.Fail("admit", "pool "+q.settings.Pool, rock.Overloaded, rock.NotRun)
 	wait := q.Wait(r.Class())
@@ -73,19 +130,26 @@
 		return nil
 	}
 	left := r.Deadline().Sub(now)
-	if need := wait + q.runTime; need > left {
-		return refusal.RetryIn(need-max(left, 0)).Becausef("predicted wait %v and run %v do not fit into the remaining %v", wait.Round(time.Millisecond), q.runTime.Round(time.Millisecond), left.Round(time.Millisecond))
+	if wait == 0 && left > 0 {
+		return nil
+	}
+	run := q.runTime + deviations*q.deviation
+	if need := wait + wait/waitMargin + run; need > left {
+		return refusal.RetryIn(need-max(left, 0)).Becausef("predicted wait %v and run %v do not fit into the remaining %v", wait.Round(time.Millisecond), run.Round(time.Millisecond), left.Round(time.Millisecond))
 	}
 	return nil
 }
 
 // Push adds a request, which the caller has admitted, and returns its ticket.
-func (q *Queue) Push(r rock.Request) Ticket {
+func (q *Queue) Push(now time.Time, r rock.Request) Ticket {
+	if q.Len() == 0 {
+		q.drain.begin(now, q.expected())
+	}
 	q.arrivals++
 	it := &item{request: r, ticket: q.arrivals}
 	q.tickets[it.ticket] = it
 	heap.Push(&q.waiting, it)
-	if r.Class() == rock.Urgent {
+	if it.request.Class() == rock.Urgent {
 		q.urgent++
 	}
 	return it.ticket
--- /dev/null
+++ b/core/retry/history.go
@@ -0,0 +1,66 @@
+package retry
+
+import (
+	"errors"
+
+	rock "bramleyrock"
+)
+
+// History is what happened to a request so far.
+type History struct {
+	request  rock.Request
+	attempts int
+	tried    []string
+	verdict  rock.Verdict
+}
+
+// NewHistory returns the history of a request that was not tried yet.
+func NewHistory(r rock.Request) *History {
+	return &History{request: r, verdict: rock.NotRun}
+}
+
+// Attempts returns the number of attempts that failed.
+func (h *History) Attempts() int { return h.attempts }
+
+// Tried returns the hosts that were tried. The caller must not change it.
+func (h *History) Tried() []string { return h.tried }
+
+// Try notes that the request is tried on a host.
+func (h *History) Try(host string) { h.tried = append(h.tried, host) }
+
+// Add notes a failed attempt.
+func (h *History) Add(err error) {
+	h.attempts++
+	switch rock.VerdictOf(err) {
+	case rock.MayHaveRun:
+		h.verdict = rock.MayHaveRun
+	case rock.Ran:
+		if h.verdict == rock.NotRun {
+			h.verdict = rock.Ran
+		}
+	}
+}
+
+// Safe reports whether the request may be tried again after err, without
+// regard to any budget.
+func (h *History) Safe(err error) bool {
+	switch rock.ReasonOf(err) {
+	case rock.BadInput, rock.TooLarge, rock.Quarantined, rock.Cancelled, rock.DeadlineExceeded:
+		return false
+	}
+	return rock.VerdictOf(err).Retryable(h.request.Idempotent())
+}
+
+// Failure returns the last error with the verdict of all attempts: a request
+// that was refused at its last attempt may have run at an earlier one.
+func (h *History) Failure(err error) error {
+	if rock.VerdictOf(err) == h.verdict {
+		return err
+	}
+	joined := rock.Fail("route", "request "+h.request.ID(), rock.ReasonOf(err), h.verdict).Because(err)
+	var f *rock.Failure
+	if errors.As(err, &f) {
+		return joined.RetryIn(f.RetryAfter())
+	}
+	return joined
+}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,68 @@
+package retry_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/retry"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestBudget(t *testing.T) {
+	var b retry.Budget
+	assert.Assert(t, !b.Take(start), "a new budget is empty")
+	for i := range 100 {
+		b.Earn(start.Add(time.Duration(i) * 10 * time.Millisecond))
+	}
+	taken := 0
+	for b.Take(start.Add(time.Second)) {
+		taken++
+	}
+	assert.Assert(t, taken >= 4 && taken <= 10, "%d retries for 100 successes in the last second", taken)
+	for range 20 {
+		b.Earn(start.Add(2 * time.Second))
+	}
+	assert.Assert(t, b.Take(start.Add(time.Hour)), "one retry is kept")
+	assert.Assert(t, !b.Take(start.Add(time.Hour)))
+}
+
+func TestSafe(t *testing.T) {
+	cases := map[string]struct {
+		err        error
+		idempotent bool
+		want       bool
+	}{
+		"not run":                    {rock.Fail("run", "", rock.Unavailable, rock.NotRun), false, true},
+		"may have run":               {rock.Fail("run", "", rock.Unavailable, rock.MayHaveRun), false, false},
+		"may have run, idempotent":   {rock.Fail("run", "", rock.Truncated, rock.MayHaveRun), true, true},
+		"unclassified":               {errors.New("broken pipe"), false, false},
+		"caller left":                {rock.Fail("run", "", rock.Cancelled, rock.NotRun), true, false},
+		"deadline passed":            {rock.Fail("run", "", rock.DeadlineExceeded, rock.NotRun), true, false},
+		"target rejects the payload": {rock.Fail("run", "", rock.BadInput, rock.NotRun), true, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := retry.NewHistory(rock.NewRequest(rock.RequestSpec{Idempotent: c.idempotent}))
+			h.Add(c.err)
+			assert.Equal(t, h.Safe(c.err), c.want)
+		})
+	}
+}
+
+func TestLastRefusalKeepsEarlierVerdict(t *testing.T) {
+	h := retry.NewHistory(rock.NewRequest(rock.RequestSpec{Idempotent: true}))
+	h.Add(rock.Fail("run", "h1", rock.Truncated, rock.MayHaveRun))
+	refused := rock.Fail("admit", "pool tins", rock.Overloaded, rock.NotRun).RetryIn(time.Second)
+	h.Add(refused)
+	err := h.Failure(refused)
+	assert.Equal(t, rock.VerdictOf(err), rock.MayHaveRun)
+	assert.Equal(t, rock.ReasonOf(err), rock.Overloaded)
+	var f *rock.Failure
+	assert.Assert(t, errors.As(err, &f))
+	assert.Equal(t, f.RetryAfter(), time.Second)
+}
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -5,22 +5,33 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/eject"
 	"bramleyrock/core/place"
 	"bramleyrock/core/queue"
+	"bramleyrock/core/retry"
 )
 
 // Scheduler schedules the requests of one entry. It is not safe for
 // concurrent use.
 type Scheduler struct {
-	settings Settings
-	fleet    rock.Fleet
-	placer   *place.Placer
-	lanes    map[string]*lane
+	settings   Settings
+	fleet      rock.Fleet
+	placer     *place.Placer
+	quarantine *eject.Quarantine
+	lanes      map[string]*lane
 }
 
 // New returns a scheduler that knows no configuration yet.
 func New(s Settings) *Scheduler {
-	return &Scheduler{settings: s, placer: place.New(s.Place), lanes: map[string]*lane{}}
+	if s.Attempts <= 0 {
+		s.Attempts = defaultAttempts
+	}
+	return &Scheduler{
+		settings:   s,
+		placer:     place.New(s.Place),
+		quarantine: eject.NewQuarantine(s.Quarantine),
+		lanes:      map[string]*lane{},
+	}
 }
 
 // Update puts a newer configuration in use; an older one is ignored.
@@ -35,23 +46,60 @@
 	}
 }
 
-// Submit admits a request to the queue of its pool. Avoid lists hosts that
-// were tried before. A refusal has verdict [rock.NotRun].
-func (s *Scheduler) Submit(now time.Time, r rock.Request, avoid []string) (Ticket, error) {
-	if slots, _ := s.placer.Slots(r.Pool()); slots == 0 {
-		return Ticket{}, rock.Fail("admit", "pool "+r.Pool(), rock.NoHost, rock.NotRun).Becausef("the pool has no open host in zone %s", s.settings.Place.Zone)
+// Submit admits a request to the queue of its pool. A refusal has verdict
+// [rock.NotRun].
+func (s *Scheduler) Submit(now time.Time, r rock.Request) (Ticket, error) {
+	if err := s.check(r); err != nil {
+		return Ticket{}, err
+	}
+	if err := s.quarantine.Check(now, r, s.placer.Hosts(r.Pool())); err != nil {
+		return Ticket{}, err
 	}
 	l := s.lane(r.Pool())
 	if err := l.queue.Admit(now, r); err != nil {
 		return Ticket{}, err
 	}
-	t := l.queue.Push(r)
+	return Ticket{r.Pool(), l.queue.Push(now, r)}, nil
+}
+
+// Resume queues a request again that was admitted before. Avoid lists the hosts
+// on which it failed.
+func (s *Scheduler) Resume(now time.Time, r rock.Request, avoid []string) (Ticket, error) {
+	if err := s.check(r); err != nil {
+		return Ticket{}, err
+	}
+	l := s.lane(r.Pool())
+	t := l.queue.Push(now, r)
 	if len(avoid) > 0 {
 		l.avoid[t] = avoid
 	}
 	return Ticket{r.Pool(), t}, nil
 }
 
+// check refuses a request whose pool has no open host.
+func (s *Scheduler) check(r rock.Request) error {
+	if slots, _ := s.placer.Slots(r.Pool()); slots > 0 {
+		return nil
+	}
+	return rock.Fail("admit", "pool "+r.Pool(), rock.NoHost, rock.NotRun).Becausef("the pool has no open host in zone %s", s.settings.Place.Zone)
+}
+
+// Retry decides on a request whose last attempt, noted in its history, failed
+// with err. It returns nil if the request is to be resumed, and otherwise the
+// failure with which the request ends.
+func (s *Scheduler) Retry(now time.Time, r rock.Request, h *retry.History, err error) error {
+	if rock.ReasonOf(err) == rock.WorkFailed && s.quarantine.Holds(r, s.placer.Hosts(r.Pool())) {
+		return h.Failure(rock.Fail("run", "request "+r.ID(), rock.Quarantined, rock.VerdictOf(err)).Because(err))
+	}
+	if h.Attempts() >= s.settings.Attempts || !h.Safe(err) || !now.Before(r.Deadline()) {
+		return h.Failure(err)
+	}
+	if !s.lane(r.Pool()).budget.Take(now) {
+		return h.Failure(err)
+	}
+	return nil
+}
+
 // Withdraw takes a request out of its queue. It returns false if the request
 // was granted a host already.
 func (s *Scheduler) Withdraw(t Ticket) bool {
@@ -75,7 +123,7 @@
 	if err != nil {
 		return Grant{}, false
 	}
-	l.queue.Remove(t)
+	l.queue.Pop()
 	delete(l.avoid, t)
 	l.inFlight++
 	s.adjust(pool, l)
@@ -87,13 +135,49 @@
 func (s *Scheduler) Finish(now time.Time, g Grant, took time.Duration, err error) {
 	l := s.lane(g.ticket.pool)
 	l.inFlight--
-	s.placer.Done(now, g.host.Name(), took, err)
-	if err == nil {
-		l.queue.Observe(took)
-	}
+	s.placer.Done(now, g.host.Name(), took, s.excuse(now, l, g, took, err))
+	s.learn(now, l, took, err)
 	s.adjust(g.ticket.pool, l)
 }
 
+// learn notes how a request of the lane ended.
+func (s *Scheduler) learn(now time.Time, l *lane, took time.Duration, err error) {
+	switch {
+	case err == nil:
+		l.budget.Earn(now)
+		l.queue.Observe(now, took)
+	case rock.ReasonOf(err) == rock.DeadlineExceeded && rock.VerdictOf(err) == rock.MayHaveRun:
+		l.queue.ObserveCut(now, took)
+	case rock.VerdictOf(err) == rock.MayHaveRun:
+		l.queue.ObserveFailure(now)
+	}
+}
+
+// excuse returns the outcome as it is held against the host. The failure of
+// work that failed elsewhere before is not, and neither is a deadline that cut
+// off a run of usual length.
+func (s *Scheduler) excuse(now time.Time, l *lane, g Grant, took time.Duration, err error) error {
+	excused := rock.Fail("run", "request "+g.request.ID(), rock.Cancelled, rock.VerdictOf(err))
+	switch rock.ReasonOf(err) {
+	case rock.DeadlineExceeded:
+		if l.queue.Usual(took) {
+			return excused.Because(err)
+		}
+	case rock.WorkFailed, "":
+		blame := s.quarantine.Note(now, g.request, g.host.Name(), err != nil)
+		if err != nil && !blame {
+			return excused.Because(err)
+		}
+	}
+	return err
+}
+
+// Full reports whether err is the refusal of a target that has no free slot,
+// after which the request is resumed.
+func Full(err error) bool {
+	return rock.ReasonOf(err) == rock.Overloaded && rock.VerdictOf(err) == rock.NotRun
+}
+
 // Waiting returns the names of the pools with waiting requests, in order.
 func (s *Scheduler) Waiting() []string {
 	var names []string
@@ -106,22 +190,25 @@
 	return names
 }
 
-// Load returns the load of the pool.
-func (s *Scheduler) Load(pool string) rock.PoolLoad {
+// Load returns the load of the pool, with the predicted wait of the class.
+func (s *Scheduler) Load(pool string, class rock.Class) rock.PoolLoad {
 	l := s.lane(pool)
 	slots, _ := s.placer.Slots(pool)
-	return rock.NewPoolLoad(pool, l.inFlight, l.queue.Len(), slots, l.queue.Wait(rock.Normal))
+	return rock.NewPoolLoad(pool, l.inFlight, l.queue.Len(), slots, l.queue.Wait(class))
 }
 
 // Loads returns the load of each pool that has hosts in the zone.
 func (s *Scheduler) Loads() []rock.PoolLoad {
 	var loads []rock.PoolLoad
 	for _, name := range s.placer.Pools() {
-		loads = append(loads, s.Load(name))
+		loads = append(loads, s.Load(name, rock.Normal))
 	}
 	return loads
 }
 
+// Ejected returns the names of the pool's hosts that are ejected at that time.
+func (s *Scheduler) Ejected(now time.Time, pool string) []string { return s.placer.Ejected(now, pool) }
+
 // Closed returns the tasks in flight on each host that takes no new work,
 // zeros included.
 func (s *Scheduler) Closed() map[string]int { return s.placer.Closed() }
@@ -132,7 +219,11 @@
 	if l == nil {
 		settings := s.settings.Queue
 		settings.Pool = pool
-		l = &lane{queue: queue.New(settings), avoid: map[queue.Ticket][]string{}}
+		l = &lane{
+			queue:  queue.New(settings),
+			budget: retry.Budget{Share: s.settings.RetryShare, Unlimited: s.settings.UnlimitedRetries},
+			avoid:  map[queue.Ticket][]string{},
+		}
 		s.lanes[pool] = l
 		s.adjust(pool, l)
 	}
--- a/core/sched/settings.go
+++ b/core/sched/settings.go
@@ -1,14 +1,27 @@
 package sched
 
 import (
+	"bramleyrock/core/eject"
 	"bramleyrock/core/place"
 	"bramleyrock/core/queue"
 )
 
+// defaultAttempts is how often a request may be tried in all.
+const defaultAttempts = 4
+
 // Settings holds the parameters of a [Scheduler].
 type Settings struct {
-	// Place holds the parameters of placement.
+	// Place holds the parameters of placement and ejection.
 	Place place.Settings
 	// Queue holds the parameters of each pool's queue; Pool is filled in.
 	Queue queue.Settings
+	// Quarantine holds the parameters of quarantine.
+	Quarantine eject.Settings
+	// Attempts is how often a request may be tried in all; zero means 4.
+	Attempts int
+	// RetryShare is the number of retries that a success pays for; zero means
+	// 0.1.
+	RetryShare float64
+	// UnlimitedRetries turns the retry budget off.
+	UnlimitedRetries bool
 }
--- a/io/route/elsewhere.go
+++ b/io/route/elsewhere.go
@@ -1,38 +1,48 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	rock "bramleyrock"
 )
 
 // elsewhere returns the peer of another zone that is expected to run the
-// request sooner, or nil if the entry's own zone is.
-func (e *Engine) elsewhere(r rock.Request, h *history) rock.Peer {
-	if e.settings.Peers == nil || h.forwarded || r.Hops() >= e.settings.Limits.Hops {
+// request sooner than the own zone, or nil if there is none. Asked lists the
+// peers that refused it.
+func (e *Engine) elsewhere(r rock.Request, asked []string) rock.Peer {
+	if e.settings.Peers == nil || r.Hops() >= e.settings.Limits.Hops {
 		return nil
 	}
 	now := e.settings.Now()
-	e.mu.Lock()
-	own := rock.NewPoolLoad(r.Pool(), 0, 0, 0, 0)
-	if e.refresh(now) == nil {
-		own = e.sched.Load(r.Pool())
-	}
-	e.mu.Unlock()
-	if own.Slots() > 0 && own.Wait() == 0 {
+	own, known := e.load(now, r)
+	if !known || own.Slots() > 0 && own.Wait() == 0 {
 		return nil
 	}
 	var best rock.Peer
-	limit := own.Wait()
+	least := own.Wait()
 	for _, v := range e.settings.Peers.Alive(now) {
+		if slices.Contains(asked, v.Peer().Member().Name()) {
+			continue
+		}
 		wait, ok := e.waitAt(v, r.Pool())
-		if ok && (own.Slots() == 0 && best == nil || wait < limit) {
-			best, limit = v.Peer(), wait
+		if ok && (wait < least || own.Slots() == 0 && best == nil) {
+			best, least = v.Peer(), wait
 		}
 	}
 	return best
 }
 
+// load returns the own load of the request's pool, with the wait of its class.
+func (e *Engine) load(now time.Time, r rock.Request) (rock.PoolLoad, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.refresh(now) != nil {
+		return rock.PoolLoad{}, false
+	}
+	return e.sched.Load(r.Pool(), r.Class()), true
+}
+
 // waitAt returns the predicted wait at a peer of another zone, the way there
 // and back included, and whether it has open hosts of the pool.
 func (e *Engine) waitAt(v rock.PeerView, pool string) (time.Duration, bool) {
--- a/io/route/engine.go
+++ b/io/route/engine.go
@@ -40,8 +40,9 @@
 		ledger:   newLedger(s.Claims),
 		closings: newClosings(s.Objects),
 		sched: sched.New(sched.Settings{
-			Place: place.Settings{Zone: s.Member.Zone(), Random: s.Random},
-			Queue: queue.Settings{Limit: s.Limits.Queue},
+			Place:    place.Settings{Zone: s.Member.Zone(), Random: s.Random},
+			Queue:    queue.Settings{Limit: s.Limits.Queue},
+			Attempts: s.Limits.Attempts,
 		}),
 		waiters: map[sched.Ticket]chan sched.Grant{},
 		idle:    make(chan struct{}),
--- a/io/route/serve.go
+++ b/io/route/serve.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/retry"
 	"bramleyrock/core/sched"
 )
 
-// leaseMargin is how much longer than its deadline a task may run before the
-// target stops it.
-const leaseMargin = time.Second
+// maxForwards is how many peers are asked to run a request that they are
+// expected to run sooner.
+const maxForwards = 2
 
 // Do runs a request of a caller and returns its whole answer. A request that
 // is not idempotent and has an idempotency key runs at most once.
@@ -36,119 +36,64 @@
 	return e.Do(ctx, r)
 }
 
-// try tries the request until it is answered or must not be tried again.
+// try runs a request at the peers that are expected to run it sooner, or in
+// the entry's own zone.
 func (e *Engine) try(ctx context.Context, r rock.Request) (rock.Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline())
 	defer cancel()
-	history := newHistory(r)
-	for {
-		answer, err := e.attempt(ctx, r, history)
+	h := retry.NewHistory(r)
+	var asked []string
+	for range maxForwards {
+		peer := e.elsewhere(r, asked)
+		if peer == nil {
+			break
+		}
+		asked = append(asked, peer.Member().Name())
+		answer, err := peer.Forward(ctx, r)
 		if err == nil {
 			return answer, nil
 		}
-		history.add(err)
-		if ctx.Err() != nil || !e.again(r, history, err) {
-			return rock.Answer{}, history.failure(err)
+		if rock.VerdictOf(err) == rock.NotRun {
+			continue
+		}
+		h.Add(err)
+		if end := e.retry(ctx, r, h, err); end != nil {
+			return rock.Answer{}, end
 		}
 	}
+	return e.here(ctx, r, h)
 }
 
-// again reports whether the request may be tried once more.
-func (e *Engine) again(r rock.Request, h *history, err error) bool {
-	if h.attempts >= e.settings.Limits.Attempts {
-		return false
-	}
-	if !h.sent {
-		return false
-	}
-	return rock.VerdictOf(err).Retryable(r.Idempotent())
-}
-
-// attempt tries the request once, at a peer or on a host of the zone.
-func (e *Engine) attempt(ctx context.Context, r rock.Request, h *history) (rock.Answer, error) {
-	h.sent = false
-	if peer := e.elsewhere(r, h); peer != nil {
-		h.forwarded = true
-		answer, err := peer.Forward(ctx, r)
-		if err == nil || rock.VerdictOf(err) != rock.NotRun {
-			h.sent = true
-			return answer, err
+// here runs a request on the hosts of the zone until it is answered or must
+// not be tried again.
+func (e *Engine) here(ctx context.Context, r rock.Request, h *retry.History) (rock.Answer, error) {
+	grant, err := e.admit(ctx, r)
+	for {
+		if err != nil {
+			return rock.Answer{}, h.Failure(err)
 		}
+		answer, failed := e.run(ctx, grant)
+		if failed == nil {
+			return answer, nil
+		}
+		if !sched.Full(failed) || ctx.Err() != nil {
+			h.Try(grant.Host().Name())
+			h.Add(failed)
+			if end := e.retry(ctx, r, h, failed); end != nil {
+				return rock.Answer{}, end
+			}
+		}
+		grant, err = e.resume(ctx, r, h)
 	}
-	grant, err := e.wait(ctx, r, h.tried)
-	if err != nil {
-		return rock.Answer{}, err
-	}
-	h.sent = true
-	h.tried = append(h.tried, grant.Host().Name())
-	return e.run(ctx, grant)
 }
 
-// wait queues the request until it is granted a host.
-func (e *Engine) wait(ctx context.Context, r rock.Request, avoid []string) (sched.Grant, error) {
-	granted := make(chan sched.Grant, 1)
-	e.mu.Lock()
-	ticket, err := e.submit(r, avoid, granted)
-	e.mu.Unlock()
-	if err != nil {
-		return sched.Grant{}, err
-	}
-	select {
-	case g := <-granted:
-		return g, nil
-	case <-ctx.Done():
+// retry decides whether a request whose last attempt failed is tried again. It
+// returns nil or the failure with which the request ends.
+func (e *Engine) retry(ctx context.Context, r rock.Request, h *retry.History, err error) error {
+	if ctx.Err() != nil {
+		return h.Failure(err)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	gaveUp := endOf(ctx, "wait", r)
-	if e.sched.Withdraw(ticket) {
-		delete(e.waiters, ticket)
-		return sched.Grant{}, gaveUp
-	}
-	g := <-granted
-	e.sched.Finish(e.settings.Now(), g, 0, gaveUp)
-	e.dispatch(r.Pool())
-	return sched.Grant{}, gaveUp
-}
-
-// submit queues the request. The lock is held.
-func (e *Engine) submit(r rock.Request, avoid []string, granted chan sched.Grant) (sched.Ticket, error) {
-	now := e.settings.Now()
-	if err := e.refresh(now); err != nil {
-		return sched.Ticket{}, err
-	}
-	ticket, err := e.sched.Submit(now, r, avoid)
-	if err != nil {
-		return sched.Ticket{}, err
-	}
-	e.waiters[ticket] = granted
-	e.dispatch(r.Pool())
-	return ticket, nil
-}
-
-// run runs a granted request on its host.
-func (e *Engine) run(ctx context.Context, g sched.Grant) (rock.Answer, error) {
-	r, host := g.Request(), g.Host()
-	begin := e.settings.Now()
-	lease := r.Deadline().Sub(begin) + leaseMargin
-	task := rock.NewTask(e.taskID(r), r.Pool(), host.Generation(), lease, r.Deadline(), r.Payload())
-	answer, err := e.settings.Target.Run(ctx, host, task)
-	end := e.settings.Now()
-	e.mu.Lock()
-	e.sched.Finish(end, g, end.Sub(begin), err)
-	e.dispatch(r.Pool())
-	e.mu.Unlock()
-	if err != nil {
-		return rock.Answer{}, err
-	}
-	return rock.NewAnswer(r.ID(), host.Name(), answer.Payload()), nil
-}
-
-// endOf returns the failure of a request, not sent, whose context ended.
-func endOf(ctx context.Context, op string, r rock.Request) *rock.Failure {
-	reason := rock.Cancelled
-	if ctx.Err() == context.DeadlineExceeded {
-		reason = rock.DeadlineExceeded
-	}
-	return rock.Fail(op, "pool "+r.Pool(), reason, rock.NotRun).Because(ctx.Err())
+	return e.sched.Retry(e.settings.Now(), r, h, err)
 }
