--- a/io/books/batch.go
+++ b/io/books/batch.go
@@ -1,6 +1,7 @@
 package books
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"slices"
@@ -130,7 +131,7 @@
 		switch {
 		case err != nil:
 			w.end(rock.Change{}, unsettled(w.proposal.ID, err))
-		case !makes(w.proposal, accepted):
+		case !b.makes(w.proposal, accepted):
 			w.end(rock.Change{}, rock.Fail("change", "change "+w.proposal.ID, rock.Duplicate, rock.NotRun).
 				Becausef("the change id was used for another change, which made revision %d", accepted.Revision()))
 		default:
@@ -141,27 +142,43 @@
 }
 
 // makes reports whether the accepted change is the one that p proposes: of the
-// same author, to the same records, replacing the same versions.
-func makes(p rock.Proposal, accepted rock.Change) bool {
-	want := map[rock.Key]uint64{}
-	for _, r := range append(p.Records[:len(p.Records):len(p.Records)], p.Deletes...) {
-		want[r.Key()] = r.Version()
+// same author, replacing the same versions by the same content.
+func (b *Books) makes(p rock.Proposal, accepted rock.Change) bool {
+	edits := map[rock.Key]rock.Edit{}
+	for _, e := range accepted.Edits() {
+		edits[e.Key()] = e
 	}
-	if p.Who != accepted.Who() || len(want) != len(accepted.Edits()) {
+	if p.Who != accepted.Who() || len(p.Records)+len(p.Deletes) != len(edits) {
 		return false
 	}
-	for _, e := range accepted.Edits() {
-		var from uint64
-		if e.From() != nil {
-			from = e.From().Version()
+	for _, r := range p.Records {
+		if e, ok := edits[r.Key()]; !ok || !replaces(e, r) || e.To() == nil || !b.sameContent(r, *e.To()) {
+			return false
 		}
-		if v, ok := want[e.Key()]; !ok || v != from {
+	}
+	for _, r := range p.Deletes {
+		if e, ok := edits[r.Key()]; !ok || !replaces(e, r) || e.To() != nil {
 			return false
 		}
 	}
 	return true
 }
 
+// replaces reports whether the edit replaced the version that r names.
+func replaces(e rock.Edit, r rock.Record) bool {
+	if e.From() == nil {
+		return r.Version() == 0
+	}
+	return e.From().Version() == r.Version()
+}
+
+// sameContent reports whether the kept record is what became of r.
+func (b *Books) sameContent(r, kept rock.Record) bool {
+	low, err := b.settings.Codec.Canonical(r)
+	return err == nil && low.Schema() == kept.Schema() &&
+		bytes.Equal(encode(low.Body()), encode(kept.Body()))
+}
+
 // add checks the proposal against the configuration after the ones before it
 // and adds it to the transaction. It reports whether the proposal has ended.
 func (b *Books) add(t *transaction, w *pending) bool {
--- a/io/books/change_test.go
+++ b/io/books/change_test.go
@@ -99,8 +99,10 @@
 	first := change(t, b, "c1", organisation("alpha", 0, 1))
 	again := change(t, b, "c1", organisation("alpha", 0, 1))
 	assert.Equal(t, again.Revision(), first.Revision())
-	_, err := b.Change(context.Background(), time.Now(), proposal("c1", organisation("beta", 0, 1)))
-	assert.Equal(t, rock.ReasonOf(err), rock.Duplicate)
+	for _, other := range []rock.Record{organisation("beta", 0, 1), organisation("alpha", 0, 2), organisation("alpha", 1, 1)} {
+		_, err := b.Change(context.Background(), time.Now(), proposal("c1", other))
+		assert.Equal(t, rock.ReasonOf(err), rock.Duplicate)
+	}
 	assert.Equal(t, b.Revision(), rock.Revision(1))
 }
 
