--- /dev/null
+++ b/io/books/force_test.go
@@ -0,0 +1,116 @@
+package books_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/trace"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	changesPerDay = 17_000
+	forceSeed     = 4
+)
+
+// TestForceWithinTenSeconds replays half an hour at 17,000 changes a day, with
+// one zone cut from the platform for ten minutes, and then a burst of 100
+// changes in a second. Without the word of peers, the zone that is cut off
+// stays behind.
+func TestForceWithinTenSeconds(t *testing.T) {
+	cases := map[string]struct {
+		hints bool
+		holds bool
+	}{
+		"with hints":    {true, true},
+		"without hints": {false, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				w.hints = c.hints
+				replayPlannedRates(w)
+				broken := w.judge()
+				t.Logf("broken outcomes: %d; %v", len(broken), w.forceDelays())
+				assert.Equal(t, len(broken) == 0, c.holds, "%v", broken)
+			})
+		})
+	}
+}
+
+func replayPlannedRates(w *world) {
+	random := rand.New(rand.NewPCG(forceSeed, 0))
+	entries := w.startAll(3, "a", "b", "c")
+	time.Sleep(5 * time.Second)
+	begin := time.Now()
+	before := w.depot.Stats()
+	mean := float64(24*time.Hour) / changesPerDay
+	for i := 0; time.Since(begin) < 30*time.Minute; i++ {
+		time.Sleep(time.Duration(random.ExpFloat64() * mean))
+		if since := time.Since(begin); since > 10*time.Minute {
+			w.split("c", platform, since < 20*time.Minute)
+		}
+		n := entries[random.IntN(len(entries))]
+		if w.apart(n.zone, platform) {
+			continue
+		}
+		_, err := n.change(fmt.Sprintf("c%d", i), organisation(fmt.Sprintf("o%d", i), 0, i))
+		assert.NilError(w.t, err)
+	}
+	after := w.depot.Stats()
+	seconds := time.Since(begin).Seconds()
+	w.t.Logf("9 entries: %.2f reads/s, %.2f writes/s, %.0f bytes/s from the platform by entry",
+		float64(after.Reads-before.Reads)/seconds, float64(after.Writes-before.Writes)/seconds, float64(w.bytes.Load())/seconds/9)
+	burst(entries)
+	time.Sleep(11 * time.Second)
+	w.stop()
+}
+
+// burst makes 100 changes in a second.
+func burst(entries []*node) {
+	for i := range 100 {
+		n := entries[i%len(entries)]
+		n.group.Go("change", func(context.Context) error {
+			_, err := n.change(fmt.Sprintf("burst%d", i), organisation(fmt.Sprintf("burst%d", i), 0, i))
+			return err
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// forceDelays describes the times from acceptance to force, over all entries.
+func (w *world) forceDelays() string {
+	newest := map[string]rock.Revision{}
+	var delays []time.Duration
+	for _, e := range w.log.Events() {
+		switch e.Kind {
+		case trace.EntryStarted:
+			newest[e.Entry] = 0
+		case trace.ChangeInForce:
+			for r := newest[e.Entry] + 1; r <= e.Revision; r++ {
+				if at, ok := w.accepts[r]; ok {
+					delays = append(delays, e.At.Sub(at))
+				}
+			}
+			newest[e.Entry] = max(newest[e.Entry], e.Revision)
+		}
+	}
+	return spread(delays)
+}
+
+// spread describes durations by their median, 99th percentile and greatest.
+func spread(d []time.Duration) string {
+	if len(d) == 0 {
+		return "none"
+	}
+	slices.Sort(d)
+	return fmt.Sprintf("n %d, p50 %v, p99 %v, worst %v", len(d), d[len(d)/2], d[len(d)*99/100], d[len(d)-1])
+}
--- a/io/books/load.go
+++ b/io/books/load.go
@@ -26,20 +26,19 @@
 }
 
 // catchUp puts the configuration of the platform's revision head in force, or
-// a newer one.
+// a newer one. Nothing older is put in force on the way, so that a new process
+// does not begin with a configuration that an earlier one had left behind.
 func (b *Books) catchUp(ctx context.Context, head rock.Revision) error {
-	if s := b.state.Load(); s.known && s.config.Revision() >= head {
+	s := b.state.Load()
+	if s.known && s.config.Revision() >= head {
 		return nil
 	}
-	if err := b.loadSnapshot(ctx, head); err != nil {
+	config, err := b.start(ctx, s, head)
+	if err != nil {
 		return err
 	}
-	for {
-		config := b.Config()
-		if config.Revision() >= head {
-			b.putInForce(config, nil)
-			return nil
-		}
+	var all []rock.Change
+	for config.Revision() < head {
 		changes, err := b.readChanges(ctx, config.Revision(), pageSize)
 		if err != nil {
 			return err
@@ -48,12 +47,31 @@
 			return rock.Fail("read", "feed", rock.Internal, rock.NotRun).
 				Becausef("no change after revision %d, and head is at %d", config.Revision(), head)
 		}
-		next, err := config.Apply(changes...)
-		if err != nil {
+		if config, err = config.Apply(changes...); err != nil {
 			return b.rebuild(ctx, head, err)
 		}
-		b.putInForce(next, changes)
+		all = append(all, changes...)
+		all = all[max(0, len(all)-maxRecent):]
+	}
+	b.putInForce(config, all)
+	return nil
+}
+
+// start returns the configuration from which the feed is read on: the one in
+// force, or the newest snapshot if nothing is known yet or many changes are
+// missing.
+func (b *Books) start(ctx context.Context, s *state, head rock.Revision) (*feed.Config, error) {
+	if s.known && head-s.config.Revision() <= rock.Revision(2*b.settings.SnapshotEvery) {
+		return s.config, nil
+	}
+	config, err := b.readSnapshot(ctx, head)
+	if err != nil {
+		return nil, err
+	}
+	if config == nil || config.Revision() < s.config.Revision() {
+		return s.config, nil
 	}
+	return config, nil
 }
 
 // readChanges returns up to limit changes after the revision.
@@ -99,26 +117,3 @@
 	b.putInForce(config, nil)
 	return nil
 }
-
-// loadSnapshot puts the newest snapshot in force if nothing is known yet, or
-// if many changes are missing. Without one, the feed is read instead.
-func (b *Books) loadSnapshot(ctx context.Context, head rock.Revision) error {
-	s := b.state.Load()
-	if s.known && head-s.config.Revision() <= rock.Revision(2*b.settings.SnapshotEvery) {
-		return nil
-	}
-	config, err := b.readSnapshot(ctx, head)
-	if err != nil {
-		return err
-	}
-	if config != nil && b.newer(config) {
-		b.putInForce(config, nil)
-	}
-	return nil
-}
-
-// newer reports whether config is newer than the configuration in force.
-func (b *Books) newer(config *feed.Config) bool {
-	s := b.state.Load()
-	return !s.known || config.Revision() > s.config.Revision()
-}
