--- a/core/record/record_test.go
+++ b/core/record/record_test.go
@@ -76,7 +76,7 @@
 }
 
 // normal returns a JSON value with its numbers as they were written.
-func normal(t testing.TB, data []byte) any {
+func normal(t assert.TestingT, data []byte) any {
 	d := json.NewDecoder(strings.NewReader(string(data)))
 	d.UseNumber()
 	var v any
--- /dev/null
+++ b/core/record/schema_test.go
@@ -0,0 +1,159 @@
+package record_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	rock "bramleyrock"
+	"bramleyrock/core/record"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "5", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// old is a program that knows version 1 only.
+var old = record.NewCodec(1)
+
+// value draws any JSON value that a later program might write.
+func value() *rapid.Generator[any] {
+	return rapid.OneOf(
+		rapid.Just[any](nil),
+		rapid.Map(rapid.Bool(), func(b bool) any { return b }),
+		rapid.Map(rapid.SampledFrom([]json.Number{"0", "1e400", "0.10000000000000000001", "9007199254740993"}), func(n json.Number) any { return n }),
+		rapid.Map(rapid.String(), func(s string) any { return s }),
+		rapid.Map(rapid.SliceOfN(rapid.Int(), 0, 3), func(s []int) any { return s }),
+	)
+}
+
+// unknown draws fields that neither version defines, or that the other one
+// does.
+func unknown(t *rapid.T, names ...string) map[string]any {
+	if rapid.IntRange(0, 2).Draw(t, "has unknown") > 0 {
+		return map[string]any{}
+	}
+	names = append(names, "zone_spread", "note", "Pool", "")
+	return rapid.MapOfN(rapid.SampledFrom(names), value(), 1, 3).Draw(t, "unknown")
+}
+
+func drawRecord(t *rapid.T) rock.Record {
+	kind := rapid.SampledFrom([]rock.Kind{rock.KindPool, rock.KindBudget}).Draw(t, "kind")
+	schema := rapid.IntRange(1, 2).Draw(t, "schema")
+	body := drawPool(t, schema)
+	if kind == rock.KindBudget {
+		body = drawBudget(t, schema)
+	}
+	data, err := json.Marshal(body)
+	assert.NilError(t, err)
+	return rock.NewRecord(rock.NewKey(kind, "x1"), schema, 3, data)
+}
+
+func drawPool(t *rapid.T, schema int) map[string]any {
+	org := rapid.SampledFrom([]string{"", "alpha"}).Draw(t, "organisation")
+	spare := rapid.Bool().Draw(t, "spare")
+	if schema == 1 {
+		body := unknown(t, "owner", "max_slots")
+		body["spare"] = spare || org == ""
+		if org != "" {
+			body["organisation"] = org
+		}
+		return body
+	}
+	owner := unknown(t)
+	if org == "" {
+		owner["shared"] = true
+	} else {
+		owner["organisation"] = org
+	}
+	body := unknown(t, "organisation")
+	body["owner"], body["spare"] = owner, spare
+	if n := rapid.IntRange(0, 9).Draw(t, "max_slots"); n > 0 {
+		body["max_slots"] = n
+	}
+	return body
+}
+
+func drawBudget(t *rapid.T, schema int) map[string]any {
+	count := rapid.IntRange(0, 100).Draw(t, "count")
+	if schema == 1 {
+		body := unknown(t, "max_away_per_rack")
+		body["pool"], body["min_available"] = "tins", count
+		return body
+	}
+	limit := unknown(t)
+	if rapid.Bool().Draw(t, "is share") {
+		limit["share"] = rapid.SampledFrom([]json.Number{"0", "1", "0.8", "0.80000000000000000001", "1e-7"}).Draw(t, "share")
+	} else {
+		limit["count"] = count
+	}
+	body := unknown(t)
+	body["pool"], body["min_available"] = "tins", limit
+	if n := rapid.IntRange(0, 2).Draw(t, "max_away_per_rack"); n > 0 {
+		body["max_away_per_rack"] = n
+	}
+	return body
+}
+
+// TestConversionIsLossless converts records to the other version and back. Each
+// conversion either gives all content back or is refused.
+func TestConversionIsLossless(t *testing.T) {
+	counts := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		r := drawRecord(t)
+		other := 3 - r.Schema()
+		there, err := record.Codec{}.Convert(r, other)
+		if err != nil {
+			assert.Equal(t, rock.ReasonOf(err), rock.SchemaUnsupported)
+			counts[fmt.Sprintf("refused %d to %d", r.Schema(), other)]++
+			return
+		}
+		counts[fmt.Sprintf("converted %d to %d", r.Schema(), other)]++
+		back, err := record.Codec{}.Convert(there, r.Schema())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, normal(t, back.Body()), normal(t, r.Body()))
+		assert.Equal(t, back.Version(), r.Version())
+	})
+	t.Log(counts)
+	for _, way := range []string{"refused 1 to 2", "converted 1 to 2", "refused 2 to 1", "converted 2 to 1"} {
+		assert.Assert(t, counts[way] > 0, "never %s", way)
+	}
+}
+
+// TestKeptFormRules checks what follows from keeping the lowest version.
+func TestKeptFormRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kept, err := record.Codec{}.Canonical(drawRecord(t))
+		assert.NilError(t, err)
+		b, err := old.Decode(kept)
+		if kept.Schema() == 1 {
+			// An old program reads all that version 1 can say, and writes it
+			// back whole.
+			assert.NilError(t, err)
+			body, err := b.Encode(1)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, normal(t, body), normal(t, kept.Body()))
+			assert.NilError(t, old.CheckReplace(kept, &kept))
+			return
+		}
+		// What it cannot say is refused to an old reader, and no old writer
+		// can drop it.
+		assert.Equal(t, rock.ReasonOf(err), rock.SchemaUnsupported)
+		_, err = record.Codec{}.Convert(kept, 1)
+		assert.Equal(t, rock.ReasonOf(err), rock.SchemaUnsupported)
+		low := rock.NewRecord(kept.Key(), 1, kept.Version(), nil)
+		assert.Equal(t, rock.ReasonOf(record.Codec{}.CheckReplace(kept, &low)), rock.SchemaUnsupported)
+		assert.Equal(t, rock.ReasonOf(old.CheckReplace(kept, &low)), rock.SchemaUnsupported)
+		assert.Equal(t, rock.ReasonOf(old.CheckReplace(kept, nil)), rock.SchemaUnsupported)
+	})
+}
--- a/io/books/entry_test.go
+++ b/io/books/entry_test.go
@@ -68,12 +68,12 @@
 	eventually(t, fmt.Sprintf("revision %d", r), func() bool { return b.Revision() >= r })
 }
 
-func record(kind rock.Kind, name string, version uint64, body string) rock.Record {
-	return rock.NewRecord(rock.NewKey(kind, name), 1, version, json.RawMessage(body))
+func body(kind rock.Kind, name string, schema int, version uint64, text string) rock.Record {
+	return rock.NewRecord(rock.NewKey(kind, name), schema, version, json.RawMessage(text))
 }
 
 func organisation(name string, version uint64, quota int) rock.Record {
-	return record(rock.KindOrganisation, name, version, fmt.Sprintf(`{"quota":%d}`, quota))
+	return body(rock.KindOrganisation, name, 1, version, fmt.Sprintf(`{"quota":%d}`, quota))
 }
 
 func proposal(id string, records ...rock.Record) rock.Proposal {
--- a/io/oper/oper_test.go
+++ b/io/oper/oper_test.go
@@ -215,3 +215,31 @@
 	code, _ = s.call("root", "GET", "/v1/records/pool", "")
 	assert.Equal(t, code, 200)
 }
+
+func TestSchemaVersionsAreConvertedOrRefused(t *testing.T) {
+	s := filled(t)
+	s.must("root", "c2", `{"kind":"budget","name":"share","schema_version":2,"body":{"pool":"tins","min_available":{"share":0.8}}}`,
+		`{"kind":"budget","name":"count","schema_version":2,"body":{"pool":"tins","min_available":{"count":8}}}`)
+	cases := map[string]struct {
+		path string
+		code int
+		want string
+	}{
+		"count as 1":     {"budget/count?schema_version=1", 200, `"min_available":8`},
+		"count as 2":     {"budget/count?schema_version=2", 200, `"min_available":{"count":8}`},
+		"count as kept":  {"budget/count", 200, `"schema_version":1`},
+		"share as 1":     {"budget/share?schema_version=1", 406, "min_available.share cannot be expressed"},
+		"share as kept":  {"budget/share", 200, `"min_available":{"share":0.8}`},
+		"all as 1":       {"budget?schema_version=1", 406, "budget/share"},
+		"all as 2":       {"budget?schema_version=2", 200, `"min_available":{"count":8}`},
+		"pool as 2":      {"pool/tins?schema_version=2", 200, `"owner":{"organisation":"alpha"}`},
+		"kind without 2": {"host?schema_version=2", 406, "want 1 to 1"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			code, body := s.call("root", "GET", "/v1/records/"+c.path, "")
+			assert.Equal(t, code, c.code, body)
+			assert.Assert(t, strings.Contains(body, c.want), body)
+		})
+	}
+}
