--- /dev/null
+++ b/io/entry/entry.go
@@ -0,0 +1,218 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/budget"
+	"bramleyrock/core/group"
+	"bramleyrock/io/books"
+	"bramleyrock/io/door"
+	"bramleyrock/io/duty"
+	"bramleyrock/io/front"
+	"bramleyrock/io/link"
+	"bramleyrock/io/logs"
+	"bramleyrock/io/meter"
+	"bramleyrock/io/oper"
+	"bramleyrock/io/plat"
+	"bramleyrock/io/roster"
+	"bramleyrock/io/route"
+	"bramleyrock/io/targ"
+
+	"github.com/google/uuid"
+)
+
+// Entry is one entry process.
+type Entry struct {
+	settings Settings
+	member   rock.Member
+	duties   *group.Group
+	meter    *meter.Meter
+	platform *plat.Client
+	books    *books.Books
+	engine   *route.Engine
+	links    *link.Set
+	peers    *link.Server
+	roster   *roster.Roster
+	runner   *duty.Runner
+	caller   *door.Door
+	operator *door.Door
+	peer     *door.Door
+	handlers handlers
+	leaving  atomic.Bool
+}
+
+// handlers are the handlers of the doors, which listen before all parts exist.
+type handlers struct {
+	caller   http.Handler
+	operator http.Handler
+	peer     http.Handler
+}
+
+// New returns an entry whose doors are listening. It answers once it runs.
+func New(s Settings) (*Entry, error) {
+	e := &Entry{settings: s, duties: group.New(context.Background())}
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	e.member = rock.NewMember(s.Name, s.Zone, e.peer.Address(), uuid.NewString())
+	if err := e.build(); err != nil {
+		return nil, fmt.Errorf("build entry %s: %w", s.Name, err)
+	}
+	return e, nil
+}
+
+// CallerAddress returns the address of the caller door.
+func (e *Entry) CallerAddress() string { return e.caller.Address() }
+
+// OperatorAddress returns the address of the operator door.
+func (e *Entry) OperatorAddress() string { return e.operator.Address() }
+
+// Member returns the entry's identity.
+func (e *Entry) Member() rock.Member { return e.member }
+
+// listen opens the doors.
+func (e *Entry) listen() error {
+	open := func(name, address string, handler *http.Handler) (*door.Door, error) {
+		d := door.New(door.Settings{
+			Name:    name,
+			Address: address,
+			Limits:  e.settings.DoorLimits,
+			Log:     e.settings.Log.WithField(logs.PartField, "door"),
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*handler).ServeHTTP(w, r) }),
+		})
+		return d, d.Listen()
+	}
+	var err error
+	if e.caller, err = open("caller", e.settings.CallerAddress, &e.handlers.caller); err != nil {
+		return err
+	}
+	if e.operator, err = open("operator", e.settings.OperatorAddress, &e.handlers.operator); err != nil {
+		return err
+	}
+	e.peer, err = open("peer", e.settings.PeerAddress, &e.handlers.peer)
+	return err
+}
+
+// build makes the parts, the ones that others need first.
+func (e *Entry) build() error {
+	s := e.settings
+	m, err := meter.New(map[string]string{"entry": s.Name})
+	if err != nil {
+		return err
+	}
+	e.meter = m
+	e.platform, err = plat.New(plat.Settings{Base: s.Platform, Token: s.PlatformToken})
+	if err != nil {
+		return err
+	}
+	platform := e.platform
+	e.buildLinks()
+	reviewer := budget.New(budget.Settings{})
+	e.books = books.New(books.Settings{
+		Table:           platform,
+		Objects:         platform,
+		Reviewer:        reviewer,
+		Peers:           e.links,
+		Now:             time.Now,
+		Log:             s.Log,
+		Scope:           m.Scope().SubScope("books"),
+		BootstrapDigest: s.OperatorDigest,
+		Seed:            s.Seed,
+		Poll:            s.Poll,
+	})
+	e.buildEngine()
+	e.buildDuties(platform, reviewer)
+	e.buildHandlers()
+	return nil
+}
+
+// buildLinks makes the links to other entries.
+func (e *Entry) buildLinks() {
+	settings := link.Settings{
+		Self:       e.member,
+		Secret:     e.settings.PeerSecret,
+		Seeds:      e.settings.Peers,
+		Server:     e,
+		Beat:       e.heartbeat,
+		OnRevision: func(r rock.Revision, p rock.Peer) { e.books.Hint(r, p) },
+		Seed:       e.settings.Seed,
+		Log:        e.settings.Log.WithField(logs.PartField, "link"),
+		Scope:      e.meter.Scope().SubScope("link"),
+	}
+	e.links = link.NewSet(settings)
+	e.peers = link.NewServer(settings)
+	e.peers.Notify(e.links)
+}
+
+// buildEngine makes the request path.
+func (e *Entry) buildEngine() {
+	s := e.settings
+	e.engine = route.New(route.Settings{
+		Member:  e.member,
+		Fleet:   e.books,
+		Target:  targ.New(targ.Settings{}),
+		Peers:   e.links,
+		Secret:  []byte(s.PeerSecret),
+		Objects: e.platform,
+		Random:  rand.New(rand.NewPCG(s.Seed, uint64(time.Now().UnixNano()))),
+		Log:     s.Log.WithField(logs.PartField, "route"),
+		Scope:   e.meter.Scope().SubScope("route"),
+		Group:   e.duties,
+	})
+}
+
+// buildDuties makes the status row and the duties that have one holder.
+func (e *Entry) buildDuties(platform *plat.Client, reviewer *budget.Reviewer) {
+	s := e.settings
+	e.roster = roster.New(roster.Settings{
+		Self:   e.member,
+		Table:  platform,
+		Report: e.report,
+		Learn:  e.links.Learn,
+		Fenced: e.fenced,
+		Log:    s.Log,
+		Scope:  e.meter.Scope(),
+	})
+	e.runner = duty.New(duty.Settings{
+		Name:     s.Name,
+		Table:    platform,
+		Changer:  e.books,
+		Fleet:    e.books,
+		HostList: platform,
+		Roster:   lastRows{e.roster},
+		Observer: reviewer,
+		Log:      s.Log.WithField(logs.PartField, "duty"),
+		Scope:    e.meter.Scope().SubScope("duty"),
+	})
+}
+
+// buildHandlers makes the handlers of the doors.
+func (e *Entry) buildHandlers() {
+	s := e.settings
+	callers := http.NewServeMux()
+	e.addProbes(callers)
+	callers.Handle("/v1/", front.New(front.Settings{
+		Runner: e.engine,
+		Keys:   e.engine,
+		Fleet:  e.books,
+		Limits: s.RequestLimits,
+		Log:    s.Log.WithField(logs.PartField, "front"),
+		Scope:  e.meter.Scope().SubScope("front"),
+	}))
+	operators := http.NewServeMux()
+	e.addProbes(operators)
+	operators.Handle("GET /metrics", e.meter.Handler())
+	operators.HandleFunc("GET /status", e.serveStatus)
+	operators.Handle("/v1/", oper.New(oper.Settings{
+		Books: e.books,
+		Now:   time.Now,
+		Log:   s.Log.WithField(logs.PartField, "oper"),
+	}))
+	e.handlers = handlers{caller: callers, operator: operators, peer: e.peers}
+}
--- /dev/null
+++ b/io/entry/peerserver.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// ServeForward implements [rock.PeerServer].
+func (e *Entry) ServeForward(ctx context.Context, r rock.Request) (rock.Answer, error) {
+	return e.engine.ServeForward(ctx, r)
+}
+
+// ServeBeat implements [rock.PeerServer].
+func (e *Entry) ServeBeat(context.Context, rock.Heartbeat) (rock.Heartbeat, error) {
+	return e.heartbeat(time.Now()), nil
+}
+
+// ServeChanges implements [rock.PeerServer].
+func (e *Entry) ServeChanges(_ context.Context, after rock.Revision, limit int) ([]rock.Change, error) {
+	return e.books.Changes(after, limit)
+}
+
+// ServeSnapshot implements [rock.PeerServer].
+func (e *Entry) ServeSnapshot(context.Context) (rock.Revision, []rock.Record, error) {
+	return e.books.Snapshot()
+}
+
+// heartbeat returns what the entry tells its peers about itself.
+func (e *Entry) heartbeat(now time.Time) rock.Heartbeat {
+	return rock.NewHeartbeat(e.member, e.books.Revision(), e.leaving.Load(), e.engine.Loads(now))
+}
