--- a/core/move/next_test.go
+++ b/core/move/next_test.go
@@ -74,7 +74,7 @@
 }
 
 func TestMoveGoesThroughItsStates(t *testing.T) {
-	b := fleet.NewBook(nil, hostRecord("h1", "tins"), moveRecord("m1", "h1", "tins", "lids"))
+	b := fleet.NewBook(move.Reviewer{}, hostRecord("h1", "tins"), moveRecord("m1", "h1", "tins", "lids"))
 	now := start
 	step(t, b, now, "m1", drain.View{})
 	assert.Equal(t, state(t, b, "m1"), forms.MoveDraining)
@@ -124,7 +124,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			b := fleet.NewBook(nil, hostRecord("h1", "tins"), moveRecord("m1", "h1", "tins", "lids"))
+			b := fleet.NewBook(move.Reviewer{}, hostRecord("h1", "tins"), moveRecord("m1", "h1", "tins", "lids"))
 			step(t, b, start, "m1", drain.View{})
 			s := step(t, b, start.Add(time.Hour), "m1", drain.NewView(c.entries, c.hosts, nil))
 			assert.Assert(t, !s.Pending())
@@ -135,7 +135,7 @@
 }
 
 func TestTwoMovesOfOneHost(t *testing.T) {
-	b := fleet.NewBook(nil, hostRecord("h1", "tins"),
+	b := fleet.NewBook(move.Reviewer{}, hostRecord("h1", "tins"),
 		moveRecord("m1", "h1", "tins", "lids"), moveRecord("m2", "h1", "tins", "caps"))
 	step(t, b, start, "m1", drain.View{})
 	s := step(t, b, start, "m2", drain.View{})
@@ -151,7 +151,7 @@
 }
 
 func TestCancelledMoveReopensHost(t *testing.T) {
-	b := fleet.NewBook(nil, hostRecord("h1", "tins"), moveRecord("m1", "h1", "tins", "lids"))
+	b := fleet.NewBook(move.Reviewer{}, hostRecord("h1", "tins"), moveRecord("m1", "h1", "tins", "lids"))
 	step(t, b, start, "m1", drain.View{})
 	f, _ := b.Fleet()
 	r, _ := f.Record(rock.NewKey(rock.KindMove, "m1"))
--- /dev/null
+++ b/core/move/reviewer.go
@@ -0,0 +1,184 @@
+package move
+
+import (
+	"strings"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/forms"
+)
+
+// Reviewer implements [rock.Reviewer]: it refuses changes by which a host
+// would change its pool, address or zone other than through the states of a
+// move, and changes of moves that leave out a state.
+type Reviewer struct{}
+
+var _ rock.Reviewer = Reviewer{}
+
+// Review implements [rock.Reviewer].
+func (Reviewer) Review(_ time.Time, before rock.Fleet, edits []rock.Edit) error {
+	c := change{before: before, edits: map[rock.Key]rock.Edit{}}
+	for _, e := range edits {
+		c.edits[e.Key()] = e
+	}
+	for _, e := range edits {
+		var err error
+		switch e.Key().Kind() {
+		case rock.KindHost:
+			err = c.checkHost(e)
+		case rock.KindMove:
+			err = c.checkMove(e)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// change is a change under review.
+type change struct {
+	before rock.Fleet
+	edits  map[rock.Key]rock.Edit
+}
+
+// after returns the record as it is after the change.
+func (c change) after(key rock.Key) (rock.Record, bool) {
+	e, ok := c.edits[key]
+	if !ok {
+		return c.before.Record(key)
+	}
+	if e.To() == nil {
+		return rock.Record{}, false
+	}
+	return *e.To(), true
+}
+
+func refuse(e rock.Edit, format string, args ...any) error {
+	return rock.Fail("review", e.Key().String(), rock.BadInput, rock.NotRun).Becausef(format, args...)
+}
+
+// checkHost checks the edit of a host that exists already.
+func (c change) checkHost(e rock.Edit) error {
+	if e.From() == nil {
+		return nil
+	}
+	was, err := forms.DecodeHost(*e.From())
+	if err != nil {
+		return refuse(e, "%w", err)
+	}
+	if e.To() == nil {
+		if was.Pool != "" {
+			return refuse(e, "the host is in pool %q: move it to no pool before it is deleted", was.Pool)
+		}
+		return nil
+	}
+	is, err := forms.DecodeHost(*e.To())
+	if err != nil {
+		return refuse(e, "%w", err)
+	}
+	if was.Pool != "" && (was.Address != is.Address || was.Zone != is.Zone) {
+		return refuse(e, "the host is in pool %q: move it to no pool before its address or zone changes", was.Pool)
+	}
+	if was.Pool != is.Pool && was.Pool != "" && !c.joins(e.Key().Name(), was.Pool, is.Pool) {
+		return refuse(e, "the pool changes from %q to %q: want a move of the host", was.Pool, is.Pool)
+	}
+	if is.ClosedBy != was.ClosedBy && c.holds(was.ClosedBy, is) {
+		return refuse(e, "the host is closed for %s: cancel that before the host is opened or closed for another reason", was.ClosedBy)
+	}
+	return nil
+}
+
+// joins reports whether the change includes the joining step of a move of the
+// host between the pools.
+func (c change) joins(host, from, to string) bool {
+	for key, e := range c.edits {
+		if key.Kind() != rock.KindMove || e.From() == nil || e.To() == nil {
+			continue
+		}
+		was, err := forms.DecodeMove(*e.From())
+		if err != nil || was.State != forms.MoveReleased {
+			continue
+		}
+		is, err := forms.DecodeMove(*e.To())
+		if err == nil && is.State == forms.MoveJoining && is.Host == host && is.From == from && is.To == to {
+			return true
+		}
+	}
+	return false
+}
+
+// holds reports whether the move or wave for which a host was closed still
+// needs it after the change, which leaves the host as in is.
+func (c change) holds(closedBy string, is forms.Host) bool {
+	key, err := rock.ParseKey(closedBy)
+	if closedBy == "" || err != nil {
+		return false
+	}
+	r, ok := c.after(key)
+	if !ok {
+		return false
+	}
+	switch key.Kind() {
+	case rock.KindMove:
+		m, err := forms.DecodeMove(r)
+		return err != nil || !m.State.Ended() && m.State != forms.MoveWanted
+	case rock.KindWave:
+		w, err := forms.DecodeWave(r)
+		done := is.Maintenance != nil && is.Maintenance.Wave == key.Name() && is.Maintenance.Step == forms.StepDone
+		return err != nil || !w.State.Ended() && !done
+	}
+	return false
+}
+
+// nextStates are the states that may follow each state.
+var nextStates = map[forms.MoveState]string{
+	"":                  "wanted",
+	forms.MoveWanted:    "wanted draining cancelled",
+	forms.MoveDraining:  "draining wanted released cancelled",
+	forms.MoveReleased:  "released wanted joining cancelled",
+	forms.MoveJoining:   "joining done cancelled",
+	forms.MoveDone:      "done",
+	forms.MoveCancelled: "cancelled",
+}
+
+// checkMove checks the edit of a move.
+func (c change) checkMove(e rock.Edit) error {
+	var was, is forms.Move
+	var err error
+	if e.From() != nil {
+		if was, err = forms.DecodeMove(*e.From()); err != nil {
+			return refuse(e, "%w", err)
+		}
+	}
+	if e.To() == nil {
+		if !was.State.Ended() || c.closedFor(was.Host, e.Key()) {
+			return refuse(e, "the move is %s: cancel it before it is deleted", was.State)
+		}
+		return nil
+	}
+	if is, err = forms.DecodeMove(*e.To()); err != nil {
+		return refuse(e, "%w", err)
+	}
+	if allowed := nextStates[was.State]; !strings.Contains(" "+allowed+" ", " "+string(is.State)+" ") {
+		return refuse(e, "state %q cannot follow %q: want one of: %s", is.State, was.State, allowed)
+	}
+	if e.From() != nil && (was.Host != is.Host || was.From != is.From || was.To != is.To) {
+		return refuse(e, "host, from and to of a move cannot change: cancel it and want another")
+	}
+	if was.State == forms.MoveWanted && is.State == forms.MoveDraining && !c.closedFor(is.Host, e.Key()) {
+		return refuse(e, "state draining closes host %s in the same change", is.Host)
+	}
+	return nil
+}
+
+// closedFor reports whether the host is closed for the record with that key
+// after the change.
+func (c change) closedFor(host string, key rock.Key) bool {
+	r, ok := c.after(rock.NewKey(rock.KindHost, host))
+	if !ok {
+		return false
+	}
+	h, err := forms.DecodeHost(r)
+	return err == nil && !h.Open && h.ClosedBy == key.String()
+}
--- /dev/null
+++ b/core/move/reviewer_test.go
@@ -0,0 +1,78 @@
+package move_test
+
+import (
+	"context"
+	"testing"
+
+	rock "bramleyrock"
+	"bramleyrock/core/drain"
+	"bramleyrock/core/forms"
+	"bramleyrock/core/move"
+	"bramleyrock/io/fakes/fleet"
+
+	"gotest.tools/v3/assert"
+)
+
+// edit returns the record in force, changed by the function.
+func edit[T any](t *testing.T, b *fleet.Book, kind rock.Kind, name string, decode func(rock.Record) (T, error), change func(*T)) rock.Record {
+	t.Helper()
+	f, _ := b.Fleet()
+	r, ok := f.Record(rock.NewKey(kind, name))
+	assert.Assert(t, ok)
+	body, err := decode(r)
+	assert.NilError(t, err)
+	change(&body)
+	r, err = forms.Encode(r, body)
+	assert.NilError(t, err)
+	return r
+}
+
+func TestReviewerKeepsTheWayOfAMove(t *testing.T) {
+	host := func(change func(*forms.Host)) func(*testing.T, *fleet.Book) rock.Proposal {
+		return func(t *testing.T, b *fleet.Book) rock.Proposal {
+			return rock.Proposal{Records: []rock.Record{edit(t, b, rock.KindHost, "h1", forms.DecodeHost, change)}}
+		}
+	}
+	moving := func(change func(*forms.Move)) func(*testing.T, *fleet.Book) rock.Proposal {
+		return func(t *testing.T, b *fleet.Book) rock.Proposal {
+			return rock.Proposal{Records: []rock.Record{edit(t, b, rock.KindMove, "m1", forms.DecodeMove, change)}}
+		}
+	}
+	deleting := func(kind rock.Kind, name string) func(*testing.T, *fleet.Book) rock.Proposal {
+		return func(_ *testing.T, b *fleet.Book) rock.Proposal {
+			f, _ := b.Fleet()
+			r, _ := f.Record(rock.NewKey(kind, name))
+			return rock.Proposal{Deletes: []rock.Record{r}}
+		}
+	}
+	cases := map[string]struct {
+		propose func(*testing.T, *fleet.Book) rock.Proposal
+		want    string
+	}{
+		"pool by hand":    {host(func(h *forms.Host) { h.Pool = "lids" }), "want a move of the host"},
+		"address by hand": {host(func(h *forms.Host) { h.Address = "127.0.0.1:9001" }), "before its address or zone changes"},
+		"opened by hand":  {host(func(h *forms.Host) { h.Open, h.ClosedBy = true, "" }), "closed for move/m1"},
+		"slots by hand":   {host(func(h *forms.Host) { h.Slots = 4 }), ""},
+		"host deleted":    {deleting(rock.KindHost, "h1"), "before it is deleted"},
+		"move deleted":    {deleting(rock.KindMove, "m1"), "cancel it before it is deleted"},
+		"state left out":  {moving(func(m *forms.Move) { m.State = forms.MoveJoining }), `state "joining" cannot follow "draining"`},
+		"other pool":      {moving(func(m *forms.Move) { m.To = "caps" }), "cannot change"},
+		"cancelled":       {moving(func(m *forms.Move) { m.State = forms.MoveCancelled }), ""},
+		"begun in the middle": {func(*testing.T, *fleet.Book) rock.Proposal {
+			return rock.Proposal{Records: []rock.Record{record(rock.KindMove, "m9", `{"host":"h1","from":"tins","to":"caps","state":"released"}`)}}
+		}, "want one of: wanted"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := fleet.NewBook(move.Reviewer{}, hostRecord("h1", "tins"), moveRecord("m1", "h1", "tins", "lids"))
+			step(t, b, start, "m1", drain.View{})
+			_, err := b.Change(context.Background(), start, c.propose(t, b))
+			if c.want == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorContains(t, err, c.want)
+			assert.Equal(t, rock.VerdictOf(err), rock.NotRun)
+		})
+	}
+}
--- a/io/duty/site_test.go
+++ b/io/duty/site_test.go
@@ -10,6 +10,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/budget"
+	"bramleyrock/core/move"
 	"bramleyrock/io/duty"
 	"bramleyrock/io/fakes/crew"
 	"bramleyrock/io/fakes/depot"
@@ -65,7 +66,7 @@
 		OnReboot: func(host, _ string) { s.cutTasks += s.floor.Reboot(host) },
 	})
 	reviewer := budget.New(budget.Settings{})
-	s.book = fleet.NewBook(reviewer, o.records...)
+	s.book = fleet.NewBook(rock.Reviewers{move.Reviewer{}, reviewer}, o.records...)
 	s.book.Guard(s.guard)
 	f, _ := s.book.Fleet()
 	for _, r := range f.Records(rock.KindHost) {
--- /dev/null
+++ b/reviewers.go
@@ -0,0 +1,17 @@
+package rock
+
+import "time"
+
+// Reviewers is a [Reviewer] that asks several in turn. The zero value allows
+// every change.
+type Reviewers []Reviewer
+
+// Review implements [Reviewer]: it returns the first refusal.
+func (r Reviewers) Review(now time.Time, before Fleet, edits []Edit) error {
+	for _, one := range r {
+		if err := one.Review(now, before, edits); err != nil {
+			return err
+		}
+	}
+	return nil
+}
