--- a/core/peers/view.go
+++ b/core/peers/view.go
@@ -81,16 +81,25 @@
 	return alive
 }
 
+// All returns what is known of every peer, in order of name.
+func (v *View) All() []Sighting {
+	all := make([]Sighting, 0, len(v.peers))
+	for _, s := range v.peers {
+		all = append(all, *s)
+	}
+	slices.SortFunc(all, func(a, b Sighting) int { return cmp.Compare(a.member.Name(), b.member.Name()) })
+	return all
+}
+
 // Members returns the newest identity of every peer that is not gone, in order
 // of name.
 func (v *View) Members() []rock.Member {
 	members := make([]rock.Member, 0, len(v.peers))
-	for _, s := range v.peers {
+	for _, s := range v.All() {
 		if s.state != rock.EntryGone {
 			members = append(members, s.member)
 		}
 	}
-	slices.SortFunc(members, func(a, b rock.Member) int { return cmp.Compare(a.Name(), b.Name()) })
 	return members
 }
 
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -27,21 +28,27 @@
 	queue  chan *call
 	urgent chan *call
 	done   chan struct{}
+	nudge  chan struct{}
+
+	ids *atomic.Uint64
 
 	mu     sync.Mutex
-	next   uint64
 	calls  map[uint64]*call
 	closed bool
 }
 
-func newConn(ws *websocket.Conn, peer rock.Member, limits Limits) *conn {
+// newConn returns a connection whose calls take their ids from ids, which all
+// connections of one link share.
+func newConn(ws *websocket.Conn, peer rock.Member, limits Limits, ids *atomic.Uint64) *conn {
 	return &conn{
 		ws:     ws,
 		peer:   peer,
 		limits: limits,
+		ids:    ids,
 		queue:  make(chan *call, limits.Calls),
 		urgent: make(chan *call, maxUrgent),
 		done:   make(chan struct{}),
+		nudge:  make(chan struct{}, 1),
 		calls:  map[uint64]*call{},
 	}
 }
@@ -128,12 +135,21 @@
 		}
 		select {
 		case <-ticker.C:
+		case <-c.nudge:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// beatSoon makes the connection send a heartbeat at once.
+func (c *conn) beatSoon() {
+	select {
+	case c.nudge <- struct{}{}:
+	default:
+	}
+}
+
 // close ends the connection and every call in flight.
 func (c *conn) close() {
 	c.mu.Lock()
@@ -145,29 +161,30 @@
 	_ = c.ws.CloseNow()
 }
 
-// invoke makes one call and returns the answer's body.
-func (c *conn) invoke(ctx context.Context, op operation, body any) ([]byte, error) {
+// invoke makes one call.
+func (c *conn) invoke(ctx context.Context, op operation, body any) outcome {
+	unsent := func(f *rock.Failure) outcome { return outcome{progress: progressUnsent, err: f} }
 	data, err := encoder.Marshal(body)
 	if err != nil {
-		return nil, c.fail(op, rock.BadInput, rock.NotRun).Because(err)
+		return unsent(c.fail(op, rock.BadInput, rock.NotRun).Because(err))
 	}
 	if limit := c.limits.MessageBytes - frameOverhead; len(data) > limit {
-		return nil, c.fail(op, rock.TooLarge, rock.NotRun).Becausef("message of %d bytes: at most %d are allowed", len(data), limit)
+		return unsent(c.fail(op, rock.TooLarge, rock.NotRun).Becausef("message of %d bytes: at most %d are allowed", len(data), limit))
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.limits.CallTimeout)
 	defer cancel()
 	if err := ctx.Err(); err != nil {
-		return nil, c.fail(op, reasonOf(err), rock.NotRun).Because(err)
+		return unsent(c.fail(op, reasonOf(err), rock.NotRun).Because(err))
 	}
-	next, err := c.enqueue(ctx, op, data)
-	if err != nil {
-		return nil, err
+	next, failure := c.enqueue(ctx, op, data)
+	if failure != nil {
+		return unsent(failure)
 	}
 	defer c.remove(next.frame.ID)
 	return c.await(ctx, next)
 }
 
-func (c *conn) enqueue(ctx context.Context, op operation, body []byte) (*call, error) {
+func (c *conn) enqueue(ctx context.Context, op operation, body []byte) (*call, *rock.Failure) {
 	deadline, _ := ctx.Deadline()
 	within := max(time.Until(deadline).Milliseconds(), 1)
 	c.mu.Lock()
@@ -181,8 +198,7 @@
 	} else if len(c.calls) >= c.limits.Calls {
 		return nil, c.fail(op, rock.Overloaded, rock.NotRun).Becausef("%d calls in flight", len(c.calls))
 	}
-	c.next++
-	next := newCall(frame{Kind: frameCall, ID: c.next, Op: op, Within: within, Body: body})
+	next := newCall(frame{Kind: frameCall, ID: c.ids.Add(1), Op: op, Within: within, Body: body})
 	select {
 	case queue <- next:
 		c.calls[next.frame.ID] = next
@@ -192,17 +208,18 @@
 	}
 }
 
-func (c *conn) await(ctx context.Context, waiting *call) ([]byte, error) {
+// await returns the outcome of a call that was queued.
+func (c *conn) await(ctx context.Context, waiting *call) outcome {
 	op := waiting.frame.Op
 	select {
 	case f := <-waiting.reply:
 		return settle(f)
 	case <-ctx.Done():
 		if waiting.drop() {
-			return nil, c.fail(op, reasonOf(ctx.Err()), rock.NotRun).Because(ctx.Err())
+			return outcome{progress: progressUnsent, err: c.fail(op, reasonOf(ctx.Err()), rock.NotRun).Because(ctx.Err())}
 		}
 		c.sendCancel(waiting.frame.ID)
-		return nil, c.fail(op, reasonOf(ctx.Err()), rock.MayHaveRun).Because(ctx.Err())
+		return outcome{progress: progressLeft, err: c.fail(op, reasonOf(ctx.Err()), rock.MayHaveRun).Because(ctx.Err())}
 	case <-c.done:
 	}
 	select {
@@ -211,16 +228,17 @@
 	default:
 	}
 	if waiting.drop() {
-		return nil, c.fail(op, rock.Unavailable, rock.NotRun).Becausef("link broke before the call was sent")
+		return outcome{progress: progressUnsent, err: c.fail(op, rock.Unavailable, rock.NotRun).Becausef("link broke before the call was sent")}
 	}
-	return nil, c.fail(op, rock.Unavailable, rock.MayHaveRun).Becausef("link broke before the answer came")
+	err := c.fail(op, rock.Unavailable, rock.MayHaveRun).Becausef("link broke before the answer came")
+	return outcome{id: waiting.frame.ID, progress: progressBroken, err: err}
 }
 
-func settle(f frame) ([]byte, error) {
+func settle(f frame) outcome {
 	if f.Failure != nil {
-		return nil, f.Failure.failure()
+		return outcome{id: f.ID, progress: progressAnswered, err: f.Failure.failure()}
 	}
-	return f.Body, nil
+	return outcome{id: f.ID, progress: progressAnswered, body: f.Body}
 }
 
 // sendCancel tells the peer that nobody waits for the answer.
--- a/io/link/entry_test.go
+++ b/io/link/entry_test.go
@@ -11,6 +11,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/group"
+	"bramleyrock/io/fakes/relay"
 	"bramleyrock/io/link"
 
 	"gotest.tools/v3/assert"
@@ -26,6 +27,7 @@
 	set     *link.Set
 	forward func(ctx context.Context, r rock.Request) (rock.Answer, error)
 	stop    func()
+	relay   *relay.Relay // nil unless the entry is reached through one
 
 	mu       sync.Mutex
 	revision rock.Revision
@@ -42,6 +44,7 @@
 	secret      string
 	address     string
 	seeds       []string
+	relayed     bool
 	limits      link.Limits
 	forward     func(ctx context.Context, r rock.Request) (rock.Answer, error)
 }
@@ -63,10 +66,15 @@
 	if s.secret == "" {
 		s.secret = secret
 	}
-	e := &entry{
-		member:  rock.NewMember(s.name, s.zone, listener.Addr().String(), s.incarnation),
-		forward: s.forward,
+	e := &entry{forward: s.forward}
+	address := listener.Addr().String()
+	if s.relayed {
+		e.relay, err = relay.New(address)
+		assert.NilError(t, err)
+		t.Cleanup(e.relay.Close)
+		address = e.relay.Address()
 	}
+	e.member = rock.NewMember(s.name, s.zone, address, s.incarnation)
 	settings := link.Settings{
 		Self: e.member, Secret: s.secret, Seeds: s.seeds, Server: e, Limits: s.limits,
 		Beat:       func(time.Time) rock.Heartbeat { return e.beat() },
@@ -161,3 +169,19 @@
 		ID: id, Organisation: "alpha", Pool: "tins", Deadline: time.Now().Add(20 * time.Second), Payload: json.RawMessage(`{"n":1}`),
 	})
 }
+
+func shortRequest(id string, within time.Duration) rock.Request {
+	return rock.NewRequest(rock.RequestSpec{ID: id, Pool: "tins", Deadline: time.Now().Add(within), Payload: json.RawMessage(`{"n":1}`)})
+}
+
+// startForward sends a request in the background.
+func startForward(p rock.Peer, r rock.Request) <-chan forwarded {
+	done := make(chan forwarded, 1)
+	g := group.New(context.Background())
+	g.Go("forward", func(ctx context.Context) error {
+		answer, err := p.Forward(ctx, r)
+		done <- forwarded{answer, err}
+		return nil
+	})
+	return done
+}
--- a/io/link/frame.go
+++ b/io/link/frame.go
@@ -28,6 +28,8 @@
 	opBeat     operation = "beat"
 	opChanges  operation = "changes"
 	opSnapshot operation = "snapshot"
+	// opResume asks what became of a forwarded request whose answer was lost.
+	opResume operation = "resume"
 )
 
 // frame is the envelope of every message after the handshake.
@@ -116,6 +118,8 @@
 		form = &beatForm{}
 	case opChanges:
 		form = &changesForm{}
+	case opResume:
+		form = &resumeForm{}
 	case opSnapshot:
 		return nil, nil
 	default:
--- a/io/link/handshake.go
+++ b/io/link/handshake.go
@@ -54,16 +54,26 @@
 	Member memberForm `cbor:"1,keyasint"`
 	Nonce  []byte     `cbor:"2,keyasint,omitempty"`
 	Proof  []byte     `cbor:"3,keyasint"`
+	// Link is sent by the dialler.
+	Link linkForm `cbor:"4,keyasint"`
+}
+
+// linkForm names the link that a connection carries, as the dialler knows it.
+// A later connection of the same link replaces an earlier one.
+type linkForm struct {
+	Name string `cbor:"1,keyasint"`
+	// LastID is the greatest id given to a call over an earlier connection.
+	LastID uint64 `cbor:"2,keyasint"`
 }
 
 // greetAsDialer proves the own identity and returns the acceptor's.
-func greetAsDialer(ctx context.Context, ws *websocket.Conn, self rock.Member, secret string) (rock.Member, error) {
+func greetAsDialer(ctx context.Context, ws *websocket.Conn, self rock.Member, secret string, link linkForm) (rock.Member, error) {
 	var challenge challengeForm
 	if err := readForm(ctx, ws, &challenge); err != nil {
 		return rock.Member{}, err
 	}
 	nonce := newNonce()
-	own := proofForm{Member: formOfMember(self), Nonce: nonce}
+	own := proofForm{Member: formOfMember(self), Nonce: nonce, Link: link}
 	own.Proof = prove(secret, roleDialer, own.Member, challenge.Nonce, nonce)
 	if err := writeForm(ctx, ws, own); err != nil {
 		return rock.Member{}, err
@@ -80,23 +90,23 @@
 }
 
 // greetAsAcceptor checks the dialer's identity, proves the own one and returns
-// the dialer's.
-func greetAsAcceptor(ctx context.Context, ws *websocket.Conn, self rock.Member, secret string) (rock.Member, error) {
+// the dialer's and its link.
+func greetAsAcceptor(ctx context.Context, ws *websocket.Conn, self rock.Member, secret string) (rock.Member, linkForm, error) {
 	nonce := newNonce()
 	if err := writeForm(ctx, ws, challengeForm{Nonce: nonce}); err != nil {
-		return rock.Member{}, err
+		return rock.Member{}, linkForm{}, err
 	}
 	var other proofForm
 	if err := readForm(ctx, ws, &other); err != nil {
-		return rock.Member{}, err
+		return rock.Member{}, linkForm{}, err
 	}
 	want := prove(secret, roleDialer, other.Member, nonce, other.Nonce)
 	if len(other.Nonce) != nonceBytes || !hmac.Equal(want, other.Proof) {
-		return rock.Member{}, errWrongSecret
+		return rock.Member{}, linkForm{}, errWrongSecret
 	}
 	own := proofForm{Member: formOfMember(self)}
 	own.Proof = prove(secret, roleAcceptor, own.Member, nonce, other.Nonce)
-	return other.Member.member(), writeForm(ctx, ws, own)
+	return other.Member.member(), other.Link, writeForm(ctx, ws, own)
 }
 
 func newNonce() []byte {
--- a/io/link/limits.go
+++ b/io/link/limits.go
@@ -24,6 +24,15 @@
 	// IdleTimeout is the silence after which a server closes a link; 10 s by
 	// default.
 	IdleTimeout time.Duration
+	// KeepAnswers is how long the answers of forwarded requests are kept for a
+	// dialler whose connection broke; 15 s by default.
+	KeepAnswers time.Duration
+	// KeepLinks is how long a server remembers a link without a connection;
+	// 10 min by default.
+	KeepLinks time.Duration
+	// ResumeTimeout is how long a forwarded request whose connection broke
+	// waits for a new one; 3 s by default.
+	ResumeTimeout time.Duration
 	// RedialMin is the wait before the first redial; 100 ms by default.
 	RedialMin time.Duration
 	// RedialMax is the longest wait before a redial; 2 s by default.
@@ -40,6 +49,9 @@
 	orTime(&l.BeatInterval, time.Second)
 	orTime(&l.BeatTimeout, 2*time.Second)
 	orTime(&l.IdleTimeout, 10*time.Second)
+	orTime(&l.KeepAnswers, 15*time.Second)
+	orTime(&l.KeepLinks, 10*time.Minute)
+	orTime(&l.ResumeTimeout, 3*time.Second)
 	orTime(&l.RedialMin, 100*time.Millisecond)
 	orTime(&l.RedialMax, 2*time.Second)
 	return l
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -86,6 +86,7 @@
 }
 
 func TestVerdictWhenTheAnswerIsLost(t *testing.T) {
+	t.Parallel()
 	started := make(chan struct{}, 1)
 	release := make(chan struct{})
 	b := startEntry(t, entrySpec{name: "e2", forward: func(_ context.Context, r rock.Request) (rock.Answer, error) {
@@ -168,6 +169,7 @@
 }
 
 func TestNewerRevisionIsToldOf(t *testing.T) {
+	t.Parallel()
 	b := startEntry(t, entrySpec{name: "e2"})
 	a := startEntry(t, entrySpec{name: "e1", seeds: []string{b.member.Address()}})
 	a.peer(t, "e2")
--- a/io/link/requestform.go
+++ b/io/link/requestform.go
@@ -37,6 +37,11 @@
 	})
 }
 
+// resumeForm names a forwarded request by the id of its call.
+type resumeForm struct {
+	ID uint64 `cbor:"1,keyasint"`
+}
+
 // answerForm is an answer on the wire.
 type answerForm struct {
 	RequestID string          `cbor:"1,keyasint"`
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -20,6 +20,7 @@
 	heard    func(rock.Heartbeat)
 	calls    *group.Group
 	inFlight atomic.Int64
+	ledgers  *ledgers
 }
 
 // waitInterval is the time between two looks at the calls in flight.
@@ -27,7 +28,8 @@
 
 // NewServer returns a server for the peer door.
 func NewServer(s Settings) *Server {
-	return &Server{settings: s.withDefaults(), calls: group.New(context.Background())}
+	s = s.withDefaults()
+	return &Server{settings: s, calls: group.New(context.Background()), ledgers: newLedgers(s.Limits)}
 }
 
 // Notify makes the server hand every heartbeat that it takes to the set, so
@@ -47,7 +49,7 @@
 		_ = ws.Close(websocket.StatusPolicyViolation, "want subprotocol "+subprotocol)
 		return
 	}
-	peer, err := s.greet(r.Context(), ws)
+	peer, link, err := s.greet(r.Context(), ws)
 	if err != nil {
 		s.settings.Log.WithError(err).WithField("remote", r.RemoteAddr).Warn("peer not accepted")
 		s.settings.Scope.Counter("refused").Inc(1)
@@ -55,7 +57,7 @@
 		return
 	}
 	ws.SetReadLimit(int64(s.settings.Limits.MessageBytes))
-	newSession(s, ws, peer).run(s.calls.Context())
+	newSession(s, ws, peer, link).run(s.calls.Context())
 }
 
 // Close closes all links that were accepted. Calls that were taken go on, but
@@ -76,7 +78,7 @@
 	return nil
 }
 
-func (s *Server) greet(ctx context.Context, ws *websocket.Conn) (rock.Member, error) {
+func (s *Server) greet(ctx context.Context, ws *websocket.Conn) (rock.Member, linkForm, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.settings.Limits.DialTimeout)
 	defer cancel()
 	ws.SetReadLimit(maxHandshakeBytes)
--- a/io/link/session.go
+++ b/io/link/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,13 +17,18 @@
 	server *Server
 	ws     *websocket.Conn
 	peer   rock.Member
+	link   linkForm
+	ledger *ledger
 
 	mu      sync.Mutex
 	cancels map[uint64]context.CancelFunc
 }
 
-func newSession(s *Server, ws *websocket.Conn, peer rock.Member) *session {
-	return &session{server: s, ws: ws, peer: peer, cancels: map[uint64]context.CancelFunc{}}
+// newSession returns the session of a connection that carries the named link
+// of the peer.
+func newSession(s *Server, ws *websocket.Conn, peer rock.Member, link linkForm) *session {
+	link.Name = strings.Join([]string{peer.Name(), peer.Incarnation(), link.Name}, " ")
+	return &session{server: s, ws: ws, peer: peer, link: link, cancels: map[uint64]context.CancelFunc{}}
 }
 
 // run reads calls until the link breaks or falls silent. Calls that were taken
@@ -30,6 +36,8 @@
 func (s *session) run(ctx context.Context) {
 	log := s.server.settings.Log.WithField("peer", s.peer.Name())
 	log.Debug("link accepted")
+	s.ledger = s.server.ledgers.open(s.server.settings.Now(), s.link, s)
+	defer func() { s.server.ledgers.leave(s.server.settings.Now(), s.link.Name, s) }()
 	for {
 		f, err := s.read(ctx)
 		if err != nil {
@@ -55,25 +63,70 @@
 	return decodeFrame(data)
 }
 
-// take starts a call, or refuses it if too many are in flight.
+// take starts a call, or refuses it if too many are in flight. A request that
+// comes over a connection that was replaced is dropped.
 func (s *session) take(f frame) {
 	ctx, cancel := context.WithTimeout(context.Background(), s.within(f))
 	if !s.register(f, cancel) {
 		cancel()
 		refusal := rock.Fail(string(f.Op), s.subject(), rock.Overloaded, rock.NotRun)
-		s.answer(f, nil, refusal.Becausef("more than %d calls in flight", s.server.settings.Limits.Calls))
+		s.send(s.reply(f, nil, refusal.Becausef("more than %d calls in flight", s.server.settings.Limits.Calls)))
 		return
 	}
+	var taken *record
+	if f.Op == opForward {
+		var ok bool
+		if taken, ok = s.ledger.start(s, f.ID, cancel); !ok {
+			s.cancel(f.ID)
+			return
+		}
+	}
 	s.server.inFlight.Add(1)
 	s.server.calls.Go("call", func(context.Context) error {
 		defer s.server.inFlight.Add(-1)
 		defer s.cancel(f.ID)
-		body, err := s.serve(ctx, f)
-		s.answer(f, body, err)
+		s.finish(f, taken, s.outcome(ctx, f))
 		return nil
 	})
 }
 
+// outcome runs one call and returns the frame that answers it.
+func (s *session) outcome(ctx context.Context, f frame) frame {
+	if f.Op == opResume {
+		return s.resume(ctx, f)
+	}
+	body, err := s.serve(ctx, f)
+	return s.reply(f, body, err)
+}
+
+// finish notes the outcome of a request and sends it.
+func (s *session) finish(f frame, taken *record, reply frame) {
+	if taken != nil {
+		s.ledger.end(s.server.settings.Now(), f.ID, taken, reply.Body, reply.Failure)
+	}
+	s.send(reply)
+}
+
+// resume waits for the outcome of a request that was taken over an earlier
+// connection of the link.
+func (s *session) resume(ctx context.Context, f frame) frame {
+	form, err := decodeCall(f.Op, f.Body)
+	if err != nil {
+		return s.reply(f, nil, rock.Fail(string(f.Op), s.subject(), rock.BadInput, rock.MayHaveRun).Because(err))
+	}
+	taken, err := s.ledger.find(form.(*resumeForm).ID)
+	if err != nil {
+		return s.reply(f, nil, err)
+	}
+	select {
+	case <-taken.done:
+		return frame{Kind: frameAnswer, ID: f.ID, Body: taken.body, Failure: taken.failure}
+	case <-ctx.Done():
+		taken.cancel()
+		return s.reply(f, nil, rock.Fail(string(f.Op), s.subject(), reasonOf(ctx.Err()), rock.MayHaveRun).Because(ctx.Err()))
+	}
+}
+
 func (s *session) within(f frame) time.Duration {
 	limit := s.server.settings.Limits.CallTimeout
 	if f.Within <= 0 || f.Within > limit.Milliseconds() {
@@ -143,9 +196,9 @@
 	return formOfBeat(own), err
 }
 
-// answer sends the outcome of a call. A body that cannot be sent becomes a
-// failure, since the call has run and its answer is lost.
-func (s *session) answer(f frame, body any, err error) {
+// reply returns the frame that answers a call. A body that cannot be sent
+// becomes a failure, since the call has run and its answer is lost.
+func (s *session) reply(f frame, body any, err error) frame {
 	reply := frame{Kind: frameAnswer, ID: f.ID}
 	if err == nil {
 		reply.Body, err = encoder.Marshal(body)
@@ -158,6 +211,10 @@
 		reply.Body = nil
 		reply.Failure = formOfFailure(f.Op, err)
 	}
+	return reply
+}
+
+func (s *session) send(reply frame) {
 	if err := s.write(reply); err != nil {
 		s.server.settings.Log.WithError(err).WithField("peer", s.peer.Name()).Debug("answer lost")
 	}
--- a/io/link/set.go
+++ b/io/link/set.go
@@ -42,13 +42,14 @@
 	return set
 }
 
-// Alive implements [rock.PeerSet].
+// Alive implements [rock.PeerSet]. A peer that is heard but cannot be called,
+// since the network lets only its own connections through, is not among them.
 func (s *Set) Alive(now time.Time) []rock.PeerView {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var views []rock.PeerView
 	for _, sighting := range s.view.Alive(now) {
-		if p := s.peerOf(sighting.Member()); p != nil {
+		if p := s.peerOf(sighting.Member()); p != nil && p.linked() {
 			views = append(views, viewOf(p, sighting))
 		}
 	}
@@ -86,6 +87,31 @@
 	s.refresh()
 }
 
+// Tell sends a heartbeat to every peer at once, for news that should not wait:
+// a newer revision in force, or a planned stop.
+func (s *Set) Tell() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.links {
+		if c, err := p.open(opBeat); err == nil {
+			c.beatSoon()
+		}
+	}
+}
+
+// Status returns what is known of each peer, in order of name.
+func (s *Set) Status(now time.Time) []PeerStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []PeerStatus
+	for _, sighting := range s.view.All() {
+		state, _ := s.view.State(now, sighting.Member().Name())
+		p := s.peerOf(sighting.Member())
+		all = append(all, statusOf(sighting, state, p != nil && p.linked()))
+	}
+	return all
+}
+
 // Run keeps the links open until ctx ends.
 func (s *Set) Run(ctx context.Context) error {
 	g := group.New(ctx)
@@ -156,7 +182,7 @@
 	if address == "" || address == s.settings.Self.Address() || s.links[address] != nil {
 		return
 	}
-	p := &peer{address: address}
+	p := newPeer(address)
 	s.links[address] = p
 	s.pending = append(s.pending, p)
 	select {
@@ -192,7 +218,7 @@
 	log := s.settings.Log.WithField("address", p.address)
 	wait := s.settings.Limits.RedialMin
 	for ctx.Err() == nil {
-		c, err := s.dial(ctx, p.address)
+		c, err := s.dial(ctx, p)
 		if err != nil {
 			log.WithError(err).Debug("dial failed")
 			s.settings.Scope.Counter("dial_failed").Inc(1)
@@ -218,21 +244,21 @@
 	return nil
 }
 
-func (s *Set) dial(ctx context.Context, address string) (*conn, error) {
+func (s *Set) dial(ctx context.Context, p *peer) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.settings.Limits.DialTimeout)
 	defer cancel()
-	ws, _, err := websocket.Dial(ctx, "ws://"+address+"/", &websocket.DialOptions{Subprotocols: []string{subprotocol}})
+	ws, _, err := websocket.Dial(ctx, "ws://"+p.address+"/", &websocket.DialOptions{Subprotocols: []string{subprotocol}})
 	if err != nil {
 		return nil, err
 	}
 	ws.SetReadLimit(maxHandshakeBytes)
-	member, err := greetAsDialer(ctx, ws, s.settings.Self, s.settings.Secret)
+	member, err := greetAsDialer(ctx, ws, s.settings.Self, s.settings.Secret, linkForm{Name: p.address, LastID: p.ids.Load()})
 	if err != nil {
 		_ = ws.CloseNow()
 		return nil, err
 	}
 	ws.SetReadLimit(int64(s.settings.Limits.MessageBytes))
-	return newConn(ws, member, s.settings.Limits), nil
+	return newConn(ws, member, s.settings.Limits, &p.ids), nil
 }
 
 // pause waits for a random time between half of d and d.
@@ -255,12 +281,12 @@
 	ctx, cancel := context.WithTimeout(ctx, s.settings.Limits.BeatTimeout)
 	defer cancel()
 	sent := s.settings.Now()
-	data, err := c.invoke(ctx, opBeat, formOfBeat(s.settings.Beat(sent)))
-	if err != nil {
-		return err
+	called := c.invoke(ctx, opBeat, formOfBeat(s.settings.Beat(sent)))
+	if called.err != nil {
+		return called.err
 	}
 	var form beatForm
-	if err := decoder.Unmarshal(data, &form); err != nil {
+	if err := decoder.Unmarshal(called.body, &form); err != nil {
 		return err
 	}
 	now := s.settings.Now()
