--- a/cmd/bramleyrock/commands.go
+++ b/cmd/bramleyrock/commands.go
@@ -11,7 +11,11 @@
 		a.delete(),
 		a.history(),
 		a.audit(),
+		a.status(),
+		a.host(),
+		a.wave(),
 		a.call(),
+		a.replay(),
 		a.standIn(),
 	}
 }
