--- /dev/null
+++ b/io/books/compact.go
@@ -0,0 +1,43 @@
+package books
+
+import (
+	"context"
+
+	rock "bramleyrock"
+)
+
+// Compact writes a snapshot if one is worth its while, and returns its
+// revision, or 0 if none was written. The guard's conditions are those of the
+// transaction that makes it the newest snapshot, such as the epoch of a lease.
+// A snapshot is made of a confirmed configuration only.
+func (b *Books) Compact(ctx context.Context, guard rock.Transaction) (rock.Revision, error) {
+	if !b.Confirmed() {
+		return 0, nil
+	}
+	ctx, cancel := b.call(ctx)
+	defer cancel()
+	rows, err := b.settings.Table.Read(ctx, snapshotKey)
+	if err != nil {
+		return 0, err
+	}
+	old, err := readRevision(rows[0])
+	if err != nil {
+		return 0, err
+	}
+	config := b.Config()
+	if config.Revision() < old+rock.Revision(b.settings.SnapshotEvery) {
+		return 0, nil
+	}
+	if err := b.settings.Objects.Put(ctx, snapshotName(config.Revision()), encodeSnapshot(config)); err != nil {
+		return 0, err
+	}
+	guard.Require(snapshotKey, rows[0].Version())
+	guard.Put(snapshotKey, encode(revisionRow{config.Revision()}))
+	if err := b.settings.Table.Commit(ctx, guard); err != nil {
+		return 0, err
+	}
+	if old > 0 {
+		return config.Revision(), b.settings.Objects.Remove(ctx, snapshotName(old))
+	}
+	return config.Revision(), nil
+}
