--- a/core/place/node.go
+++ b/core/place/node.go
@@ -12,6 +12,8 @@
 	host     rock.Host
 	health   *eject.Host
 	inFlight int
+	// leaving is true if the platform lists the host as leaving.
+	leaving bool
 	// most is the number of tasks allowed until heldUntil.
 	most      int
 	heldUntil time.Time
@@ -21,7 +23,7 @@
 
 // free reports whether the host may be given one more task.
 func (n *node) free(now time.Time) bool {
-	if !n.host.Open() {
+	if !n.host.Open() || n.leaving {
 		return false
 	}
 	limit := n.health.Limit(now, n.host.Slots())
--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -18,6 +18,7 @@
 	groups   map[string]*group
 	closed   []string
 	memories map[string]memory
+	leaving  map[string]bool
 }
 
 // New returns a placer that knows no host yet.
@@ -68,7 +69,7 @@
 	g := &group{memory: p.memory(pool)}
 	p.groups[pool] = g
 	for _, h := range p.fleet.PoolHosts(pool, p.settings.Zone) {
-		n := &node{host: h, health: g.watch.Join(h.Name()), position: -1}
+		n := &node{host: h, health: g.watch.Join(h.Name()), leaving: p.leaving[h.Name()], position: -1}
 		if o := old[h.Name()]; o != nil {
 			n.inFlight, n.most, n.heldUntil = o.inFlight, o.most, o.heldUntil
 		}
@@ -92,6 +93,34 @@
 	}
 }
 
+// SetLeaving tells the placer which hosts the platform lists as leaving. They
+// get no new work until they are no longer listed so.
+func (p *Placer) SetLeaving(now time.Time, names []string) {
+	old := p.leaving
+	p.leaving = make(map[string]bool, len(names))
+	for _, name := range names {
+		p.leaving[name] = true
+		p.setLeaving(now, name, true)
+	}
+	for name := range old {
+		if !p.leaving[name] {
+			p.setLeaving(now, name, false)
+		}
+	}
+}
+
+// setLeaving marks one host.
+func (p *Placer) setLeaving(now time.Time, name string, leaving bool) {
+	n := p.nodes[name]
+	if n == nil || n.leaving == leaving {
+		return
+	}
+	n.leaving = leaving
+	if g := p.groups[n.host.Pool()]; g != nil {
+		g.settle(now, n)
+	}
+}
+
 // memory returns what is kept of the pool over configurations.
 func (p *Placer) memory(pool string) memory {
 	m, ok := p.memories[pool]
@@ -194,9 +223,8 @@
 
 // learn learns from the outcome of a task on the node.
 func (p *Placer) learn(now time.Time, g *group, n *node, err error) {
-	if rock.ReasonOf(err) == rock.Overloaded && rock.VerdictOf(err) == rock.NotRun {
-		n.most, n.heldUntil = n.inFlight, now.Add(p.settings.Hold)
-		g.hold(n, n.heldUntil)
+	if Refused(err) {
+		p.holdBack(now, g, n, rock.ReasonOf(err))
 		return
 	}
 	failed, known := Failed(err)
@@ -208,6 +236,29 @@
 	}
 }
 
+// holdBack gives no more work to a node that refused some: none beyond what it
+// holds if its slots are taken, and none at all if it is about to leave.
+func (p *Placer) holdBack(now time.Time, g *group, n *node, reason rock.Reason) {
+	n.most, n.heldUntil = n.inFlight, now.Add(p.settings.Hold)
+	if reason != rock.Overloaded {
+		n.most, n.heldUntil = 0, now.Add(leavingHold)
+	}
+	g.hold(n, n.heldUntil)
+}
+
+// Refused reports whether err is the refusal of a target that takes no work at
+// the moment, which says nothing about the request.
+func Refused(err error) bool {
+	if rock.VerdictOf(err) != rock.NotRun {
+		return false
+	}
+	switch rock.ReasonOf(err) {
+	case rock.Overloaded, rock.Leaving, rock.Fenced:
+		return true
+	}
+	return false
+}
+
 // Failed reports whether the outcome of a task is a failure of its host, and
 // whether it says anything about the host at all.
 func Failed(err error) (failed, known bool) {
--- a/core/place/settings.go
+++ b/core/place/settings.go
@@ -11,6 +11,10 @@
 // no more tasks than it holds.
 const defaultHold = 100 * time.Millisecond
 
+// leavingHold is how long a target that refused a task because it is leaving,
+// or knows of a newer generation, gets no more tasks.
+const leavingHold = time.Second
+
 // Settings holds the parameters of a [Placer].
 type Settings struct {
 	// Zone is the availability zone whose hosts are placed on.
--- a/core/sched/drive_test.go
+++ b/core/sched/drive_test.go
@@ -335,7 +335,7 @@
 		}
 		return
 	}
-	if !sched.Full(err) {
+	if !sched.Refused(err) {
 		t.failures++
 		v.history.Try(v.grant.Host().Name())
 		v.history.Add(err)
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -172,11 +172,12 @@
 	return err
 }
 
-// Full reports whether err is the refusal of a target that has no free slot,
-// after which the request is resumed.
-func Full(err error) bool {
-	return rock.ReasonOf(err) == rock.Overloaded && rock.VerdictOf(err) == rock.NotRun
-}
+// Refused reports whether err is the refusal of a target that takes no work at
+// the moment. The request is then resumed, without regard to its attempts.
+func Refused(err error) bool { return place.Refused(err) }
+
+// SetLeaving tells the scheduler which hosts the platform lists as leaving.
+func (s *Scheduler) SetLeaving(now time.Time, names []string) { s.placer.SetLeaving(now, names) }
 
 // Waiting returns the names of the pools with waiting requests, in order.
 func (s *Scheduler) Waiting() []string {
--- a/io/route/engine.go
+++ b/io/route/engine.go
@@ -48,6 +48,9 @@
 		idle:    make(chan struct{}),
 	}
 	s.Group.Go("route", e.tick)
+	if s.HostList != nil {
+		s.Group.Go("host list", e.followHostList)
+	}
 	return e
 }
 
--- a/io/route/limits.go
+++ b/io/route/limits.go
@@ -12,6 +12,9 @@
 	Attempts int
 	// KeyLifetime is how long an idempotency key is valid; 10 min.
 	KeyLifetime time.Duration
+	// ListInterval is the time between looks at the platform's host list;
+	// 2 s.
+	ListInterval time.Duration
 	// Tick is the time between looks at hosts that were held back; 20 ms.
 	Tick time.Duration
 }
@@ -29,6 +32,9 @@
 	if l.KeyLifetime <= 0 {
 		l.KeyLifetime = 10 * time.Minute
 	}
+	if l.ListInterval <= 0 {
+		l.ListInterval = 2 * time.Second
+	}
 	if l.Tick <= 0 {
 		l.Tick = 20 * time.Millisecond
 	}
--- a/io/route/serve.go
+++ b/io/route/serve.go
@@ -76,7 +76,7 @@
 		if failed == nil {
 			return answer, nil
 		}
-		if !sched.Full(failed) || ctx.Err() != nil {
+		if !sched.Refused(failed) || ctx.Err() != nil {
 			h.Try(grant.Host().Name())
 			h.Add(failed)
 			if end := e.retry(ctx, r, h, failed); end != nil {
--- a/io/route/settings.go
+++ b/io/route/settings.go
@@ -27,6 +27,9 @@
 	Secret []byte
 	// Claims bounds the memory of idempotency keys.
 	Claims claim.Limits
+	// HostList tells which hosts are leaving; nil means that only the
+	// configuration does.
+	HostList rock.HostList
 	// Objects keeps the statement of the keys claimed here when the entry
 	// stops; nil means that keys not yet sent are lost with it.
 	Objects rock.Objects
