--- a/io/books/batch.go
+++ b/io/books/batch.go
@@ -15,8 +15,10 @@
 	// maxAttempts is how often a batch is checked again because another entry
 	// committed first.
 	maxAttempts = 20
-	// conflictPause is the mean wait between such attempts.
-	conflictPause = 5 * time.Millisecond
+	// minConflictPause is the longest wait before the second attempt.
+	minConflictPause = 40 * time.Millisecond
+	// maxConflictPause is the longest wait before any attempt.
+	maxConflictPause = 320 * time.Millisecond
 	// maxThrottleWait is the longest wait that the platform may ask for when
 	// its rate is used up.
 	maxThrottleWait = 2 * time.Second
@@ -27,35 +29,37 @@
 
 // commitBatch gives every proposal of the batch its outcome.
 func (b *Books) commitBatch(ctx context.Context, batch []*pending) {
-	for range maxAttempts {
+	var last error
+	for n := range maxAttempts {
 		left, err := b.attempt(ctx, batch)
 		if len(left) == 0 {
 			return
 		}
-		batch = left
-		wait, ok := retryWait(err)
+		batch, last = left, err
+		wait, ok := b.retryWait(err, n)
 		if !ok {
 			endAll(batch, err)
 			return
 		}
-		_ = pause(ctx, b.jitter(wait))
+		_ = pause(ctx, wait)
 	}
 	endAll(batch, rock.Fail("change", "head", rock.Overloaded, rock.NotRun).
-		RetryIn(time.Second).Because(errAgain))
+		RetryIn(time.Second).Because(last))
 }
 
-// retryWait returns the mean wait before the next attempt, and false if there
-// is to be none.
-func retryWait(err error) (time.Duration, bool) {
+// retryWait returns the wait before the next attempt after n others, and false
+// if there is to be none. Entries that conflict spread over a time that doubles
+// with each attempt, in which further changes gather.
+func (b *Books) retryWait(err error, n int) (time.Duration, bool) {
 	if errors.Is(err, errAgain) {
-		return conflictPause, true
+		return b.upTo(min(minConflictPause<<n, maxConflictPause)), true
 	}
 	var f *rock.Failure
 	if !errors.As(err, &f) || f.Verdict() != rock.NotRun {
 		return 0, false
 	}
 	wait := f.RetryAfter()
-	return wait, wait > 0 && wait <= maxThrottleWait
+	return b.jitter(wait), wait > 0 && wait <= maxThrottleWait
 }
 
 func endAll(batch []*pending, err error) {
--- a/io/books/books.go
+++ b/io/books/books.go
@@ -169,6 +169,13 @@
 	return time.Duration(float64(d) * (0.8 + 0.4*b.random.Float64()))
 }
 
+// upTo returns a time between 0 and d.
+func (b *Books) upTo(d time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Duration(float64(d) * b.random.Float64())
+}
+
 // pause waits for d or until ctx ends.
 func pause(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
--- /dev/null
+++ b/io/books/burst_test.go
@@ -0,0 +1,51 @@
+package books_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bramleyrock/core/group"
+	"bramleyrock/io/fakes/depot"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestBurstThroughAllEntries makes 100 changes in a second through nine entries
+// of a platform that takes 5 ms for each call.
+func TestBurstThroughAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.stop()
+		entries := w.startAll(3, "a", "b", "c")
+		time.Sleep(5 * time.Second)
+		w.depot.SetFaults(depot.Faults{SlowMS: 5})
+		begin, before := time.Now(), w.depot.Stats()
+		var waits []time.Duration
+		g := group.New(context.Background())
+		for i := range 100 {
+			n, at := entries[i%len(entries)], time.Now()
+			g.Go("change", func(context.Context) error {
+				name := fmt.Sprintf("o%d", i)
+				_, err := n.change(name, organisation(name, 0, i))
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				waits = append(waits, time.Since(at))
+				return err
+			})
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Check(t, g.Wait())
+		after := w.depot.Stats()
+		t.Logf("accepted within %v: %s", time.Since(begin), spread(waits))
+		t.Logf("commits %d, conflicts %d, writes %d, reads %d, throttled %d", after.Commits-before.Commits,
+			after.Conflicts-before.Conflicts, after.Writes-before.Writes, after.Reads-before.Reads, after.Throttled)
+		assert.Check(t, after.Throttled == 0, "the platform's rates are exceeded")
+		time.Sleep(10 * time.Second)
+		w.sameEverywhere()
+		assert.Check(t, len(w.judge()) == 0)
+		assert.Check(t, time.Since(begin) < 14*time.Second)
+	})
+}
--- /dev/null
+++ b/io/books/outage_test.go
@@ -0,0 +1,112 @@
+package books_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/group"
+	"bramleyrock/io/books"
+
+	"gotest.tools/v3/assert"
+)
+
+// outageChanges is the number of changes before the outage.
+const outageChanges = 400
+
+// TestOutage replays an outage of 30 minutes in which every entry is replaced.
+// New entries have their peers' configuration in force within 8 s, changes are
+// refused as not_run, and when the platform returns its rates are kept and all
+// entries are confirmed within 10 s. Without peers new entries serve nothing,
+// and without backoff the platform is called far more often.
+func TestOutage(t *testing.T) {
+	cases := map[string]struct {
+		hints   bool
+		backoff time.Duration
+		length  time.Duration
+		served  bool
+		calm    bool
+	}{
+		"as built":        {true, 0, 30 * time.Minute, true, true},
+		"without peers":   {false, 0, 5 * time.Minute, false, true},
+		"without backoff": {true, 50 * time.Millisecond, 3 * time.Minute, true, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				defer w.stop()
+				w.hints = c.hints
+				w.tune = func(s *books.Settings) {
+					s.SnapshotEvery = 100
+					if c.backoff > 0 {
+						s.MaxBackoff = c.backoff
+					}
+				}
+				served, busiest := replayOutage(w, c.length)
+				t.Logf("new entries that served: %d of 9, busiest second of the platform: %d calls", served, busiest)
+				assert.Check(t, (served == 9) == c.served)
+				assert.Check(t, (busiest <= 100) == c.calm)
+				if c.hints {
+					assert.Check(t, len(w.judge()) == 0, "%v", w.judge())
+				}
+			})
+		})
+	}
+}
+
+// replayOutage replays an outage of that length. It returns how many of the new entries served during the outage,
+// and the most calls that the platform got in a second.
+func replayOutage(w *world, length time.Duration) (served, busiest int) {
+	for i, n := range slices.Repeat(w.startAll(3, "a", "b", "c"), outageChanges/9+1) {
+		w.mustChange(n, fmt.Sprintf("c%d", i))
+		time.Sleep(20 * time.Millisecond)
+	}
+	_, err := w.running()[0].books.Compact(context.Background(), rock.Transaction{})
+	assert.Check(w.t, err)
+	time.Sleep(5 * time.Second)
+	begin, revision := time.Now(), w.running()[0].books.Revision()
+	w.platformDown(true)
+	for i, old := range w.running() {
+		time.Sleep(length/10 - 8*time.Second)
+		old.stop()
+		fresh := w.start(old.name, old.zone)
+		time.Sleep(8 * time.Second)
+		if f, ok := fresh.books.Fleet(); ok && f.Revision() == revision {
+			served++
+			assert.Check(w.t, !fresh.books.Confirmed())
+		}
+		_, err := fresh.change(fmt.Sprintf("down%d", i), organisation(fmt.Sprintf("down%d", i), 0, 1))
+		assert.Check(w.t, rock.VerdictOf(err) == rock.NotRun)
+		assert.Check(w.t, rock.ReasonOf(err) == rock.Unavailable)
+	}
+	time.Sleep(length - time.Since(begin))
+	w.platformDown(false)
+	w.returnOfPlatform()
+	return served, w.busiest(begin)
+}
+
+// returnOfPlatform makes 100 changes as soon as the platform is back.
+func (w *world) returnOfPlatform() {
+	before := w.depot.Stats()
+	g := group.New(context.Background())
+	for i := range 100 {
+		n := w.running()[i%9]
+		g.Go("change", func(context.Context) error {
+			name := fmt.Sprintf("back%d", i)
+			_, err := n.change(name, organisation(name, 0, 1))
+			return err
+		})
+	}
+	time.Sleep(10 * time.Second)
+	assert.Check(w.t, g.Wait())
+	after := w.depot.Stats()
+	w.t.Logf("first 10 s after the return: %d reads, %d writes, %d refused for the rates",
+		after.Reads-before.Reads, after.Writes-before.Writes, after.Throttled-before.Throttled)
+	assert.Check(w.t, after.Throttled == before.Throttled)
+	w.sameEverywhere()
+}
--- a/io/books/world_test.go
+++ b/io/books/world_test.go
@@ -34,6 +34,7 @@
 	nodes   map[string]*node
 	accepts map[rock.Revision]time.Time
 	bytes   atomic.Int64
+	calls   map[int64]int
 }
 
 // platform is the name of the platform in cuts, beside the names of zones.
@@ -47,6 +48,7 @@
 		cut:     map[[2]string]bool{},
 		nodes:   map[string]*node{},
 		accepts: map[rock.Revision]time.Time{},
+		calls:   map[int64]int{},
 	}
 }
 
@@ -140,6 +142,19 @@
 	return found
 }
 
+// busiest returns the greatest number of calls in a second since the time.
+func (w *world) busiest(since time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	most := 0
+	for second, n := range w.calls {
+		if second >= since.Unix() {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
 // stop ends all entries.
 func (w *world) stop() {
 	for _, n := range w.running() {
@@ -266,7 +281,11 @@
 	node *node
 }
 
+// reach counts a call of the platform and fails if the zone is cut from it.
 func (n *node) reach() error {
+	n.world.mu.Lock()
+	n.world.calls[time.Now().Unix()]++
+	n.world.mu.Unlock()
 	if n.world.apart(n.zone, platform) {
 		return rock.Fail("call", "platform", rock.Unavailable, rock.NotRun)
 	}
