--- a/core/budget/count.go
+++ b/core/budget/count.go
@@ -1,36 +1,26 @@
 package budget
 
-import rock "bramleyrock"
+import (
+	"fmt"
+
+	rock "bramleyrock"
+	"bramleyrock/core/record"
+)
 
 // count is how many hosts a pool has, and how many are available or away.
 type count struct {
+	pool       string
 	hosts      int
 	available  int
 	awayInZone map[string]int
 	awayInRack map[string]int
 }
 
-// count counts the pool's hosts after the change.
-func (l *ledger) count(pool string) count {
-	c := count{awayInZone: map[string]int{}, awayInRack: map[string]int{}}
-	for _, h := range l.before.PoolHosts(pool, "") {
-		if _, edited := l.after[h.Name()]; !edited {
-			c.add(h.Zone(), h.Rack(), l.up(h.Name(), h.Open()))
-		}
-	}
-	for name, h := range l.after {
-		if h != nil && h.Pool == pool {
-			c.add(h.Zone, h.Rack, l.up(name, h.Open))
-		}
-	}
-	return c
-}
-
-// up reports whether a host of that name is available.
-func (l *ledger) up(name string, open bool) bool {
-	return open && l.states[name] == rock.HostLive
+func newCount(pool string) *count {
+	return &count{pool: pool, awayInZone: map[string]int{}, awayInRack: map[string]int{}}
 }
 
+// add counts a host of the pool.
 func (c *count) add(zone, rack string, up bool) {
 	c.hosts++
 	if up {
@@ -40,3 +30,38 @@
 	c.awayInZone[zone]++
 	c.awayInRack[rack]++
 }
+
+// take counts a host, available so far, as away.
+func (c *count) take(h rock.Host) {
+	c.available--
+	c.awayInZone[h.Zone()]++
+	c.awayInRack[h.Rack()]++
+}
+
+// give takes a take back.
+func (c *count) give(h rock.Host) {
+	c.available++
+	c.awayInZone[h.Zone()]--
+	c.awayInRack[h.Rack()]--
+}
+
+// short reports whether fewer hosts are available than the budget needs.
+func (c *count) short(b record.Budget) bool { return c.available < b.MinAvailable().Of(c.hosts) }
+
+// breach returns how the pool, from which the hosts were taken, breaks the
+// budget, or nil if it does not.
+func (c *count) breach(b record.Budget, taken ...rock.Host) error {
+	if c.short(b) {
+		return fmt.Errorf("pool %s would have %d of %d hosts available: its budget needs %d",
+			c.pool, c.available, c.hosts, b.MinAvailable().Of(c.hosts))
+	}
+	for _, h := range taken {
+		if n, most := c.awayInZone[h.Zone()], b.MaxAwayPerZone(); most > 0 && n > most {
+			return fmt.Errorf("pool %s would have %d hosts away in zone %s: its budget allows %d", c.pool, n, h.Zone(), most)
+		}
+		if n, most := c.awayInRack[h.Rack()], b.MaxAwayPerRack(); most > 0 && n > most {
+			return fmt.Errorf("pool %s would have %d hosts away in rack %s: its budget allows %d", c.pool, n, h.Rack(), most)
+		}
+	}
+	return nil
+}
--- a/core/budget/ledger.go
+++ b/core/budget/ledger.go
@@ -6,6 +6,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/forms"
+	"bramleyrock/core/record"
 )
 
 // ledger counts the available hosts of pools after a change.
@@ -55,7 +56,7 @@
 }
 
 // budgets returns the pool's budgets after the change.
-func (l *ledger) budgets(pool string, edits []rock.Edit) ([]forms.Budget, error) {
+func (l *ledger) budgets(pool string, edits []rock.Edit) ([]record.Budget, error) {
 	records := map[string]rock.Record{}
 	for _, r := range l.before.Records(rock.KindBudget) {
 		records[r.Key().Name()] = r
@@ -69,13 +70,13 @@
 			records[e.Key().Name()] = *e.To()
 		}
 	}
-	var found []forms.Budget
+	var found []record.Budget
 	for _, name := range slices.Sorted(maps.Keys(records)) {
-		b, err := forms.DecodeBudget(records[name])
+		b, err := record.As[record.Budget](records[name])
 		if err != nil {
 			return nil, rock.Fail("review", "budget "+name, rock.BadInput, rock.NotRun).Because(err)
 		}
-		if b.Pool == pool {
+		if b.Pool() == pool {
 			found = append(found, b)
 		}
 	}
@@ -84,25 +85,30 @@
 
 // check reports a failure if the pool breaks the budget after the change,
 // which takes the hosts away.
-func (l *ledger) check(pool string, taken []rock.Host, b forms.Budget) error {
-	c := l.count(pool)
-	if need := b.Need(c.hosts); c.available < need {
-		return exceeded(taken[0]).Becausef("pool %s would have %d of %d hosts available: its budget needs %d",
-			pool, c.available, c.hosts, need)
+func (l *ledger) check(pool string, taken []rock.Host, b record.Budget) error {
+	if err := l.count(pool).breach(b, taken...); err != nil {
+		return rock.Fail("review", "host "+taken[0].Name(), rock.BudgetExceeded, rock.NotRun).Because(err)
 	}
-	for _, h := range taken {
-		if n := c.awayInZone[h.Zone()]; b.MaxAwayPerZone > 0 && n > b.MaxAwayPerZone {
-			return exceeded(h).Becausef("pool %s would have %d hosts away in zone %s: its budget allows %d",
-				pool, n, h.Zone(), b.MaxAwayPerZone)
+	return nil
+}
+
+// count counts the pool's hosts after the change.
+func (l *ledger) count(pool string) *count {
+	c := newCount(pool)
+	for _, h := range l.before.PoolHosts(pool, "") {
+		if _, edited := l.after[h.Name()]; !edited {
+			c.add(h.Zone(), h.Rack(), l.up(h.Name(), h.Open()))
 		}
-		if n := c.awayInRack[h.Rack()]; b.MaxAwayPerRack > 0 && n > b.MaxAwayPerRack {
-			return exceeded(h).Becausef("pool %s would have %d hosts away in rack %s: its budget allows %d",
-				pool, n, h.Rack(), b.MaxAwayPerRack)
+	}
+	for name, h := range l.after {
+		if h != nil && h.Pool == pool {
+			c.add(h.Zone, h.Rack, l.up(name, h.Open))
 		}
 	}
-	return nil
+	return c
 }
 
-func exceeded(h rock.Host) *rock.Failure {
-	return rock.Fail("review", "host "+h.Name(), rock.BudgetExceeded, rock.NotRun)
+// up reports whether a host of that name is available.
+func (l *ledger) up(name string, open bool) bool {
+	return open && l.states[name] == rock.HostLive
 }
--- a/core/budget/reviewer_test.go
+++ b/core/budget/reviewer_test.go
@@ -16,22 +16,22 @@
 
 var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
 
-func record(kind rock.Kind, schema int, name, body string) rock.Record {
+func newRecord(kind rock.Kind, schema int, name, body string) rock.Record {
 	return rock.NewRecord(rock.NewKey(kind, name), schema, 0, []byte(body))
 }
 
 func hostBody(i int, pool string, open bool) string {
-	return fmt.Sprintf(`{"zone":"z%d","rack":"r%d","pool":%q,"open":%v}`, i%2, i%4, pool, open)
+	return fmt.Sprintf(`{"address":"10.0.0.%d:9000","zone":"z%d","rack":"r%d","pool":%q,"slots":8,"open":%v}`, i, i%2, i%4, pool, open)
 }
 
 // world returns a book with the budget and 8 hosts of pool tins, and the
 // platform's list of them.
 func world(r *budget.Reviewer, schema int, budgetBody string, gone ...string) *fleet.Book {
-	records := []rock.Record{record(rock.KindBudget, schema, "tins", budgetBody)}
+	records := []rock.Record{newRecord(rock.KindBudget, schema, "tins", budgetBody)}
 	var list []rock.HostStatus
 	for i := range 8 {
 		name := fmt.Sprintf("h%d", i)
-		records = append(records, record(rock.KindHost, 1, name, hostBody(i, "tins", true)))
+		records = append(records, newRecord(rock.KindHost, 1, name, hostBody(i, "tins", true)))
 		state := rock.HostLive
 		if strings.Contains(strings.Join(gone, " "), name) {
 			state = rock.HostGone
@@ -46,7 +46,7 @@
 func closing(id string, hosts ...int) rock.Proposal {
 	p := rock.Proposal{ID: id}
 	for _, i := range hosts {
-		p.Records = append(p.Records, record(rock.KindHost, 1, fmt.Sprintf("h%d", i), hostBody(i, "tins", false)).WithVersion(1))
+		p.Records = append(p.Records, newRecord(rock.KindHost, 1, fmt.Sprintf("h%d", i), hostBody(i, "tins", false)).WithVersion(1))
 	}
 	return p
 }
@@ -97,7 +97,7 @@
 	b := world(budget.New(budget.Settings{}), 1, `{"pool":"tins","min_available":1}`)
 	_, err := b.Change(context.Background(), start.Add(2*time.Minute), closing("c1", 0))
 	assert.Equal(t, rock.ReasonOf(err), rock.Unavailable)
-	open := rock.Proposal{ID: "c2", Records: []rock.Record{record(rock.KindHost, 1, "h9", hostBody(9, "tins", true))}}
+	open := rock.Proposal{ID: "c2", Records: []rock.Record{newRecord(rock.KindHost, 1, "h9", hostBody(9, "tins", true))}}
 	_, err = b.Change(context.Background(), start.Add(2*time.Minute), open)
 	assert.NilError(t, err)
 }
--- /dev/null
+++ b/core/budget/room.go
@@ -0,0 +1,87 @@
+package budget
+
+import (
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/record"
+)
+
+// Room is what the budgets leave for voluntary steps in one configuration. It
+// helps to choose steps; the review decides. It is not safe for concurrent
+// use.
+type Room struct {
+	fleet   rock.Fleet
+	states  map[string]rock.HostState
+	budgets map[string][]record.Budget
+	counts  map[string]*count
+}
+
+// Room returns the room that the budgets leave in the configuration.
+func (r *Reviewer) Room(_ time.Time, fleet rock.Fleet) *Room {
+	r.mu.Lock()
+	states := r.states
+	r.mu.Unlock()
+	room := &Room{fleet: fleet, states: states, budgets: map[string][]record.Budget{}, counts: map[string]*count{}}
+	for _, record := range fleet.Records(rock.KindBudget) {
+		room.add(record)
+	}
+	return room
+}
+
+// add notes a budget. One that this program cannot read is left out, since it
+// is the review that decides.
+func (r *Room) add(rec rock.Record) {
+	b, err := record.As[record.Budget](rec)
+	if err == nil {
+		r.budgets[b.Pool()] = append(r.budgets[b.Pool()], b)
+	}
+}
+
+// Up reports whether the host is open and live.
+func (r *Room) Up(h rock.Host) bool { return h.Open() && r.Live(h.Name()) }
+
+// Live reports whether the platform lists the host as live.
+func (r *Room) Live(host string) bool { return r.states[host] == rock.HostLive }
+
+// Take reserves the room to take the host away from its pool. An error says
+// which budget leaves none.
+func (r *Room) Take(h rock.Host) error {
+	if !r.Up(h) {
+		return nil
+	}
+	c := r.count(h.Pool())
+	c.take(h)
+	for _, b := range r.budgets[h.Pool()] {
+		if err := c.breach(b, h); err != nil {
+			c.give(h)
+			return err
+		}
+	}
+	return nil
+}
+
+// Short reports whether the pool has fewer available hosts than a budget
+// needs.
+func (r *Room) Short(pool string) bool {
+	c := r.count(pool)
+	for _, b := range r.budgets[pool] {
+		if c.short(b) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Room) count(pool string) *count {
+	c, ok := r.counts[pool]
+	if ok {
+		return c
+	}
+	c = newCount(pool)
+	for _, h := range r.fleet.PoolHosts(pool, "") {
+		c.add(h.Zone(), h.Rack(), r.Up(h))
+	}
+	r.counts[pool] = c
+	return c
+}
--- a/core/forms/move.go
+++ b/core/forms/move.go
@@ -4,14 +4,15 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/record"
 )
 
 // Move is the body of a move record.
 type Move struct {
-	Host  string    `json:"host"`
-	From  string    `json:"from"`
-	To    string    `json:"to"`
-	State MoveState `json:"state"`
+	Host  string           `json:"host"`
+	From  string           `json:"from"`
+	To    string           `json:"to"`
+	State record.MoveState `json:"state"`
 	// Since is when the state was reached.
 	Since time.Time `json:"since,omitzero"`
 	// After is the last revision in which the host is known to be open.
--- a/core/forms/wave.go
+++ b/core/forms/wave.go
@@ -4,15 +4,16 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/record"
 )
 
 // Wave is the body of a wave record. The progress of each host is in its own
 // record, see [Maintenance].
 type Wave struct {
-	Pools       []string   `json:"pools"`
-	Action      WaveAction `json:"action"`
-	State       WaveState  `json:"state"`
-	MaxParallel int        `json:"max_parallel"`
+	Pools       []string         `json:"pools"`
+	Action      record.Action    `json:"action"`
+	State       record.WaveState `json:"state"`
+	MaxParallel int              `json:"max_parallel"`
 	// Since is when the state was reached.
 	Since time.Time `json:"since,omitzero"`
 	// WaitsFor says why the wave does not go on.
--- a/core/move/next.go
+++ b/core/move/next.go
@@ -5,8 +5,10 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/budget"
 	"bramleyrock/core/drain"
 	"bramleyrock/core/forms"
+	"bramleyrock/core/record"
 )
 
 // Next returns the next step of the move in the record, in the configuration
@@ -28,6 +30,26 @@
 	return p.next()
 }
 
+// Undo returns the step that gives the host of a draining move back, if the
+// pool that it leaves has fallen short of its budget meanwhile and the host
+// would help. The move then waits until the budget allows it again.
+func Undo(now time.Time, fleet rock.Fleet, r rock.Record, room *budget.Room) (Step, bool) {
+	m, err := forms.DecodeMove(r)
+	if err != nil || m.State != record.MoveDraining || !room.Short(m.From) {
+		return Step{}, false
+	}
+	hostRecord, ok := fleet.Record(rock.NewKey(rock.KindHost, m.Host))
+	if !ok {
+		return Step{}, false
+	}
+	p := planner{now: now, fleet: fleet, record: r, move: m, hostRecord: hostRecord}
+	if p.host, err = forms.DecodeHost(hostRecord); err != nil || !p.owned() || !room.Live(m.Host) {
+		return Step{}, false
+	}
+	p.host.Open, p.host.ClosedBy = true, ""
+	return p.step(record.MoveWanted, true), true
+}
+
 // planner holds what one decision is made of.
 type planner struct {
 	now        time.Time
@@ -41,15 +63,15 @@
 
 func (p planner) next() Step {
 	switch p.move.State {
-	case forms.MoveWanted:
+	case record.MoveWanted:
 		return p.start()
-	case forms.MoveDraining:
+	case record.MoveDraining:
 		return p.release()
-	case forms.MoveReleased:
+	case record.MoveReleased:
 		return p.join()
-	case forms.MoveJoining:
+	case record.MoveJoining:
 		return p.finish()
-	case forms.MoveCancelled:
+	case record.MoveCancelled:
 		return p.reopen()
 	}
 	return Step{move: p.name(), since: p.move.Since}
@@ -59,19 +81,19 @@
 func (p planner) start() Step {
 	switch {
 	case p.host.Pool != p.move.From:
-		return p.end(forms.MoveCancelled, "host %s is in pool %q, not in %q", p.move.Host, p.host.Pool, p.move.From)
+		return p.end(record.MoveCancelled, "host %s is in pool %q, not in %q", p.move.Host, p.host.Pool, p.move.From)
 	case p.host.ClosedBy != "" && p.host.ClosedBy != p.owner():
 		return p.wait("host %s, which is closed for %s", p.move.Host, p.host.ClosedBy)
 	}
 	p.host.Open, p.host.ClosedBy = false, p.owner()
 	p.move.After = p.fleet.Revision()
-	return p.step(forms.MoveDraining, true)
+	return p.step(record.MoveDraining, true)
 }
 
 // release records the proof that nobody can act on the host any more.
 func (p planner) release() Step {
 	if !p.owned() {
-		return p.step(forms.MoveWanted, false)
+		return p.step(record.MoveWanted, false)
 	}
 	wait, ok := p.view.Drained(drain.Question{
 		Host:       p.move.Host,
@@ -83,29 +105,29 @@
 	if !ok {
 		return p.wait("%s", wait)
 	}
-	return p.step(forms.MoveReleased, true)
+	return p.step(record.MoveReleased, true)
 }
 
 // join puts the host into its new pool under a new generation.
 func (p planner) join() Step {
 	if !p.owned() {
-		return p.step(forms.MoveWanted, false)
+		return p.step(record.MoveWanted, false)
 	}
 	p.host.Pool = p.move.To
 	p.host.Generation++
-	return p.step(forms.MoveJoining, true)
+	return p.step(record.MoveJoining, true)
 }
 
 // finish opens the host in its new pool once the platform lists it as live.
 func (p planner) finish() Step {
 	if !p.owned() {
-		return p.end(forms.MoveDone, "host %s was opened by another change", p.move.Host)
+		return p.end(record.MoveDone, "host %s was opened by another change", p.move.Host)
 	}
 	if s, ok := p.view.Host(p.move.Host); !ok || s.State() != rock.HostLive {
 		return p.wait("host %s to be live in the platform's list", p.move.Host)
 	}
 	p.host.Open, p.host.ClosedBy = true, ""
-	return p.step(forms.MoveDone, true)
+	return p.step(record.MoveDone, true)
 }
 
 // reopen gives the host of a cancelled move back to the pool that it is in.
@@ -114,14 +136,14 @@
 		return Step{move: p.name(), since: p.move.Since}
 	}
 	p.host.Open, p.host.ClosedBy = true, ""
-	return p.step(forms.MoveCancelled, true)
+	return p.step(record.MoveCancelled, true)
 }
 
 func (p planner) withoutHost() Step {
 	if p.move.State.Ended() {
 		return Step{move: p.name(), since: p.move.Since}
 	}
-	return p.end(forms.MoveCancelled, "host %s does not exist", p.move.Host)
+	return p.end(record.MoveCancelled, "host %s does not exist", p.move.Host)
 }
 
 func (p planner) name() string { return p.record.Key().Name() }
@@ -135,19 +157,19 @@
 	return waiting(p.name(), p.move.Since, format, args...)
 }
 
-func (p planner) end(state forms.MoveState, format string, args ...any) Step {
+func (p planner) end(state record.MoveState, format string, args ...any) Step {
 	p.move.WaitsFor = fmt.Sprintf(format, args...)
 	return p.write(state, false)
 }
 
-func (p planner) step(state forms.MoveState, withHost bool) Step {
+func (p planner) step(state record.MoveState, withHost bool) Step {
 	p.move.WaitsFor = ""
 	return p.write(state, withHost)
 }
 
 // write returns the step to the state, which writes the move's record and, if
 // withHost is true, the host's.
-func (p planner) write(state forms.MoveState, withHost bool) Step {
+func (p planner) write(state record.MoveState, withHost bool) Step {
 	p.move.State, p.move.Since = state, p.now.UTC()
 	record, err := forms.Encode(p.record, p.move)
 	if err != nil {
--- a/core/move/next_test.go
+++ b/core/move/next_test.go
@@ -11,6 +11,7 @@
 	"bramleyrock/core/drain"
 	"bramleyrock/core/forms"
 	"bramleyrock/core/move"
+	"bramleyrock/core/record"
 	"bramleyrock/io/fakes/fleet"
 
 	"gotest.tools/v3/assert"
@@ -18,17 +19,17 @@
 
 var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
 
-func record(kind rock.Kind, name, body string) rock.Record {
+func newRecord(kind rock.Kind, name, body string) rock.Record {
 	return rock.NewRecord(rock.NewKey(kind, name), 1, 0, []byte(body))
 }
 
 func hostRecord(name, pool string) rock.Record {
-	return record(rock.KindHost, name,
+	return newRecord(rock.KindHost, name,
 		fmt.Sprintf(`{"address":"127.0.0.1:9000","zone":"a","rack":"a1","pool":%q,"generation":1,"slots":8,"open":true,"site":"hall 2"}`, pool))
 }
 
 func moveRecord(name, host, from, to string) rock.Record {
-	return record(rock.KindMove, name, fmt.Sprintf(`{"host":%q,"from":%q,"to":%q,"state":"wanted"}`, host, from, to))
+	return newRecord(rock.KindMove, name, fmt.Sprintf(`{"host":%q,"from":%q,"to":%q,"state":"wanted"}`, host, from, to))
 }
 
 // entry returns a status of an entry of zone a.
@@ -55,7 +56,7 @@
 	return s
 }
 
-func state(t *testing.T, b *fleet.Book, name string) forms.MoveState {
+func state(t *testing.T, b *fleet.Book, name string) record.MoveState {
 	t.Helper()
 	f, _ := b.Fleet()
 	r, _ := f.Record(rock.NewKey(rock.KindMove, name))
@@ -77,12 +78,12 @@
 	b := fleet.NewBook(move.Reviewer{}, hostRecord("h1", "tins"), moveRecord("m1", "h1", "tins", "lids"))
 	now := start
 	step(t, b, now, "m1", drain.View{})
-	assert.Equal(t, state(t, b, "m1"), forms.MoveDraining)
+	assert.Equal(t, state(t, b, "m1"), record.MoveDraining)
 	assert.Assert(t, !hostBody(t, b).Open)
 
 	now = now.Add(10 * time.Second)
 	v := drain.NewView([]rock.EntryStatus{entry("e1", 2, now.Add(-5*time.Second), map[string]int{"h1": 0})}, listed(0, now), nil)
-	for _, want := range []forms.MoveState{forms.MoveReleased, forms.MoveJoining, forms.MoveDone} {
+	for _, want := range []record.MoveState{record.MoveReleased, record.MoveJoining, record.MoveDone} {
 		step(t, b, now, "m1", v)
 		assert.Equal(t, state(t, b, "m1"), want)
 	}
@@ -146,7 +147,7 @@
 		step(t, b, now, "m1", v)
 	}
 	step(t, b, now, "m2", v)
-	assert.Equal(t, state(t, b, "m2"), forms.MoveCancelled)
+	assert.Equal(t, state(t, b, "m2"), record.MoveCancelled)
 	assert.Equal(t, hostBody(t, b).Pool, "lids")
 }
 
@@ -157,7 +158,7 @@
 	r, _ := f.Record(rock.NewKey(rock.KindMove, "m1"))
 	m, err := forms.DecodeMove(r)
 	assert.NilError(t, err)
-	m.State = forms.MoveCancelled
+	m.State = record.MoveCancelled
 	cancelled, err := forms.Encode(r, m)
 	assert.NilError(t, err)
 	_, err = b.Change(context.Background(), start, rock.Proposal{ID: "stop", Records: []rock.Record{cancelled}})
--- a/core/move/reviewer.go
+++ b/core/move/reviewer.go
@@ -6,6 +6,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/forms"
+	"bramleyrock/core/record"
 )
 
 // Reviewer implements [rock.Reviewer]: it refuses changes by which a host
@@ -97,11 +98,11 @@
 			continue
 		}
 		was, err := forms.DecodeMove(*e.From())
-		if err != nil || was.State != forms.MoveReleased {
+		if err != nil || was.State != record.MoveReleased {
 			continue
 		}
 		is, err := forms.DecodeMove(*e.To())
-		if err == nil && is.State == forms.MoveJoining && is.Host == host && is.From == from && is.To == to {
+		if err == nil && is.State == record.MoveJoining && is.Host == host && is.From == from && is.To == to {
 			return true
 		}
 	}
@@ -122,7 +123,7 @@
 	switch key.Kind() {
 	case rock.KindMove:
 		m, err := forms.DecodeMove(r)
-		return err != nil || !m.State.Ended() && m.State != forms.MoveWanted
+		return err != nil || !m.State.Ended() && m.State != record.MoveWanted
 	case rock.KindWave:
 		w, err := forms.DecodeWave(r)
 		done := is.Maintenance != nil && is.Maintenance.Wave == key.Name() && is.Maintenance.Step == forms.StepDone
@@ -132,14 +133,14 @@
 }
 
 // nextStates are the states that may follow each state.
-var nextStates = map[forms.MoveState]string{
-	"":                  "wanted",
-	forms.MoveWanted:    "wanted draining cancelled",
-	forms.MoveDraining:  "draining wanted released cancelled",
-	forms.MoveReleased:  "released wanted joining cancelled",
-	forms.MoveJoining:   "joining done cancelled",
-	forms.MoveDone:      "done",
-	forms.MoveCancelled: "cancelled",
+var nextStates = map[record.MoveState]string{
+	"":                   "wanted",
+	record.MoveWanted:    "wanted draining cancelled",
+	record.MoveDraining:  "draining wanted released cancelled",
+	record.MoveReleased:  "released wanted joining cancelled",
+	record.MoveJoining:   "joining done cancelled",
+	record.MoveDone:      "done",
+	record.MoveCancelled: "cancelled",
 }
 
 // checkMove checks the edit of a move.
@@ -166,7 +167,7 @@
 	if e.From() != nil && (was.Host != is.Host || was.From != is.From || was.To != is.To) {
 		return refuse(e, "host, from and to of a move cannot change: cancel it and want another")
 	}
-	if was.State == forms.MoveWanted && is.State == forms.MoveDraining && !c.closedFor(is.Host, e.Key()) {
+	if was.State == record.MoveWanted && is.State == record.MoveDraining && !c.closedFor(is.Host, e.Key()) {
 		return refuse(e, "state draining closes host %s in the same change", is.Host)
 	}
 	return nil
--- a/core/move/reviewer_test.go
+++ b/core/move/reviewer_test.go
@@ -8,6 +8,7 @@
 	"bramleyrock/core/drain"
 	"bramleyrock/core/forms"
 	"bramleyrock/core/move"
+	"bramleyrock/core/record"
 	"bramleyrock/io/fakes/fleet"
 
 	"gotest.tools/v3/assert"
@@ -55,11 +56,11 @@
 		"slots by hand":   {host(func(h *forms.Host) { h.Slots = 4 }), ""},
 		"host deleted":    {deleting(rock.KindHost, "h1"), "before it is deleted"},
 		"move deleted":    {deleting(rock.KindMove, "m1"), "cancel it before it is deleted"},
-		"state left out":  {moving(func(m *forms.Move) { m.State = forms.MoveJoining }), `state "joining" cannot follow "draining"`},
+		"state left out":  {moving(func(m *forms.Move) { m.State = record.MoveJoining }), `state "joining" cannot follow "draining"`},
 		"other pool":      {moving(func(m *forms.Move) { m.To = "caps" }), "cannot change"},
-		"cancelled":       {moving(func(m *forms.Move) { m.State = forms.MoveCancelled }), ""},
+		"cancelled":       {moving(func(m *forms.Move) { m.State = record.MoveCancelled }), ""},
 		"begun in the middle": {func(*testing.T, *fleet.Book) rock.Proposal {
-			return rock.Proposal{Records: []rock.Record{record(rock.KindMove, "m9", `{"host":"h1","from":"tins","to":"caps","state":"released"}`)}}
+			return rock.Proposal{Records: []rock.Record{newRecord(rock.KindMove, "m9", `{"host":"h1","from":"tins","to":"caps","state":"released"}`)}}
 		}, "want one of: wanted"},
 	}
 	for name, c := range cases {
--- /dev/null
+++ b/core/wave/member.go
@@ -0,0 +1,44 @@
+package wave
+
+import (
+	rock "bramleyrock"
+	"bramleyrock/core/forms"
+)
+
+// member is a host of a wave's pools.
+type member struct {
+	host   rock.Host
+	record rock.Record
+	body   forms.Host
+}
+
+// owned reports whether the host is closed for the wave.
+func (m member) owned(wave string) bool {
+	return !m.host.Open() && m.body.ClosedBy == owner(wave)
+}
+
+// done reports whether the wave has maintained the host.
+func (m member) done(wave string) bool {
+	return m.body.Maintenance != nil && m.body.Maintenance.Wave == wave && m.body.Maintenance.Step == forms.StepDone
+}
+
+// owner is the value of closed_by by which a wave owns a host.
+func owner(wave string) string { return rock.NewKey(rock.KindWave, wave).String() }
+
+// members returns the hosts of the pools in the zone, or in all zones if zone
+// is "". A host whose record cannot be read is left out.
+func members(fleet rock.Fleet, pools []string, zone string) []member {
+	var found []member
+	for _, pool := range pools {
+		for _, h := range fleet.PoolHosts(pool, zone) {
+			r, ok := fleet.Record(rock.NewKey(rock.KindHost, h.Name()))
+			if !ok {
+				continue
+			}
+			if body, err := forms.DecodeHost(r); err == nil {
+				found = append(found, member{h, r, body})
+			}
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/core/wave/progress.go
@@ -0,0 +1,42 @@
+package wave
+
+import (
+	rock "bramleyrock"
+	"bramleyrock/core/forms"
+)
+
+// Progress is how far a wave is.
+type Progress struct {
+	hosts int
+	done  int
+	away  int
+}
+
+// ProgressOf returns how far the wave in the record is.
+func ProgressOf(fleet rock.Fleet, record rock.Record) (Progress, error) {
+	w, err := forms.DecodeWave(record)
+	if err != nil {
+		return Progress{}, err
+	}
+	var p Progress
+	name := record.Key().Name()
+	for _, m := range members(fleet, w.Pools, "") {
+		p.hosts++
+		switch {
+		case m.owned(name):
+			p.away++
+		case m.done(name):
+			p.done++
+		}
+	}
+	return p, nil
+}
+
+// Hosts returns the number of hosts of the wave's pools.
+func (p Progress) Hosts() int { return p.hosts }
+
+// Done returns the number of hosts that were maintained and are open.
+func (p Progress) Done() int { return p.done }
+
+// Away returns the number of hosts that the wave holds closed.
+func (p Progress) Away() int { return p.away }
--- /dev/null
+++ b/core/wave/take.go
@@ -0,0 +1,98 @@
+package wave
+
+import (
+	"fmt"
+
+	"bramleyrock/core/forms"
+)
+
+// take returns the steps that close further hosts, as many as the budgets and
+// max_parallel allow, and the reason to wait if there are none.
+func (s stepper) take(pending []member) []Step {
+	held := findTrouble(s.Fleet, s.wave.Pools, s.View)
+	away := 0
+	for _, m := range members(s.Fleet, s.wave.Pools, "") {
+		if m.owned(s.name) {
+			away++
+		}
+	}
+	choose := s.Choose
+	if choose == nil {
+		choose = ByDomain
+	}
+	var steps []Step
+	var reason string
+	for _, c := range choose(s.candidates(pending)) {
+		m := c.member
+		if away+len(steps) >= s.wave.MaxParallel {
+			reason = fmt.Sprintf("one of %d hosts away at once to come back", s.wave.MaxParallel)
+			break
+		}
+		why := s.blocked(m, held)
+		if why == "" {
+			steps = append(steps, s.close(m))
+			continue
+		}
+		reason = why
+	}
+	if len(steps) == 0 && reason != "" {
+		steps = append(steps, Step{wave: s.name, since: s.wave.Since, waitsFor: fmt.Sprintf("zone %s: %s", s.Zone, reason)})
+	}
+	return steps
+}
+
+// blocked returns why the host cannot be taken now, or "". If it can, its room
+// is reserved.
+func (s stepper) blocked(m member, held trouble) string {
+	if !m.host.Open() {
+		return fmt.Sprintf("host %s, which is closed for %s", m.host.Name(), reasonClosed(m.body))
+	}
+	if !s.Room.Up(m.host) {
+		return fmt.Sprintf("host %s to be live in the platform's list", m.host.Name())
+	}
+	if why := held.holds(m.host.Pool()); why != "" {
+		return why
+	}
+	if err := s.Room.Take(m.host); err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
+func reasonClosed(h forms.Host) string {
+	if h.ClosedBy == "" {
+		return "a reason of an operator's"
+	}
+	return h.ClosedBy
+}
+
+// close closes a host for the wave.
+func (s stepper) close(m member) Step {
+	m.body.Open, m.body.ClosedBy = false, owner(s.name)
+	m.body.Maintenance = &forms.Maintenance{
+		Wave:  s.name,
+		Step:  forms.StepDraining,
+		Since: s.Now.UTC(),
+		After: s.Fleet.Revision(),
+	}
+	return s.write(m, string(forms.StepDraining))
+}
+
+// candidates returns the pending hosts with what an order looks at.
+func (s stepper) candidates(pending []member) []Candidate {
+	rackAway := map[string]int{}
+	rackLeft := map[string]int{}
+	for _, m := range s.members {
+		if m.owned(s.name) {
+			rackAway[m.host.Rack()]++
+		}
+	}
+	for _, m := range pending {
+		rackLeft[m.host.Rack()]++
+	}
+	all := make([]Candidate, 0, len(pending))
+	for _, m := range pending {
+		all = append(all, Candidate{member: m, rackAway: rackAway[m.host.Rack()], rackLeft: rackLeft[m.host.Rack()]})
+	}
+	return all
+}
--- /dev/null
+++ b/core/wave/trouble.go
@@ -0,0 +1,56 @@
+package wave
+
+import (
+	"fmt"
+
+	rock "bramleyrock"
+	"bramleyrock/core/drain"
+)
+
+// correlatedLosses is the number of hosts of one rack or zone whose loss at the
+// same time holds the pools that have hosts there.
+const (
+	correlatedInRack = 2
+	correlatedInZone = 3
+)
+
+// trouble is the hosts that are down though nobody closed them.
+type trouble struct {
+	racks map[string]int
+	zones map[string]int
+	// pools gives the domains in which each pool lost hosts.
+	pools map[string][]domain
+}
+
+// domain is a rack or a zone.
+type domain struct {
+	zone, rack string
+}
+
+// findTrouble finds the hosts of the pools that are down in any zone.
+func findTrouble(fleet rock.Fleet, pools []string, view drain.View) trouble {
+	t := trouble{racks: map[string]int{}, zones: map[string]int{}, pools: map[string][]domain{}}
+	for _, pool := range pools {
+		for _, h := range fleet.PoolHosts(pool, "") {
+			if s, ok := view.Host(h.Name()); h.Open() && ok && s.State() != rock.HostLive {
+				t.zones[h.Zone()]++
+				t.racks[h.Zone()+"/"+h.Rack()]++
+				t.pools[pool] = append(t.pools[pool], domain{h.Zone(), h.Rack()})
+			}
+		}
+	}
+	return t
+}
+
+// holds returns why no further host of the pool is taken, or "".
+func (t trouble) holds(pool string) string {
+	for _, d := range t.pools[pool] {
+		if n := t.racks[d.zone+"/"+d.rack]; n >= correlatedInRack {
+			return fmt.Sprintf("%d hosts that are down in rack %s of zone %s", n, d.rack, d.zone)
+		}
+		if n := t.zones[d.zone]; n >= correlatedInZone {
+			return fmt.Sprintf("%d hosts that are down in zone %s", n, d.zone)
+		}
+	}
+	return ""
+}
--- a/io/duty/doc.go
+++ b/io/duty/doc.go
@@ -1,5 +1,6 @@
 // Package duty runs the duties that must have one holder among all entries:
-// moving hosts between pools, and the rounds of other parts.
+// moving hosts between pools, running waves in each availability zone, and the
+// rounds of other parts.
 //
 // Each duty is held through a lease row in the platform's table. The runner
 // takes and renews the leases, runs a round of each duty that it holds, and
@@ -10,7 +11,7 @@
 //
 //	r := duty.New(duty.Settings{
 //		Name: "e1", Table: table, Changer: changer, Fleet: follower,
-//		HostList: hosts, Roster: roster, Observer: reviewer,
+//		HostList: hosts, Roster: roster, Budgets: reviewer,
 //		Now: time.Now, Log: log, Scope: scope,
 //	})
 //	g.Go("duties", r.Run)
--- a/io/duty/duty.go
+++ b/io/duty/duty.go
@@ -16,6 +16,13 @@
 	Round(ctx context.Context, now time.Time, turn Turn) error
 }
 
+// Wanter is a duty that is not always needed.
+type Wanter interface {
+	// Wanted reports whether there is work in the configuration. The lease is
+	// taken and renewed only while there is.
+	Wanted(fleet rock.Fleet) bool
+}
+
 // Turn is what a holder needs for one round.
 type Turn struct {
 	// Holder is the name of the entry.
--- a/io/duty/holding.go
+++ b/io/duty/holding.go
@@ -13,6 +13,8 @@
 type holding struct {
 	set  Settings
 	duty Duty
+	// held is the lease as last written, while the duty is held.
+	held lease.Lease
 }
 
 // run keeps the duty until ctx ends, and then gives the lease up.
@@ -30,30 +32,45 @@
 	}
 }
 
-// turn does one round if the lease is held, and returns the time to the next.
+// turn does one round if there is work and the lease is held, and returns the
+// time to the next.
 func (h *holding) turn(ctx context.Context) (time.Duration, error) {
+	fleet, ok := h.set.Fleet.Fleet()
+	if !ok || !h.wanted(fleet) {
+		return h.set.Interval, nil
+	}
 	now := h.set.Now()
 	l, action, err := h.claim(ctx, now)
 	if err != nil {
+		h.held = lease.Lease{}
 		return h.set.Interval, err
 	}
 	if action == lease.Wait {
-		return max(h.set.Interval, l.Expiry().Sub(now)), nil
+		h.held = lease.Lease{}
+		return max(h.set.Interval, min(l.Expiry().Sub(now), h.set.ListInterval)), nil
 	}
-	fleet, ok := h.set.Fleet.Fleet()
-	if !ok {
-		return h.set.Interval, nil
+	h.held = l
+	err = h.duty.Round(ctx, now, Turn{Holder: h.set.Name, Fleet: fleet, Guard: l.Guard()})
+	if rock.ReasonOf(err) == rock.Conflict {
+		h.held = lease.Lease{}
 	}
-	t := Turn{Holder: h.set.Name, Fleet: fleet, Guard: l.Guard()}
-	return h.set.Interval, h.duty.Round(ctx, now, t)
+	return h.set.Interval, err
+}
+
+func (h *holding) wanted(fleet rock.Fleet) bool {
+	w, ok := h.duty.(Wanter)
+	return !ok || w.Wanted(fleet)
 }
 
-// claim reads the lease and takes or renews it if that is due.
+// claim takes or renews the lease if that is due. It reads the lease's row
+// only if the duty is not held.
 func (h *holding) claim(ctx context.Context, now time.Time) (lease.Lease, lease.Action, error) {
-	name := h.duty.Name()
-	before, err := h.read(ctx)
-	if err != nil {
-		return before, lease.Wait, err
+	before := h.held
+	if before.Version() == 0 {
+		var err error
+		if before, err = h.read(ctx); err != nil {
+			return before, lease.Wait, err
+		}
 	}
 	after, action := h.set.Terms.Next(now, h.set.Name, before)
 	if action != lease.Take && action != lease.Renew {
@@ -64,10 +81,10 @@
 		return before, lease.Wait, err
 	}
 	if err := h.set.Table.Commit(ctx, t); err != nil {
-		return before, lease.Wait, fmt.Errorf("%s lease of %s: %w", action, name, err)
+		return before, lease.Wait, fmt.Errorf("%s lease of %s: %w", action, h.duty.Name(), err)
 	}
 	if action == lease.Take {
-		h.set.Log.WithField("duty", name).WithField("epoch", after.Epoch()).Info("lease taken")
+		h.set.Log.WithField("duty", h.duty.Name()).WithField("epoch", after.Epoch()).Info("lease taken")
 	}
 	return after, action, nil
 }
@@ -87,14 +104,13 @@
 // release frees the lease if it is held, so that another entry need not wait
 // for its expiry.
 func (h *holding) release(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer cancel()
-	before, err := h.read(ctx)
-	if err != nil || before.Holder() != h.set.Name {
+	if h.held.Holder() != h.set.Name {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
 	var t rock.Transaction
-	if err := h.set.Terms.Release(before).Claim(&t, before); err != nil {
+	if err := h.set.Terms.Release(h.held).Claim(&t, h.held); err != nil {
 		return
 	}
 	if err := h.set.Table.Commit(ctx, t); err != nil {
--- a/io/duty/mover.go
+++ b/io/duty/mover.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	rock "bramleyrock"
 	"bramleyrock/core/drain"
 	"bramleyrock/core/forms"
 	"bramleyrock/core/move"
+	"bramleyrock/core/record"
 )
 
 // moverName is the name of the duty of moving hosts between pools.
@@ -17,78 +17,73 @@
 
 // mover is the duty of moving hosts between pools.
 type mover struct {
-	set   Settings
-	sight *sight
+	waits
+
+	settings Settings
+	sight    *sight
 	// behind is the revision of the own latest change.
 	behind rock.Revision
 	memory drain.Memory
-
-	mu    sync.Mutex
-	waits []Waiting
 }
 
-func newMover(s Settings, sight *sight) *mover { return &mover{set: s, sight: sight} }
+func newMover(s Settings, sight *sight) *mover { return &mover{settings: s, sight: sight} }
 
 // Name implements [Duty].
 func (m *mover) Name() string { return moverName }
 
+// Wanted implements [Wanter].
+func (m *mover) Wanted(fleet rock.Fleet) bool { return len(pendingMoves(fleet)) > 0 }
+
 // Round implements [Duty]: it makes the next step of every move.
 func (m *mover) Round(ctx context.Context, now time.Time, turn Turn) error {
 	if turn.Fleet.Revision() < m.behind {
 		return nil
 	}
-	moves := pendingMoves(turn.Fleet)
-	if len(moves) == 0 {
-		m.note(nil)
-		return nil
-	}
 	m.memory.Turn()
 	view, err := m.sight.view(ctx, now, &m.memory)
 	if err != nil {
 		return err
 	}
-	var waits []Waiting
+	room := m.settings.Budgets.Room(now, turn.Fleet)
+	var all []Waiting
 	var errs []error
-	for _, r := range moves {
+	for _, r := range pendingMoves(turn.Fleet) {
 		step := move.Next(now, turn.Fleet, r, view)
+		if undo, ok := move.Undo(now, turn.Fleet, r, room); ok {
+			step = undo
+		}
 		waitsFor := step.WaitsFor()
 		if step.Pending() {
 			waitsFor, err = m.make(ctx, now, step.Proposal(turn.Holder, turn.Guard))
 			errs = append(errs, err)
 		}
 		if waitsFor != "" {
-			waits = append(waits, Waiting{r.Key().String(), waitsFor, step.Since()})
+			all = append(all, Waiting{r.Key().String(), waitsFor, step.Since()})
 		}
 	}
-	m.note(waits)
+	m.set(now, all)
 	return errors.Join(errs...)
 }
 
-// make makes the change. A refusal for a budget is what the move waits for.
+// make makes the change and returns what the move waits for if it is refused.
 func (m *mover) make(ctx context.Context, now time.Time, p rock.Proposal) (string, error) {
-	c, err := m.set.Changer.Change(ctx, now, p)
-	switch rock.ReasonOf(err) {
-	case "":
-		m.behind = max(m.behind, c.Revision())
-		m.set.Scope.Counter("move_steps").Inc(1)
-		m.set.Log.WithField("change", c.ID()).Info("step made")
-		return "", nil
-	case rock.BudgetExceeded, rock.Unavailable:
-		return err.Error(), nil
+	c, err := m.settings.Changer.Change(ctx, now, p)
+	if err != nil {
+		return err.Error(), unexpected(err)
 	}
-	return err.Error(), err
-}
-
-func (m *mover) note(waits []Waiting) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.waits = waits
+	m.behind = max(m.behind, c.Revision())
+	m.settings.Scope.Counter("move_steps").Inc(1)
+	m.settings.Log.WithField("change", c.ID()).Info("step made")
+	return "", nil
 }
 
-func (m *mover) waiting() []Waiting {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return append([]Waiting(nil), m.waits...)
+// unexpected returns err unless it is a refusal that time settles.
+func unexpected(err error) error {
+	switch rock.ReasonOf(err) {
+	case rock.BudgetExceeded, rock.Unavailable:
+		return nil
+	}
+	return err
 }
 
 // pendingMoves returns the moves that may have a next step.
@@ -96,7 +91,7 @@
 	var pending []rock.Record
 	for _, r := range f.Records(rock.KindMove) {
 		m, err := forms.DecodeMove(r)
-		if err != nil || !m.State.Ended() || m.State == forms.MoveCancelled && closedFor(f, m.Host, r.Key()) {
+		if err != nil || !m.State.Ended() || m.State == record.MoveCancelled && closedFor(f, m.Host, r.Key()) {
 			pending = append(pending, r)
 		}
 	}
--- a/io/duty/onepool_test.go
+++ b/io/duty/onepool_test.go
@@ -9,6 +9,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/forms"
+	"bramleyrock/core/record"
 	"bramleyrock/io/duty"
 	"bramleyrock/io/fakes/depot"
 
@@ -198,7 +199,7 @@
 	f, _ := s.book.Fleet()
 	moved := map[string]uint64{}
 	for _, r := range f.Records(rock.KindMove) {
-		if m, err := forms.DecodeMove(r); err == nil && m.State == forms.MoveDone {
+		if m, err := forms.DecodeMove(r); err == nil && m.State == record.MoveDone {
 			moved[m.Host]++
 		}
 	}
--- a/io/duty/runner.go
+++ b/io/duty/runner.go
@@ -5,25 +5,29 @@
 	"errors"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
+	rock "bramleyrock"
 	"bramleyrock/core/group"
 )
 
 // Runner runs the duties of one entry. It is safe for concurrent use.
 type Runner struct {
-	set      Settings
-	sight    *sight
-	mover    *mover
+	set   Settings
+	sight *sight
+
+	mu       sync.Mutex
 	holdings []*holding
+	wavers   map[string]bool
+	seen     rock.Revision
 }
 
 // New returns a runner that does nothing until it is run.
 func New(s Settings) *Runner {
 	s = s.withDefaults()
-	r := &Runner{set: s, sight: newSight(s)}
-	r.mover = newMover(s, r.sight)
-	for _, d := range append([]Duty{r.mover}, s.Duties...) {
+	r := &Runner{set: s, sight: newSight(s), wavers: map[string]bool{}}
+	for _, d := range append([]Duty{newMover(s, r.sight)}, s.Duties...) {
 		r.holdings = append(r.holdings, &holding{set: s, duty: d})
 	}
 	return r
@@ -36,13 +40,48 @@
 		g.Go(h.duty.Name(), h.run)
 	}
 	g.Go("host list", r.watchHosts)
+	g.Go("zones", func(ctx context.Context) error {
+		for {
+			for _, h := range r.newZones() {
+				g.Go(h.duty.Name(), h.run)
+			}
+			if err := pause(ctx, r.set.Interval); err != nil {
+				return err
+			}
+		}
+	})
 	return g.Wait()
 }
 
+// newZones adds a waver for each availability zone that was not known yet, and
+// returns them.
+func (r *Runner) newZones() []*holding {
+	fleet, ok := r.set.Fleet.Fleet()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !ok || fleet.Revision() == r.seen {
+		return nil
+	}
+	r.seen = fleet.Revision()
+	var added []*holding
+	for _, record := range fleet.Records(rock.KindPool) {
+		for _, h := range fleet.PoolHosts(record.Key().Name(), "") {
+			if r.wavers[h.Zone()] {
+				continue
+			}
+			r.wavers[h.Zone()] = true
+			added = append(added, &holding{set: r.set, duty: newWaver(r.set, r.sight, h.Zone())})
+		}
+	}
+	r.holdings = append(r.holdings, added...)
+	return added
+}
+
 // Turn runs one turn of every duty, one after another, for callers that keep
 // their own time. It must not be called while the runner runs.
 func (r *Runner) Turn(ctx context.Context) error {
-	if err := r.sight.refreshHosts(ctx, r.set.Now()); err != nil {
+	r.newZones()
+	if _, err := r.sight.hosts(ctx, r.set.Now(), r.set.ListInterval); err != nil {
 		return err
 	}
 	var errs []error
@@ -55,16 +94,23 @@
 
 // Status returns the moves and waves that this entry holds and that wait at
 // the time now, in order of their records' keys.
-func (r *Runner) Status(_ time.Time) []Waiting {
-	all := r.mover.waiting()
+func (r *Runner) Status(now time.Time) []Waiting {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []Waiting
+	for _, h := range r.holdings {
+		if w, ok := h.duty.(interface{ waiting(time.Time) []Waiting }); ok {
+			all = append(all, w.waiting(now)...)
+		}
+	}
 	slices.SortFunc(all, func(a, b Waiting) int { return strings.Compare(a.subject, b.subject) })
 	return all
 }
 
-// watchHosts keeps the observer's list of hosts fresh.
+// watchHosts keeps the budgets' list of hosts fresh.
 func (r *Runner) watchHosts(ctx context.Context) error {
 	for {
-		if err := r.sight.refreshHosts(ctx, r.set.Now()); err != nil {
+		if _, err := r.sight.hosts(ctx, r.set.Now(), r.set.ListInterval); err != nil {
 			r.set.Log.WithError(err).Warn("host list not read")
 		}
 		if err := pause(ctx, r.set.ListInterval); err != nil {
--- a/io/duty/runner_test.go
+++ b/io/duty/runner_test.go
@@ -10,6 +10,7 @@
 	"bramleyrock/core/budget"
 	"bramleyrock/core/forms"
 	"bramleyrock/core/group"
+	"bramleyrock/core/record"
 	"bramleyrock/io/duty"
 	"bramleyrock/io/fakes/depot"
 	"bramleyrock/io/fakes/fleet"
@@ -18,10 +19,6 @@
 	"gotest.tools/v3/poll"
 )
 
-func record(kind rock.Kind, name, body string) rock.Record {
-	return rock.NewRecord(rock.NewKey(kind, name), 1, 0, []byte(body))
-}
-
 // roster reports one entry of zone a that follows the book at once.
 type roster struct{ book *fleet.Book }
 
@@ -55,13 +52,13 @@
 	d := depot.New(depot.Settings{Seed: 1})
 	reviewer := budget.New(budget.Settings{})
 	records := []rock.Record{
-		record(rock.KindBudget, "tins", fmt.Sprintf(`{"pool":"tins","min_available":%d}`, minAvailable)),
-		record(rock.KindMove, "m1", `{"host":"h0","from":"tins","to":"lids","state":"wanted"}`),
+		newRecord(rock.KindBudget, "tins", fmt.Sprintf(`{"pool":"tins","min_available":%d}`, minAvailable)),
+		newRecord(rock.KindMove, "m1", `{"host":"h0","from":"tins","to":"lids","state":"wanted"}`),
 	}
 	for i := range 4 {
 		name := fmt.Sprintf("h%d", i)
 		d.AddHost(name, "127.0.0.1:9000")
-		records = append(records, record(rock.KindHost, name, `{"zone":"a","rack":"a1","pool":"tins","slots":8,"open":true}`))
+		records = append(records, newHost(name, "a", "a1", "tins"))
 	}
 	book := fleet.NewBook(reviewer, records...)
 	book.Guard(func(t rock.Transaction) error {
@@ -76,12 +73,12 @@
 
 func newRunner(name string, d *depot.Depot, b *fleet.Book, r *budget.Reviewer) *duty.Runner {
 	return duty.New(duty.Settings{
-		Name: name, Table: d, Changer: b, Fleet: b, HostList: aheadList{d}, Roster: roster{b}, Observer: r,
+		Name: name, Table: d, Changer: b, Fleet: b, HostList: aheadList{d}, Roster: roster{b}, Budgets: r,
 		Interval: 5 * time.Millisecond, ListInterval: 5 * time.Millisecond,
 	})
 }
 
-func moveState(b *fleet.Book) forms.MoveState {
+func moveState(b *fleet.Book) record.MoveState {
 	f, _ := b.Fleet()
 	r, _ := f.Record(rock.NewKey(rock.KindMove, "m1"))
 	m, _ := forms.DecodeMove(r)
@@ -95,7 +92,7 @@
 		g.Go(name, newRunner(name, d, b, r).Run)
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if s := moveState(b); s != forms.MoveDone {
+		if s := moveState(b); s != record.MoveDone {
 			return poll.Continue("move is %s", s)
 		}
 		return poll.Success()
@@ -125,5 +122,5 @@
 	}, poll.WithTimeout(20*time.Second))
 	g.Stop()
 	assert.NilError(t, g.Wait())
-	assert.Equal(t, moveState(b), forms.MoveWanted)
+	assert.Equal(t, moveState(b), record.MoveWanted)
 }
--- a/io/duty/settings.go
+++ b/io/duty/settings.go
@@ -5,7 +5,9 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/budget"
 	"bramleyrock/core/lease"
+	"bramleyrock/core/wave"
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -31,8 +33,11 @@
 	HostList rock.HostList
 	// Roster gives the entries' status rows.
 	Roster Roster
-	// Observer is told the list of hosts; nil for none.
-	Observer Observer
+	// Budgets is told the list of hosts, and says what the budgets leave.
+	Budgets *budget.Reviewer
+	// Order is the order in which a wave takes hosts; nil means
+	// [wave.ByDomain].
+	Order wave.Order
 	// Duties are further duties.
 	Duties []Duty
 	// Terms are the durations of the leases.
@@ -60,6 +65,9 @@
 	if s.Now == nil {
 		s.Now = time.Now
 	}
+	if s.Budgets == nil {
+		s.Budgets = budget.New(budget.Settings{})
+	}
 	if s.Scope == nil {
 		s.Scope = tally.NoopScope
 	}
--- a/io/duty/sight.go
+++ b/io/duty/sight.go
@@ -3,40 +3,46 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	rock "bramleyrock"
 	"bramleyrock/core/drain"
 )
 
-// sight reads what the duties need to see of entries and hosts.
+// sight reads what the duties need to see of entries and hosts. The list of
+// hosts is shared by rounds that follow each other within half an interval.
 type sight struct {
 	set Settings
+
+	mu     sync.Mutex
+	list   []rock.HostStatus
+	listAt time.Time
 }
 
 func newSight(s Settings) *sight { return &sight{set: s} }
 
-// refreshHosts reads the list of hosts for the observer.
-func (s *sight) refreshHosts(ctx context.Context, now time.Time) error {
-	_, err := s.hosts(ctx, now)
-	return err
-}
-
-func (s *sight) hosts(ctx context.Context, now time.Time) ([]rock.HostStatus, error) {
+// hosts returns the list of hosts, which is read again if it is older than age.
+func (s *sight) hosts(ctx context.Context, now time.Time, age time.Duration) ([]rock.HostStatus, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.listAt.IsZero() && now.Sub(s.listAt) < age {
+		return s.list, nil
+	}
 	hosts, err := s.set.HostList.List(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("read host list: %w", err)
 	}
-	if s.set.Observer != nil {
-		s.set.Observer.Observe(now, hosts)
-	}
+	s.list, s.listAt = hosts, now
+	s.set.Budgets.Observe(now, hosts)
 	return hosts, nil
 }
 
-// view reads the entries' status rows and then the list of hosts.
+// view returns the entries' status rows and the list of hosts, which was read
+// after the rows or shortly before.
 func (s *sight) view(ctx context.Context, now time.Time, memory *drain.Memory) (drain.View, error) {
 	entries := s.set.Roster.Statuses(now)
-	hosts, err := s.hosts(ctx, now)
+	hosts, err := s.hosts(ctx, now, s.set.Interval/2)
 	if err != nil {
 		return drain.View{}, err
 	}
--- a/io/duty/site_test.go
+++ b/io/duty/site_test.go
@@ -11,6 +11,7 @@
 	rock "bramleyrock"
 	"bramleyrock/core/budget"
 	"bramleyrock/core/move"
+	"bramleyrock/core/wave"
 	"bramleyrock/io/duty"
 	"bramleyrock/io/fakes/crew"
 	"bramleyrock/io/fakes/depot"
@@ -66,7 +67,7 @@
 		OnReboot: func(host, _ string) { s.cutTasks += s.floor.Reboot(host) },
 	})
 	reviewer := budget.New(budget.Settings{})
-	s.book = fleet.NewBook(rock.Reviewers{move.Reviewer{}, reviewer}, o.records...)
+	s.book = fleet.NewBook(rock.Reviewers{move.Reviewer{}, wave.Reviewer{}, reviewer}, o.records...)
 	s.book.Guard(s.guard)
 	f, _ := s.book.Fleet()
 	for _, r := range f.Records(rock.KindHost) {
@@ -75,7 +76,7 @@
 	for _, name := range []string{"x1", "x2", "x3"} {
 		s.runners = append(s.runners, duty.New(duty.Settings{
 			Name: name, Table: s.platform, Changer: lateChanger{s}, Fleet: s.book, HostList: s.platform,
-			Roster: silence{s}, Observer: reviewer, Now: func() time.Time { return s.now },
+			Roster: silence{s}, Budgets: reviewer, Now: func() time.Time { return s.now },
 		}))
 	}
 	return s
--- a/io/fakes/fleet/book.go
+++ b/io/fakes/fleet/book.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"maps"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/feed"
 )
 
 // Book implements [rock.Changer] and [rock.FleetSource] in memory. It is safe
@@ -16,7 +17,7 @@
 	reviewer rock.Reviewer
 
 	mu      sync.Mutex
-	fleet   *Fleet
+	config  *feed.Config
 	changes map[string]rock.Change
 	// guard checks the conditions of a proposal's guard; nil allows all.
 	guard func(rock.Transaction) error
@@ -30,12 +31,19 @@
 )
 
 // NewBook returns a book that holds the records at revision 1, each with
-// version 1. The reviewer may be nil.
+// version 1. The reviewer may be nil. It panics if a record is malformed.
 func NewBook(reviewer rock.Reviewer, records ...rock.Record) *Book {
 	for i, r := range records {
 		records[i] = r.WithVersion(1)
 	}
-	return &Book{reviewer: reviewer, fleet: New(1, records...), changes: map[string]rock.Change{}}
+	config, err := feed.Build(1, records)
+	if err != nil {
+		panic(err)
+	}
+	if unread := config.Unread(); len(unread) > 0 {
+		panic(fmt.Sprint(unread))
+	}
+	return &Book{reviewer: reviewer, config: config, changes: map[string]rock.Change{}}
 }
 
 // Guard makes check decide whether the guard of a proposal holds.
@@ -56,7 +64,7 @@
 func (b *Book) Fleet() (rock.Fleet, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.fleet, true
+	return b.config, true
 }
 
 // Settle implements [rock.Changer].
@@ -87,7 +95,7 @@
 		return rock.Change{}, err
 	}
 	if b.reviewer != nil {
-		if err := b.reviewer.Review(now, b.fleet, edits); err != nil {
+		if err := b.reviewer.Review(now, b.config, edits); err != nil {
 			return rock.Change{}, err
 		}
 	}
@@ -101,7 +109,7 @@
 func (b *Book) edits(p rock.Proposal) ([]rock.Edit, error) {
 	var edits []rock.Edit
 	for _, r := range slices.Concat(p.Records, p.Deletes) {
-		was, ok := b.fleet.Record(r.Key())
+		was, ok := b.config.Record(r.Key())
 		if was.Version() != r.Version() {
 			return nil, rock.Fail("change", r.Key().String(), rock.Conflict, rock.NotRun).
 				Becausef("record has version %d, not %d", was.Version(), r.Version())
@@ -120,16 +128,12 @@
 }
 
 func (b *Book) accept(now time.Time, p rock.Proposal, edits []rock.Edit) (rock.Change, error) {
-	records := b.fleet.all()
-	for _, e := range edits {
-		delete(records, e.Key())
-		if e.To() != nil {
-			records[e.Key()] = *e.To()
-		}
+	c := rock.NewChange(p.ID, b.config.Revision()+1, now, p.Who, p.Why, edits)
+	config, err := b.config.Apply(c)
+	if err != nil {
+		return rock.Change{}, rock.Fail("change", p.ID, rock.BadInput, rock.NotRun).Because(err)
 	}
-	revision := b.fleet.Revision() + 1
-	c := rock.NewChange(p.ID, revision, now, p.Who, p.Why, edits)
-	b.fleet = New(revision, slices.Collect(maps.Values(records))...)
+	b.config = config
 	b.changes[p.ID] = c
 	if b.lose > 0 {
 		b.lose--
--- a/io/fakes/fleet/doc.go
+++ b/io/fakes/fleet/doc.go
@@ -1,5 +1,5 @@
-// Package fleet is a stand-in, in memory, for the configuration in force and
-// for the making of changes. Tests of decisions use it in place of a platform.
+// Package fleet is a stand-in, in memory, for the making of changes and for the
+// configuration in force. Tests of decisions use it in place of a platform.
 //
 // # Usage
 //
