--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -11,6 +11,8 @@
 	rock "bramleyrock"
 	"bramleyrock/core/budget"
 	"bramleyrock/core/group"
+	"bramleyrock/core/move"
+	"bramleyrock/core/wave"
 	"bramleyrock/io/books"
 	"bramleyrock/io/door"
 	"bramleyrock/io/duty"
@@ -117,7 +119,7 @@
 	e.books = books.New(books.Settings{
 		Table:           platform,
 		Objects:         platform,
-		Reviewer:        reviewer,
+		Reviewer:        rock.Reviewers{move.Reviewer{}, wave.Reviewer{}, reviewer},
 		Peers:           e.links,
 		Now:             time.Now,
 		Log:             s.Log,
@@ -186,7 +188,7 @@
 		Fleet:    e.books,
 		HostList: platform,
 		Roster:   lastRows{e.roster},
-		Observer: reviewer,
+		Budgets:  reviewer,
 		Log:      s.Log.WithField(logs.PartField, "duty"),
 		Scope:    e.meter.Scope().SubScope("duty"),
 	})
