--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -35,6 +35,7 @@
 	mu     sync.Mutex
 	calls  map[uint64]*call
 	closed bool
+	ending bool // the peer said goodbye
 }
 
 // newConn returns a connection whose calls take their ids from ids, which all
@@ -78,8 +79,12 @@
 		if err != nil {
 			return err
 		}
-		if waiting := c.remove(f.ID); waiting != nil && f.Kind == frameAnswer {
-			waiting.reply <- f
+		if f.Kind == frameGoodbye {
+			c.end()
+			continue
+		}
+		if f.Kind == frameAnswer {
+			c.deliver(f)
 		}
 	}
 }
@@ -192,6 +197,9 @@
 	if c.closed {
 		return nil, c.fail(op, rock.Unavailable, rock.NotRun).Becausef("link is closed")
 	}
+	if c.ending && op != opBeat {
+		return nil, c.fail(op, rock.Leaving, rock.NotRun).Becausef("the peer is shutting down")
+	}
 	queue := c.queue
 	if op == opBeat {
 		queue = c.urgent
@@ -249,12 +257,40 @@
 	}
 }
 
-func (c *conn) remove(id uint64) *call {
+// deliver hands an answer to the call that waits for it. An answer that nobody
+// waits for, or a second one, is dropped.
+func (c *conn) deliver(f frame) {
+	c.mu.Lock()
+	waiting := c.calls[f.ID]
+	c.mu.Unlock()
+	if waiting == nil {
+		return
+	}
+	select {
+	case waiting.reply <- f:
+	default:
+	}
+}
+
+// end lets the calls in flight end, and then closes the connection.
+func (c *conn) end() {
+	c.mu.Lock()
+	c.ending = true
+	unused := len(c.calls) == 0
+	c.mu.Unlock()
+	if unused {
+		c.close()
+	}
+}
+
+func (c *conn) remove(id uint64) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	waiting := c.calls[id]
 	delete(c.calls, id)
-	return waiting
+	ended := c.ending && len(c.calls) == 0
+	c.mu.Unlock()
+	if ended {
+		c.close()
+	}
 }
 
 func (c *conn) fail(op operation, reason rock.Reason, verdict rock.Verdict) *rock.Failure {
--- a/io/link/frame.go
+++ b/io/link/frame.go
@@ -17,6 +17,9 @@
 	frameCall   frameKind = "call"
 	frameAnswer frameKind = "answer"
 	frameCancel frameKind = "cancel"
+	// frameGoodbye tells the dialler to send no more calls and to close the
+	// connection once all are answered.
+	frameGoodbye frameKind = "goodbye"
 )
 
 // operation names the call.
@@ -102,7 +105,7 @@
 		return frame{}, fmt.Errorf("decode frame: %w", err)
 	}
 	switch f.Kind {
-	case frameCall, frameAnswer, frameCancel:
+	case frameCall, frameAnswer, frameCancel, frameGoodbye:
 		return f, nil
 	}
 	return frame{}, fmt.Errorf("decode frame: unknown kind %q", f.Kind)
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +24,10 @@
 	calls    *group.Group
 	inFlight atomic.Int64
 	ledgers  *ledgers
+	ending   atomic.Bool
+
+	mu       sync.Mutex
+	sessions map[*session]bool
 }
 
 // waitInterval is the time between two looks at the calls in flight.
@@ -29,7 +36,7 @@
 // NewServer returns a server for the peer door.
 func NewServer(s Settings) *Server {
 	s = s.withDefaults()
-	return &Server{settings: s, calls: group.New(context.Background()), ledgers: newLedgers(s.Limits)}
+	return &Server{settings: s, calls: group.New(context.Background()), ledgers: newLedgers(s.Limits), sessions: map[*session]bool{}}
 }
 
 // Notify makes the server hand every heartbeat that it takes to the set, so
@@ -39,6 +46,10 @@
 
 // ServeHTTP implements [http.Handler].
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.ending.Load() {
+		http.Error(w, "shutting down", http.StatusServiceUnavailable)
+		return
+	}
 	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{subprotocol}})
 	if err != nil {
 		s.settings.Log.WithError(err).Debug("connection refused")
@@ -57,18 +68,30 @@
 		return
 	}
 	ws.SetReadLimit(int64(s.settings.Limits.MessageBytes))
-	newSession(s, ws, peer, link).run(s.calls.Context())
+	e := newSession(s, ws, peer, link)
+	if !s.add(e) {
+		_ = ws.Close(websocket.StatusGoingAway, "shutting down")
+		return
+	}
+	defer s.remove(e)
+	e.run(s.calls.Context())
 }
 
 // Close closes all links that were accepted. Calls that were taken go on, but
 // their answers are lost.
 func (s *Server) Close() { s.calls.Stop() }
 
-// Wait waits until every call that was taken has ended, or ctx has.
-func (s *Server) Wait(ctx context.Context) error {
+// Shutdown takes no more connections, asks all dialers to send no more calls,
+// and waits until every call that was taken is answered, or ctx ends. Then it
+// closes all links. The caller has to see to it that calls which are still on
+// the way are refused.
+func (s *Server) Shutdown(ctx context.Context) error {
+	defer s.Close()
+	s.ending.Store(true)
+	s.eachSession((*session).sayGoodbye)
 	ticker := time.NewTicker(waitInterval)
 	defer ticker.Stop()
-	for s.inFlight.Load() > 0 {
+	for s.busy() {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -78,6 +101,39 @@
 	return nil
 }
 
+// busy reports whether a call or a connection is left.
+func (s *Server) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions) > 0 || s.inFlight.Load() > 0
+}
+
+func (s *Server) eachSession(do func(*session)) {
+	s.mu.Lock()
+	all := slices.Collect(maps.Keys(s.sessions))
+	s.mu.Unlock()
+	for _, e := range all {
+		do(e)
+	}
+}
+
+// add notes a session, unless the server is shutting down.
+func (s *Server) add(e *session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ending.Load() {
+		return false
+	}
+	s.sessions[e] = true
+	return true
+}
+
+func (s *Server) remove(e *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, e)
+}
+
 func (s *Server) greet(ctx context.Context, ws *websocket.Conn) (rock.Member, linkForm, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.settings.Limits.DialTimeout)
 	defer cancel()
--- a/io/link/session.go
+++ b/io/link/session.go
@@ -214,9 +214,12 @@
 	return reply
 }
 
+// sayGoodbye asks the dialler to send no more calls.
+func (s *session) sayGoodbye() { s.send(frame{Kind: frameGoodbye}) }
+
 func (s *session) send(reply frame) {
 	if err := s.write(reply); err != nil {
-		s.server.settings.Log.WithError(err).WithField("peer", s.peer.Name()).Debug("answer lost")
+		s.server.settings.Log.WithError(err).WithField("peer", s.peer.Name()).Debug("message lost")
 	}
 }
 
