--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -51,6 +51,7 @@
 	e.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(hard, e.settings.StopTimeout)
 	defer cancel()
+	e.links.Tell()
 	if err := e.roster.Announce(ctx, rock.EntryLeaving); err != nil {
 		log.WithError(err).Warn("The status row could not be marked as leaving.")
 	}
@@ -74,8 +75,7 @@
 	g.Go("caller door", func(context.Context) error { return e.caller.Close(ctx) })
 	g.Go("operator door", func(context.Context) error { return e.operator.Close(ctx) })
 	err := g.Wait()
-	err = errors.Join(err, e.peers.Wait(ctx))
-	e.peers.Close()
+	err = errors.Join(err, e.peers.Shutdown(ctx))
 	return errors.Join(err, e.peer.Close(ctx))
 }
 
