--- a/io/link/beatform.go
+++ b/io/link/beatform.go
@@ -9,9 +9,15 @@
 // beatForm is a heartbeat on the wire. The sender's identity is that of the
 // handshake.
 type beatForm struct {
-	Revision uint64     `cbor:"1,keyasint"`
-	Leaving  bool       `cbor:"2,keyasint,omitempty"`
-	Pools    []loadForm `cbor:"3,keyasint,omitempty"`
+	Revision uint64 `cbor:"1,keyasint"`
+	Leaving  bool   `cbor:"2,keyasint,omitempty"`
+	// Pools are the loads that changed, or all if Full is set.
+	Pools []loadForm `cbor:"3,keyasint,omitempty"`
+	Full  bool       `cbor:"4,keyasint,omitempty"`
+	// Dropped are pools without hosts any more.
+	Dropped []string `cbor:"5,keyasint,omitempty"`
+	// AskFull asks for a full heartbeat in return.
+	AskFull bool `cbor:"6,keyasint,omitempty"`
 }
 
 // loadForm is the load of one pool, sent as an array.
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -32,6 +32,12 @@
 
 	ids *atomic.Uint64
 
+	// beating makes heartbeats follow one another; it guards the fields below.
+	beating sync.Mutex
+	sender  beatSender
+	reader  beatReader
+	unsure  bool // the last heartbeat or its answer may be lost
+
 	mu     sync.Mutex
 	calls  map[uint64]*call
 	closed bool
@@ -155,6 +161,26 @@
 	}
 }
 
+// beat exchanges heartbeats with the peer.
+func (c *conn) beat(ctx context.Context, h rock.Heartbeat) (rock.Heartbeat, error) {
+	c.beating.Lock()
+	defer c.beating.Unlock()
+	form := c.sender.encode(h, c.unsure)
+	form.AskFull = c.unsure
+	c.unsure = true
+	called := c.invoke(ctx, opBeat, form)
+	if called.err != nil {
+		return rock.Heartbeat{}, called.err
+	}
+	var reply beatForm
+	if err := decoder.Unmarshal(called.body, &reply); err != nil {
+		return rock.Heartbeat{}, c.fail(opBeat, rock.Truncated, rock.MayHaveRun).Because(err)
+	}
+	other, _ := c.reader.decode(called.id, reply, c.peer)
+	c.unsure = false
+	return other, nil
+}
+
 // close ends the connection and every call in flight.
 func (c *conn) close() {
 	c.mu.Lock()
--- a/io/link/entry_test.go
+++ b/io/link/entry_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,12 +46,13 @@
 	address     string
 	seeds       []string
 	relayed     bool
+	bytes       *atomic.Int64 // counts the bytes of accepted links, if not nil
 	limits      link.Limits
 	forward     func(ctx context.Context, r rock.Request) (rock.Answer, error)
 }
 
 // startEntry starts an entry on a loopback address.
-func startEntry(t *testing.T, s entrySpec) *entry {
+func startEntry(t testing.TB, s entrySpec) *entry {
 	t.Helper()
 	if s.address == "" {
 		s.address = "127.0.0.1:0"
@@ -82,11 +84,14 @@
 	}
 	e.server, e.set = link.NewServer(settings), link.NewSet(settings)
 	e.server.Notify(e.set)
+	if s.bytes != nil {
+		listener = countingListener{listener, s.bytes}
+	}
 	e.serve(t, listener)
 	return e
 }
 
-func (e *entry) serve(t *testing.T, listener net.Listener) {
+func (e *entry) serve(t testing.TB, listener net.Listener) {
 	door := &http.Server{Handler: e.server, ReadHeaderTimeout: time.Second}
 	g := group.New(context.Background())
 	g.Go("door", func(context.Context) error { _ = door.Serve(listener); return nil })
@@ -112,6 +117,12 @@
 	e.revision = r
 }
 
+func (e *entry) setLoads(loads []rock.PoolLoad) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loads = loads
+}
+
 func (e *entry) hearRevision(r rock.Revision) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -149,7 +160,7 @@
 }
 
 // peer waits until the named peer is alive at e and returns it.
-func (e *entry) peer(t *testing.T, name string) rock.Peer {
+func (e *entry) peer(t testing.TB, name string) rock.Peer {
 	t.Helper()
 	var found rock.Peer
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/io/link/peer.go
+++ b/io/link/peer.go
@@ -57,11 +57,11 @@
 
 // Beat implements [rock.Peer].
 func (p *peer) Beat(ctx context.Context, h rock.Heartbeat) (rock.Heartbeat, error) {
-	var form beatForm
-	if err := p.invoke(ctx, opBeat, formOfBeat(h), &form); err != nil {
+	c, err := p.open(opBeat)
+	if err != nil {
 		return rock.Heartbeat{}, err
 	}
-	return form.heartbeat(p.Member()), nil
+	return c.beat(ctx, h)
 }
 
 // Changes implements [rock.Peer].
--- a/io/link/session.go
+++ b/io/link/session.go
@@ -20,6 +20,11 @@
 	link   linkForm
 	ledger *ledger
 
+	// beating makes heartbeats follow one another; it guards the fields below.
+	beating sync.Mutex
+	sender  beatSender
+	reader  beatReader
+
 	mu      sync.Mutex
 	cancels map[uint64]context.CancelFunc
 }
@@ -173,7 +178,7 @@
 		answer, err := server.ServeForward(ctx, form.request(deadline))
 		return formOfAnswer(answer), err
 	case *beatForm:
-		return s.serveBeat(ctx, form)
+		return s.serveBeat(ctx, f.ID, form)
 	case *changesForm:
 		changes, err := server.ServeChanges(ctx, rock.Revision(form.After), form.Limit)
 		forms := make([]changeForm, 0, len(changes))
@@ -187,13 +192,21 @@
 	}
 }
 
-func (s *session) serveBeat(ctx context.Context, form *beatForm) (any, error) {
-	h := form.heartbeat(s.peer)
+func (s *session) serveBeat(ctx context.Context, id uint64, form *beatForm) (any, error) {
+	s.beating.Lock()
+	defer s.beating.Unlock()
+	h, newest := s.reader.decode(id, *form, s.peer)
+	if !newest {
+		return nil, rock.Fail(string(opBeat), s.subject(), rock.Expired, rock.NotRun).Becausef("a newer heartbeat was taken")
+	}
 	if s.server.heard != nil {
 		s.server.heard(h)
 	}
 	own, err := s.server.settings.Server.ServeBeat(ctx, h)
-	return formOfBeat(own), err
+	if err != nil {
+		return nil, err
+	}
+	return s.sender.encode(own, form.AskFull), nil
 }
 
 // reply returns the frame that answers a call. A body that cannot be sent
--- a/io/link/set.go
+++ b/io/link/set.go
@@ -281,16 +281,11 @@
 	ctx, cancel := context.WithTimeout(ctx, s.settings.Limits.BeatTimeout)
 	defer cancel()
 	sent := s.settings.Now()
-	called := c.invoke(ctx, opBeat, formOfBeat(s.settings.Beat(sent)))
-	if called.err != nil {
-		return called.err
-	}
-	var form beatForm
-	if err := decoder.Unmarshal(called.body, &form); err != nil {
+	h, err := c.beat(ctx, s.settings.Beat(sent))
+	if err != nil {
 		return err
 	}
 	now := s.settings.Now()
-	h := form.heartbeat(c.peer)
 	s.mu.Lock()
 	taken := s.view.Hear(now, h, now.Sub(sent))
 	if taken {
