--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -11,6 +11,7 @@
 	rock "bramleyrock"
 	"bramleyrock/core/budget"
 	"bramleyrock/core/group"
+	"bramleyrock/core/peers"
 	"bramleyrock/io/books"
 	"bramleyrock/io/door"
 	"bramleyrock/io/duty"
@@ -23,8 +24,6 @@
 	"bramleyrock/io/roster"
 	"bramleyrock/io/route"
 	"bramleyrock/io/targ"
-
-	"github.com/google/uuid"
 )
 
 // Entry is one entry process.
@@ -60,7 +59,9 @@
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
-	e.member = rock.NewMember(s.Name, s.Zone, e.peer.Address(), uuid.NewString())
+	now := time.Now()
+	source := rand.New(rand.NewPCG(s.Seed, uint64(now.UnixNano())))
+	e.member = rock.NewMember(s.Name, s.Zone, e.peer.Address(), peers.NewIncarnation(now, source, ""))
 	if err := e.build(); err != nil {
 		return nil, fmt.Errorf("build entry %s: %w", s.Name, err)
 	}
