--- /dev/null
+++ b/core/job/action.go
@@ -0,0 +1,25 @@
+package job
+
+// Action is what a holder should do about a job.
+type Action string
+
+// The actions.
+const (
+	// Keep means that the task runs on.
+	Keep Action = "keep"
+	// Finish means that the result is there.
+	Finish Action = "finish"
+	// Fail means that the task failed.
+	Fail Action = "fail"
+	// Lose means that the task is lost.
+	Lose Action = "lose"
+	// Stop means that the task should be cancelled for the caller.
+	Stop Action = "stop"
+	// Expire means that the task should be cancelled for running too long.
+	Expire Action = "expire"
+	// Move means that the task should be checkpointed and cancelled, so that
+	// the job runs on another host.
+	Move Action = "move"
+	// Save means that a checkpoint is due.
+	Save Action = "save"
+)
--- /dev/null
+++ b/core/job/job.go
@@ -0,0 +1,222 @@
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// Job is a job at one moment. It never changes; each step returns another Job.
+type Job struct {
+	form form
+}
+
+// form is the JSON form of a job's row.
+type form struct {
+	ID           string          `json:"id"`
+	Organisation string          `json:"organisation"`
+	Pool         string          `json:"pool"`
+	Class        rock.Class      `json:"class"`
+	Idempotent   bool            `json:"idempotent"`
+	MaxRunMS     int64           `json:"max_run_ms,omitempty"`
+	Payload      json.RawMessage `json:"payload"`
+	SubmittedAt  time.Time       `json:"submitted_at"`
+
+	State       State           `json:"state"`
+	Since       time.Time       `json:"since"`
+	Holder      string          `json:"holder,omitempty"`
+	Epoch       uint64          `json:"epoch,omitempty"`
+	Host        string          `json:"host,omitempty"`
+	TaskID      string          `json:"task_id,omitempty"`
+	StartedAt   time.Time       `json:"started_at,omitzero"`
+	Started     bool            `json:"started,omitempty"`
+	FailedHosts []string        `json:"failed_hosts,omitempty"`
+	Checkpoint  json.RawMessage `json:"checkpoint,omitempty"`
+	Result      json.RawMessage `json:"result,omitempty"`
+	Verdict     rock.Verdict    `json:"verdict,omitempty"`
+	Reason      rock.Reason     `json:"reason,omitempty"`
+	Detail      string          `json:"detail,omitempty"`
+}
+
+// New returns a waiting job.
+func New(s Spec, now time.Time) Job {
+	if s.Class == "" {
+		s.Class = rock.Normal
+	}
+	return Job{form{
+		ID: s.ID, Organisation: s.Organisation, Pool: s.Pool, Class: s.Class, Idempotent: s.Idempotent,
+		MaxRunMS: s.MaxRun.Milliseconds(), Payload: s.Payload, SubmittedAt: now, State: Waiting, Since: now,
+	}}
+}
+
+// ID returns the job's id.
+func (j Job) ID() string { return j.form.ID }
+
+// Organisation returns the organisation that submitted the job.
+func (j Job) Organisation() string { return j.form.Organisation }
+
+// Pool returns the name of the pool.
+func (j Job) Pool() string { return j.form.Pool }
+
+// Class returns the class.
+func (j Job) Class() rock.Class { return j.form.Class }
+
+// Idempotent reports whether the job may be started more than once.
+func (j Job) Idempotent() bool { return j.form.Idempotent }
+
+// MaxRun returns the bound of one run, or 0.
+func (j Job) MaxRun() time.Duration { return time.Duration(j.form.MaxRunMS) * time.Millisecond }
+
+// SubmittedAt returns when the job was accepted.
+func (j Job) SubmittedAt() time.Time { return j.form.SubmittedAt }
+
+// State returns the state.
+func (j Job) State() State { return j.form.State }
+
+// Since returns when the state began.
+func (j Job) Since() time.Time { return j.form.Since }
+
+// Holder returns the session that holds the job, or "".
+func (j Job) Holder() string { return j.form.Holder }
+
+// Epoch returns how often the job was claimed or adopted.
+func (j Job) Epoch() uint64 { return j.form.Epoch }
+
+// Host returns the host of the job's last task, or "".
+func (j Job) Host() string { return j.form.Host }
+
+// TaskID returns the id of the job's last task, or "".
+func (j Job) TaskID() string { return j.form.TaskID }
+
+// StartedAt returns when the last claim was made.
+func (j Job) StartedAt() time.Time { return j.form.StartedAt }
+
+// FailedHosts returns the hosts on which the job failed.
+func (j Job) FailedHosts() []string { return j.form.FailedHosts }
+
+// Checkpoint returns the saved state, or nil.
+func (j Job) Checkpoint() json.RawMessage { return j.form.Checkpoint }
+
+// Result returns the result, or nil.
+func (j Job) Result() json.RawMessage { return j.form.Result }
+
+// Verdict returns whether the job ran, once it has ended.
+func (j Job) Verdict() rock.Verdict { return j.form.Verdict }
+
+// Reason returns why the job did not end as done, or "".
+func (j Job) Reason() rock.Reason { return j.form.Reason }
+
+// Detail returns the reason in words, or "".
+func (j Job) Detail() string { return j.form.Detail }
+
+// MarshalJSON implements [json.Marshaler].
+func (j Job) MarshalJSON() ([]byte, error) { return json.Marshal(j.form) }
+
+// UnmarshalJSON implements [json.Unmarshaler].
+func (j *Job) UnmarshalJSON(data []byte) error { return json.Unmarshal(data, &j.form) }
+
+// Claim returns the job as held by the session, with a new task for the host.
+func (j Job) Claim(now time.Time, holder, host string) Job {
+	j.form.Epoch++
+	j.form.TaskID = fmt.Sprintf("%s.%d", j.form.ID, j.form.Epoch)
+	j.form.State, j.form.Since, j.form.StartedAt = Running, now, now
+	j.form.Holder, j.form.Host, j.form.Started = holder, host, true
+	return j
+}
+
+// Adopt returns the job as held by another session, with the same task.
+func (j Job) Adopt(holder string) Job {
+	j.form.Epoch++
+	j.form.Holder = holder
+	return j
+}
+
+// Save returns the job with a newer checkpoint.
+func (j Job) Save(checkpoint json.RawMessage) Job {
+	if len(checkpoint) > 0 {
+		j.form.Checkpoint = checkpoint
+	}
+	return j
+}
+
+// Release returns the job as waiting again. The task did not start if unstarted
+// is true; a job that is not idempotent has then never been started.
+func (j Job) Release(now time.Time, unstarted bool) Job {
+	if unstarted && (!j.form.Idempotent || j.form.Epoch <= 1) {
+		j.form.Started = false
+	}
+	j.form.State, j.form.Since, j.form.Holder = Waiting, now, ""
+	return j
+}
+
+// Finish returns the job as done.
+func (j Job) Finish(now time.Time, result json.RawMessage) Job {
+	j.form.Result = result
+	return j.end(now, Done, rock.Ran, "", "")
+}
+
+// Fail returns the job after its task failed on its host: waiting again if it
+// is idempotent and failed on fewer than maxHosts hosts, and else ended.
+func (j Job) Fail(now time.Time, maxHosts int) Job {
+	if !slices.Contains(j.form.FailedHosts, j.form.Host) {
+		j.form.FailedHosts = append(slices.Clone(j.form.FailedHosts), j.form.Host)
+	}
+	switch {
+	case !j.form.Idempotent:
+		return j.end(now, Failed, rock.Ran, rock.WorkFailed, "the task failed on host "+j.form.Host)
+	case len(j.form.FailedHosts) >= maxHosts:
+		return j.end(now, Quarantined, rock.Ran, rock.Quarantined, fmt.Sprintf("the task failed on hosts %v", j.form.FailedHosts))
+	}
+	return j.Release(now, false)
+}
+
+// Lose returns the job after its task was lost: waiting again if it is
+// idempotent, and else unsettled.
+func (j Job) Lose(now time.Time, why string) Job {
+	if j.form.Idempotent {
+		return j.Release(now, false)
+	}
+	return j.end(now, Unsettled, rock.MayHaveRun, rock.Unsettled, why)
+}
+
+// Cancel returns the job as cancelled by its caller.
+func (j Job) Cancel(now time.Time) Job {
+	verdict := rock.NotRun
+	if j.form.Started {
+		verdict = rock.MayHaveRun
+	}
+	return j.end(now, Cancelled, verdict, rock.Cancelled, "cancelled by the caller")
+}
+
+// Expire returns the job as ended for running longer than allowed.
+func (j Job) Expire(now time.Time) Job {
+	return j.end(now, Failed, rock.MayHaveRun, rock.DeadlineExceeded, fmt.Sprintf("ran for more than %v", j.MaxRun()))
+}
+
+func (j Job) end(now time.Time, s State, v rock.Verdict, r rock.Reason, detail string) Job {
+	j.form.State, j.form.Since, j.form.Holder = s, now, ""
+	j.form.Verdict, j.form.Reason, j.form.Detail = v, r, detail
+	return j
+}
+
+// TaskPayload returns the JSON value for the job's next task: the caller's
+// payload, and the checkpoint, if there is one, as its member "checkpoint". A
+// payload that is no object becomes the member "payload" of one.
+func (j Job) TaskPayload() json.RawMessage {
+	if len(j.form.Checkpoint) == 0 {
+		return j.form.Payload
+	}
+	members := map[string]json.RawMessage{}
+	if json.Unmarshal(j.form.Payload, &members) != nil || members == nil {
+		members = map[string]json.RawMessage{"payload": j.form.Payload}
+	}
+	members["checkpoint"] = j.form.Checkpoint
+	data, err := json.Marshal(members)
+	if err != nil {
+		return j.form.Payload
+	}
+	return data
+}
--- /dev/null
+++ b/core/job/job_test.go
@@ -0,0 +1,150 @@
+package job_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/job"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func running(idempotent bool) job.Job {
+	s := job.Spec{ID: "j1", Organisation: "alpha", Pool: "tins", Idempotent: idempotent, MaxRun: time.Hour, Payload: json.RawMessage(`{"n":1}`)}
+	return job.New(s, start).Claim(start, "e1", "h1")
+}
+
+func report(s rock.TaskState) rock.TaskStatus { return rock.NewTaskStatus("j1.1", s, 0, nil, nil) }
+
+func TestJudge(t *testing.T) {
+	cases := map[string]struct {
+		idempotent bool
+		sight      job.Sight
+		after      time.Duration
+		want       job.Action
+	}{
+		"runs":                           {sight: job.Sight{Status: report(rock.TaskRunning)}, want: job.Keep},
+		"is done":                        {sight: job.Sight{Status: report(rock.TaskDone), CancelAsked: true}, want: job.Finish},
+		"failed":                         {sight: job.Sight{Status: report(rock.TaskFailed)}, want: job.Fail},
+		"target forgot it":               {sight: job.Sight{Status: report(rock.TaskUnknown)}, want: job.Lose},
+		"lease lapsed at the target":     {sight: job.Sight{Status: report(rock.TaskCancelled)}, want: job.Lose},
+		"stopped for the caller":         {sight: job.Sight{Status: report(rock.TaskCancelled), CancelAsked: true}, want: job.Stop},
+		"caller cancels":                 {sight: job.Sight{Status: report(rock.TaskRunning), CancelAsked: true}, want: job.Stop},
+		"target silent for a while":      {after: 40 * time.Second, want: job.Keep},
+		"target silent past the lease":   {after: 46 * time.Second, want: job.Lose},
+		"runs too long":                  {sight: job.Sight{Status: report(rock.TaskRunning), ReachedAt: start.Add(2 * time.Hour)}, after: 2 * time.Hour, want: job.Expire},
+		"host closed, idempotent":        {idempotent: true, sight: job.Sight{Status: report(rock.TaskRunning), HostClosed: true}, want: job.Move},
+		"host closed, not idempotent":    {sight: job.Sight{Status: report(rock.TaskRunning), HostClosed: true}, want: job.Keep},
+		"checkpoint due":                 {idempotent: true, sight: job.Sight{Status: report(rock.TaskRunning), ReachedAt: start.Add(6 * time.Minute)}, after: 6 * time.Minute, want: job.Save},
+		"no checkpoint if never resumed": {sight: job.Sight{Status: report(rock.TaskRunning), ReachedAt: start.Add(6 * time.Minute)}, after: 6 * time.Minute, want: job.Keep},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if c.sight.ReachedAt.IsZero() {
+				c.sight.ReachedAt = start
+			}
+			c.sight.SavedAt = start
+			assert.Equal(t, job.Limits{}.Judge(start.Add(c.after), running(c.idempotent), c.sight), c.want)
+		})
+	}
+}
+
+func TestEndsOfAJob(t *testing.T) {
+	waiting := job.New(job.Spec{ID: "j1"}, start)
+	cases := map[string]struct {
+		job     job.Job
+		state   job.State
+		verdict rock.Verdict
+	}{
+		"done":                          {running(true).Finish(start, json.RawMessage(`1`)), job.Done, rock.Ran},
+		"lost, idempotent":              {running(true).Lose(start, "gone"), job.Waiting, ""},
+		"lost, not idempotent":          {running(false).Lose(start, "gone"), job.Unsettled, rock.MayHaveRun},
+		"failed, not idempotent":        {running(false).Fail(start, 3), job.Failed, rock.Ran},
+		"failed once, idempotent":       {running(true).Fail(start, 3), job.Waiting, ""},
+		"failed on the last host":       {running(true).Fail(start, 3).Claim(start, "e1", "h2").Fail(start, 3).Claim(start, "e1", "h3").Fail(start, 3), job.Quarantined, rock.Ran},
+		"failed twice on one host":      {running(true).Fail(start, 2).Claim(start, "e1", "h1").Fail(start, 2), job.Waiting, ""},
+		"cancelled before its start":    {waiting.Cancel(start), job.Cancelled, rock.NotRun},
+		"cancelled while running":       {running(true).Cancel(start), job.Cancelled, rock.MayHaveRun},
+		"cancelled, start was refused":  {running(false).Release(start, true).Cancel(start), job.Cancelled, rock.NotRun},
+		"cancelled after it lost a run": {running(true).Lose(start, "").Cancel(start), job.Cancelled, rock.MayHaveRun},
+		"ran too long":                  {running(true).Expire(start), job.Failed, rock.MayHaveRun},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, c.job.State(), c.state)
+			assert.Equal(t, c.job.Verdict(), c.verdict)
+			assert.Equal(t, c.job.Holder(), "")
+			assert.Equal(t, c.job.State().Ended(), c.verdict != "")
+		})
+	}
+}
+
+func TestEveryClaimHasATaskOfItsOwn(t *testing.T) {
+	first := running(true)
+	second := first.Lose(start, "").Claim(start, "e2", "h1")
+	assert.Assert(t, first.TaskID() != second.TaskID())
+	assert.Equal(t, second.Adopt("e3").TaskID(), second.TaskID())
+	assert.Equal(t, second.Adopt("e3").Epoch(), uint64(3))
+}
+
+func TestTaskPayload(t *testing.T) {
+	cases := map[string]struct{ payload, checkpoint, want string }{
+		"first run":      {`{"n":1}`, ``, `{"n":1}`},
+		"resumed":        {`{"n":1}`, `{"at":7}`, `{"checkpoint":{"at":7},"n":1}`},
+		"not an object":  {`[1]`, `{"at":7}`, `{"checkpoint":{"at":7},"payload":[1]}`},
+		"null, no state": {`null`, ``, `null`},
+		"null":           {`null`, `7`, `{"checkpoint":7,"payload":null}`},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			j := job.New(job.Spec{ID: "j1", Payload: json.RawMessage(c.payload)}, start).Save(json.RawMessage(c.checkpoint))
+			assert.Equal(t, string(j.TaskPayload()), c.want)
+		})
+	}
+}
+
+func TestRowRoundTrip(t *testing.T) {
+	j := running(true).Save(json.RawMessage(`{"at":7}`)).Fail(start, 3)
+	data, err := json.Marshal(j)
+	assert.NilError(t, err)
+	var back job.Job
+	assert.NilError(t, json.Unmarshal(data, &back))
+	again, err := json.Marshal(back)
+	assert.NilError(t, err)
+	assert.Equal(t, string(again), string(data))
+}
+
+func TestVictim(t *testing.T) {
+	claim := func(id, pool string, class rock.Class, idempotent bool, after time.Duration) job.Job {
+		return job.New(job.Spec{ID: id, Pool: pool, Class: class, Idempotent: idempotent}, start).Claim(start.Add(after), "e1", "h-"+id)
+	}
+	urgent := job.New(job.Spec{ID: "u", Pool: "tins", Class: rock.Urgent}, start)
+	normal := job.New(job.Spec{ID: "n", Pool: "tins"}, start)
+	all := []job.Job{
+		claim("old", "tins", rock.Normal, true, 0), claim("new", "tins", rock.Normal, true, time.Minute),
+		claim("once", "tins", rock.Normal, false, time.Hour), claim("urgent", "tins", rock.Urgent, true, time.Hour),
+		claim("other", "lids", rock.Normal, true, time.Hour),
+	}
+	cases := map[string]struct {
+		waiting job.Job
+		after   time.Duration
+		running []job.Job
+		want    string
+	}{
+		"newest normal idempotent of the pool": {urgent, time.Minute, all, "new"},
+		"not yet":                              {urgent, 0, all, ""},
+		"normal takes no slot":                 {normal, time.Hour, all, ""},
+		"none is eligible":                     {urgent, time.Minute, all[2:], ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, ok := job.Limits{}.Victim(start.Add(c.after), c.waiting, c.running)
+			assert.Equal(t, got.ID(), c.want)
+			assert.Equal(t, ok, c.want != "")
+		})
+	}
+}
--- /dev/null
+++ b/core/job/judge.go
@@ -0,0 +1,60 @@
+package job
+
+import (
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// Judge returns what to do about a running job.
+func (l Limits) Judge(now time.Time, j Job, s Sight) Action {
+	l = l.WithDefaults()
+	switch s.Status.State() {
+	case rock.TaskDone:
+		return Finish
+	case rock.TaskFailed:
+		return Fail
+	case rock.TaskCancelled, rock.TaskUnknown:
+		if s.CancelAsked {
+			return Stop
+		}
+		return Lose
+	}
+	switch {
+	case s.CancelAsked:
+		return Stop
+	case now.Sub(s.ReachedAt) > l.TaskLease:
+		return Lose
+	case j.MaxRun() > 0 && now.Sub(j.StartedAt()) > j.MaxRun():
+		return Expire
+	case s.Status.State() != rock.TaskRunning:
+		return Keep
+	case s.HostClosed && j.Idempotent():
+		return Move
+	case j.Idempotent() && now.Sub(s.SavedAt) > l.CheckpointInterval:
+		return Save
+	}
+	return Keep
+}
+
+// Victim returns the running job that should make room for the urgent one: a
+// normal, idempotent job of the same pool, the one claimed last, since it has
+// the least to lose.
+func (l Limits) Victim(now time.Time, urgent Job, running []Job) (Job, bool) {
+	l = l.WithDefaults()
+	if urgent.Class() != rock.Urgent || now.Sub(urgent.Since()) < l.PreemptAfter {
+		return Job{}, false
+	}
+	var victims []Job
+	for _, j := range running {
+		eligible := j.State() == Running && j.Class() == rock.Normal && j.Idempotent() && j.Pool() == urgent.Pool()
+		if eligible && !slices.Contains(urgent.FailedHosts(), j.Host()) {
+			victims = append(victims, j)
+		}
+	}
+	if len(victims) == 0 {
+		return Job{}, false
+	}
+	return slices.MaxFunc(victims, func(a, b Job) int { return a.StartedAt().Compare(b.StartedAt()) }), true
+}
--- /dev/null
+++ b/core/job/sight.go
@@ -0,0 +1,23 @@
+package job
+
+import (
+	"time"
+
+	rock "bramleyrock"
+)
+
+// Sight is what a holder knows of a job's task at one moment.
+type Sight struct {
+	// Status is the target's report; it is zero if the target did not answer.
+	Status rock.TaskStatus
+	// ReachedAt is when the target answered last, or when the job was claimed
+	// or adopted.
+	ReachedAt time.Time
+	// SavedAt is when the last checkpoint was taken, or when the job was
+	// claimed or adopted.
+	SavedAt time.Time
+	// CancelAsked is true if the caller asked to cancel the job.
+	CancelAsked bool
+	// HostClosed is true if the host takes no new work.
+	HostClosed bool
+}
