--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -12,6 +12,7 @@
 	"bramleyrock/core/budget"
 	"bramleyrock/core/group"
 	"bramleyrock/core/move"
+	"bramleyrock/core/peers"
 	"bramleyrock/core/wave"
 	"bramleyrock/io/books"
 	"bramleyrock/io/door"
@@ -25,8 +26,6 @@
 	"bramleyrock/io/roster"
 	"bramleyrock/io/route"
 	"bramleyrock/io/targ"
-
-	"github.com/google/uuid"
 )
 
 // Entry is one entry process.
@@ -62,7 +61,9 @@
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
-	e.member = rock.NewMember(s.Name, s.Zone, e.peer.Address(), uuid.NewString())
+	now := time.Now()
+	source := rand.New(rand.NewPCG(s.Seed, uint64(now.UnixNano())))
+	e.member = rock.NewMember(s.Name, s.Zone, e.peer.Address(), peers.NewIncarnation(now, source, ""))
 	if err := e.build(); err != nil {
 		return nil, fmt.Errorf("build entry %s: %w", s.Name, err)
 	}
