--- a/cmd/bramleyrock/commands.go
+++ b/cmd/bramleyrock/commands.go
@@ -5,11 +5,17 @@
 // commands returns all commands below the root.
 func (a *app) commands() []*cobra.Command {
 	return []*cobra.Command{
+		a.entry(),
 		a.get(),
 		a.apply(),
 		a.delete(),
 		a.history(),
 		a.audit(),
+		a.status(),
+		a.host(),
+		a.wave(),
 		a.call(),
+		a.replay(),
+		a.standIn(),
 	}
 }
--- a/io/books/batch.go
+++ b/io/books/batch.go
@@ -1,6 +1,7 @@
 package books
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"slices"
@@ -14,8 +15,10 @@
 	// maxAttempts is how often a batch is checked again because another entry
 	// committed first.
 	maxAttempts = 20
-	// conflictPause is the mean wait between such attempts.
-	conflictPause = 5 * time.Millisecond
+	// minConflictPause is the longest wait before the second attempt.
+	minConflictPause = 40 * time.Millisecond
+	// maxConflictPause is the longest wait before any attempt.
+	maxConflictPause = 320 * time.Millisecond
 	// maxThrottleWait is the longest wait that the platform may ask for when
 	// its rate is used up.
 	maxThrottleWait = 2 * time.Second
@@ -26,35 +29,37 @@
 
 // commitBatch gives every proposal of the batch its outcome.
 func (b *Books) commitBatch(ctx context.Context, batch []*pending) {
-	for range maxAttempts {
+	var last error
+	for n := range maxAttempts {
 		left, err := b.attempt(ctx, batch)
 		if len(left) == 0 {
 			return
 		}
-		batch = left
-		wait, ok := retryWait(err)
+		batch, last = left, err
+		wait, ok := b.retryWait(err, n)
 		if !ok {
 			endAll(batch, err)
 			return
 		}
-		_ = pause(ctx, b.jitter(wait))
+		_ = pause(ctx, wait)
 	}
 	endAll(batch, rock.Fail("change", "head", rock.Overloaded, rock.NotRun).
-		RetryIn(time.Second).Because(errAgain))
+		RetryIn(time.Second).Because(last))
 }
 
-// retryWait returns the mean wait before the next attempt, and false if there
-// is to be none.
-func retryWait(err error) (time.Duration, bool) {
+// retryWait returns the wait before the next attempt after n others, and false
+// if there is to be none. Entries that conflict spread over a time that doubles
+// with each attempt, in which further changes gather.
+func (b *Books) retryWait(err error, n int) (time.Duration, bool) {
 	if errors.Is(err, errAgain) {
-		return conflictPause, true
+		return b.upTo(min(minConflictPause<<n, maxConflictPause)), true
 	}
 	var f *rock.Failure
 	if !errors.As(err, &f) || f.Verdict() != rock.NotRun {
 		return 0, false
 	}
 	wait := f.RetryAfter()
-	return wait, wait > 0 && wait <= maxThrottleWait
+	return b.jitter(wait), wait > 0 && wait <= maxThrottleWait
 }
 
 func endAll(batch []*pending, err error) {
@@ -130,7 +135,7 @@
 		switch {
 		case err != nil:
 			w.end(rock.Change{}, unsettled(w.proposal.ID, err))
-		case !makes(w.proposal, accepted):
+		case !b.makes(w.proposal, accepted):
 			w.end(rock.Change{}, rock.Fail("change", "change "+w.proposal.ID, rock.Duplicate, rock.NotRun).
 				Becausef("the change id was used for another change, which made revision %d", accepted.Revision()))
 		default:
@@ -141,27 +146,43 @@
 }
 
 // makes reports whether the accepted change is the one that p proposes: of the
-// same author, to the same records, replacing the same versions.
-func makes(p rock.Proposal, accepted rock.Change) bool {
-	want := map[rock.Key]uint64{}
-	for _, r := range append(p.Records[:len(p.Records):len(p.Records)], p.Deletes...) {
-		want[r.Key()] = r.Version()
+// same author, replacing the same versions by the same content.
+func (b *Books) makes(p rock.Proposal, accepted rock.Change) bool {
+	edits := map[rock.Key]rock.Edit{}
+	for _, e := range accepted.Edits() {
+		edits[e.Key()] = e
 	}
-	if p.Who != accepted.Who() || len(want) != len(accepted.Edits()) {
+	if p.Who != accepted.Who() || len(p.Records)+len(p.Deletes) != len(edits) {
 		return false
 	}
-	for _, e := range accepted.Edits() {
-		var from uint64
-		if e.From() != nil {
-			from = e.From().Version()
+	for _, r := range p.Records {
+		if e, ok := edits[r.Key()]; !ok || !replaces(e, r) || e.To() == nil || !b.sameContent(r, *e.To()) {
+			return false
 		}
-		if v, ok := want[e.Key()]; !ok || v != from {
+	}
+	for _, r := range p.Deletes {
+		if e, ok := edits[r.Key()]; !ok || !replaces(e, r) || e.To() != nil {
 			return false
 		}
 	}
 	return true
 }
 
+// replaces reports whether the edit replaced the version that r names.
+func replaces(e rock.Edit, r rock.Record) bool {
+	if e.From() == nil {
+		return r.Version() == 0
+	}
+	return e.From().Version() == r.Version()
+}
+
+// sameContent reports whether the kept record is what became of r.
+func (b *Books) sameContent(r, kept rock.Record) bool {
+	low, err := b.settings.Codec.Canonical(r)
+	return err == nil && low.Schema() == kept.Schema() &&
+		bytes.Equal(encode(low.Body()), encode(kept.Body()))
+}
+
 // add checks the proposal against the configuration after the ones before it
 // and adds it to the transaction. It reports whether the proposal has ended.
 func (b *Books) add(t *transaction, w *pending) bool {
--- a/io/link/entry_test.go
+++ b/io/link/entry_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	rock "bramleyrock"
 	"bramleyrock/core/group"
+	"bramleyrock/io/fakes/relay"
 	"bramleyrock/io/link"
 
 	"gotest.tools/v3/assert"
@@ -26,6 +28,7 @@
 	set     *link.Set
 	forward func(ctx context.Context, r rock.Request) (rock.Answer, error)
 	stop    func()
+	relay   *relay.Relay // nil unless the entry is reached through one
 
 	mu       sync.Mutex
 	revision rock.Revision
@@ -42,12 +45,14 @@
 	secret      string
 	address     string
 	seeds       []string
+	relayed     bool
+	bytes       *atomic.Int64 // counts the bytes of accepted links, if not nil
 	limits      link.Limits
 	forward     func(ctx context.Context, r rock.Request) (rock.Answer, error)
 }
 
 // startEntry starts an entry on a loopback address.
-func startEntry(t *testing.T, s entrySpec) *entry {
+func startEntry(t testing.TB, s entrySpec) *entry {
 	t.Helper()
 	if s.address == "" {
 		s.address = "127.0.0.1:0"
@@ -63,10 +68,15 @@
 	if s.secret == "" {
 		s.secret = secret
 	}
-	e := &entry{
-		member:  rock.NewMember(s.name, s.zone, listener.Addr().String(), s.incarnation),
-		forward: s.forward,
+	e := &entry{forward: s.forward}
+	address := listener.Addr().String()
+	if s.relayed {
+		e.relay, err = relay.New(address)
+		assert.NilError(t, err)
+		t.Cleanup(e.relay.Close)
+		address = e.relay.Address()
 	}
+	e.member = rock.NewMember(s.name, s.zone, address, s.incarnation)
 	settings := link.Settings{
 		Self: e.member, Secret: s.secret, Seeds: s.seeds, Server: e, Limits: s.limits,
 		Beat:       func(time.Time) rock.Heartbeat { return e.beat() },
@@ -74,11 +84,14 @@
 	}
 	e.server, e.set = link.NewServer(settings), link.NewSet(settings)
 	e.server.Notify(e.set)
+	if s.bytes != nil {
+		listener = countingListener{listener, s.bytes}
+	}
 	e.serve(t, listener)
 	return e
 }
 
-func (e *entry) serve(t *testing.T, listener net.Listener) {
+func (e *entry) serve(t testing.TB, listener net.Listener) {
 	door := &http.Server{Handler: e.server, ReadHeaderTimeout: time.Second}
 	g := group.New(context.Background())
 	g.Go("door", func(context.Context) error { _ = door.Serve(listener); return nil })
@@ -104,6 +117,12 @@
 	e.revision = r
 }
 
+func (e *entry) setLoads(loads []rock.PoolLoad) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loads = loads
+}
+
 func (e *entry) hearRevision(r rock.Revision) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -141,7 +160,7 @@
 }
 
 // peer waits until the named peer is alive at e and returns it.
-func (e *entry) peer(t *testing.T, name string) rock.Peer {
+func (e *entry) peer(t testing.TB, name string) rock.Peer {
 	t.Helper()
 	var found rock.Peer
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -161,3 +180,19 @@
 		ID: id, Organisation: "alpha", Pool: "tins", Deadline: time.Now().Add(20 * time.Second), Payload: json.RawMessage(`{"n":1}`),
 	})
 }
+
+func shortRequest(id string, within time.Duration) rock.Request {
+	return rock.NewRequest(rock.RequestSpec{ID: id, Pool: "tins", Deadline: time.Now().Add(within), Payload: json.RawMessage(`{"n":1}`)})
+}
+
+// startForward sends a request in the background.
+func startForward(p rock.Peer, r rock.Request) <-chan forwarded {
+	done := make(chan forwarded, 1)
+	g := group.New(context.Background())
+	g.Go("forward", func(ctx context.Context) error {
+		answer, err := p.Forward(ctx, r)
+		done <- forwarded{answer, err}
+		return nil
+	})
+	return done
+}
--- a/io/link/frame.go
+++ b/io/link/frame.go
@@ -17,6 +17,9 @@
 	frameCall   frameKind = "call"
 	frameAnswer frameKind = "answer"
 	frameCancel frameKind = "cancel"
+	// frameGoodbye tells the dialler to send no more calls and to close the
+	// connection once all are answered.
+	frameGoodbye frameKind = "goodbye"
 )
 
 // operation names the call.
@@ -28,6 +31,8 @@
 	opBeat     operation = "beat"
 	opChanges  operation = "changes"
 	opSnapshot operation = "snapshot"
+	// opResume asks what became of a forwarded request whose answer was lost.
+	opResume operation = "resume"
 )
 
 // frame is the envelope of every message after the handshake.
@@ -100,7 +105,7 @@
 		return frame{}, fmt.Errorf("decode frame: %w", err)
 	}
 	switch f.Kind {
-	case frameCall, frameAnswer, frameCancel:
+	case frameCall, frameAnswer, frameCancel, frameGoodbye:
 		return f, nil
 	}
 	return frame{}, fmt.Errorf("decode frame: unknown kind %q", f.Kind)
@@ -116,6 +121,8 @@
 		form = &beatForm{}
 	case opChanges:
 		form = &changesForm{}
+	case opResume:
+		form = &resumeForm{}
 	case opSnapshot:
 		return nil, nil
 	default:
--- a/io/route/engine.go
+++ b/io/route/engine.go
@@ -40,13 +40,17 @@
 		ledger:   newLedger(s.Claims),
 		closings: newClosings(s.Objects),
 		sched: sched.New(sched.Settings{
-			Place: place.Settings{Zone: s.Member.Zone(), Random: s.Random},
-			Queue: queue.Settings{Limit: s.Limits.Queue},
+			Place:    place.Settings{Zone: s.Member.Zone(), Random: s.Random},
+			Queue:    queue.Settings{Limit: s.Limits.Queue},
+			Attempts: s.Limits.Attempts,
 		}),
 		waiters: map[sched.Ticket]chan sched.Grant{},
 		idle:    make(chan struct{}),
 	}
 	s.Group.Go("route", e.tick)
+	if s.HostList != nil {
+		s.Group.Go("host list", e.followHostList)
+	}
 	return e
 }
 
