--- a/io/targ/client.go
+++ b/io/targ/client.go
@@ -26,6 +26,7 @@
 	callPrefix string
 	callCount  atomic.Uint64
 	left       *ring.Ring[leftTask]
+	runs       runs
 }
 
 // New returns a client. It must be closed.
@@ -40,6 +41,7 @@
 
 		callPrefix: uuid.NewString() + ".",
 	}
+	c.duties.Go("ask about runs", c.askAboutRuns)
 	for range cancelDuties {
 		c.duties.Go("cancel tasks", c.cancelLeft)
 	}
--- a/io/targ/run.go
+++ b/io/targ/run.go
@@ -4,38 +4,40 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	rock "bramleyrock"
-	"bramleyrock/core/group"
 )
 
-// reply is what came of a call that runs a task.
-type reply struct {
-	body []byte
-	err  error
-}
-
-// report is what came of a question about a task.
-type report struct {
-	status rock.TaskStatus
-	err    error
-	revoke bool
-}
-
-// run is one task that is being run: the call and the question that are
-// outstanding, and what is known of the task.
+// run is one task that is being run. Its calls are made one after another by
+// the goroutine of [Client.Run]; while one is outstanding, questions about the
+// task are asked by a duty of the client.
 type run struct {
-	client  *Client
-	host    rock.Host
-	task    rock.Task
-	duties  *group.Group
-	replies chan reply
-	giveUp  context.CancelFunc
-	reports chan report
-	sent    bool
-	misses  int
+	client *Client
+	host   rock.Host
+	task   rock.Task
+	ctx    context.Context
+	begun  time.Time
+
+	mu sync.Mutex
+	// call counts the calls, and giveUp ends the outstanding one.
+	call   int
+	giveUp context.CancelFunc
+	// asking is true while a question is outstanding, and due is when the
+	// next one is to be asked.
+	asking bool
+	due    time.Time
+	// sent is true if an earlier call may have reached the target, and misses
+	// counts the questions in a row without a status.
+	sent   bool
+	misses int
+	// refusal is why a call was refused after an earlier one was sent.
 	refusal error
+	// end is how the run ends, once that is settled.
+	end *outcome
+	// again is true if the task is to be sent again.
+	again bool
 }
 
 // Run implements [rock.Target]. It returns when the whole answer is there,
@@ -45,178 +47,141 @@
 	if err := c.checkSize("run", host, task); err != nil {
 		return rock.Answer{}, err
 	}
-	if !task.Deadline().IsZero() {
-		bound, cancel := context.WithDeadline(ctx, task.Deadline())
-		defer cancel()
-		ctx = bound
-	}
-	r := &run{client: c, host: host, task: task, duties: group.New(ctx)}
-	defer r.close()
-	r.send(c.kept)
-	end := r.wait(ctx)
+	ctx, cancel := boundBy(ctx, task.Deadline())
+	defer cancel()
+	now := time.Now()
+	r := &run{client: c, host: host, task: task, ctx: ctx, begun: now, due: now.Add(c.settings.Probe)}
+	end := r.follow()
 	if ctx.Err() != nil && rock.VerdictOf(end.err) == rock.MayHaveRun {
 		c.left.Put(leftTask{host.Name(), host.Address(), task.ID()})
 	}
 	return end.answer, end.err
 }
 
-// wait follows the run until it ends.
-func (r *run) wait(ctx context.Context) *outcome {
-	ticker := time.NewTicker(r.client.settings.Probe)
-	defer ticker.Stop()
+// boundBy returns a context that can be cancelled and ends at the deadline, if
+// there is one.
+func boundBy(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	if deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
+// follow makes calls until the run is settled: the first over a kept
+// connection, the others over new ones.
+func (r *run) follow() *outcome {
+	h := r.client.kept
 	for {
-		var end *outcome
-		select {
-		case got := <-r.replies:
-			r.replies = nil
-			end = r.take(ctx, got)
-		case got := <-r.reports:
-			r.reports = nil
-			end = r.judge(ctx, got)
-		case <-ticker.C:
-			r.ask(false)
-		case <-r.ended(ctx):
-			end = failed(r.call().lost(ctx, true, ctx.Err()))
+		body, err := r.send(h)
+		end := r.take(body, err)
+		if end == nil {
+			end = r.settle()
 		}
 		if end != nil {
 			return end
 		}
+		h = r.client.fresh
 	}
 }
 
-// ended returns the end of ctx if no call is outstanding. An outstanding call
-// ends with ctx, and tells whether it was sent.
-func (r *run) ended(ctx context.Context) <-chan struct{} {
-	if r.replies != nil {
-		return nil
-	}
-	return ctx.Done()
-}
-
-// call returns the call that runs the task.
-func (r *run) call() call { return newCall("run", r.host, r.task.ID()) }
-
-// send begins a call that runs the task, and gives up the one before.
-func (r *run) send(h *http.Client) {
-	r.stop()
-	ctx, cancel := context.WithCancel(r.duties.Context())
-	replies := make(chan reply, 1)
-	r.giveUp, r.replies = cancel, replies
-	a := r.call()
+// subject returns what the run is applied to.
+func (r *run) subject() string { return "host " + r.host.Name() }
+
+// send makes a call that runs the task. The client's duty asks about the task
+// meanwhile.
+func (r *run) send(h *http.Client) ([]byte, error) {
+	ctx, cancel := context.WithCancel(r.ctx)
+	defer cancel()
+	r.mu.Lock()
+	r.call++
+	r.giveUp = cancel
+	r.again = false
+	r.mu.Unlock()
+	r.client.runs.add(r)
+	defer r.client.runs.remove(r)
+	a := newCall("run", r.host, r.task.ID())
 	a.request.Post("run").BodyJSON(FromTask(r.task))
-	r.duties.Go("run task", func(context.Context) error {
-		body, err := r.client.do(ctx, h, a)
-		replies <- reply{body, err}
-		return nil
-	})
+	return r.client.do(ctx, h, a)
 }
 
-// ask begins a question about the task on a new connection, unless one is
-// outstanding. It may revoke the task.
-func (r *run) ask(revoke bool) {
-	if r.reports != nil {
-		return
-	}
-	a := statusCall(r.host, r.task.ID())
-	if revoke || r.refusal != nil {
-		revoke = true
-		a = revokeCall(r.host, r.task.ID())
-	}
-	reports := make(chan report, 1)
-	r.reports = reports
-	r.duties.Go("ask for task", func(ctx context.Context) error {
-		var f StatusForm
-		err := r.client.askOver(ctx, r.client.fresh, a, &f)
-		reports <- report{f.Status(), err, revoke}
+// take judges what came of a call. It returns nil if that does not settle the
+// run.
+func (r *run) take(body []byte, err error) *outcome {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err == nil:
+		return r.answered(body)
+	case r.end != nil:
+		return r.end
+	case r.again:
 		return nil
-	})
-}
-
-// stop gives up the outstanding call, which closes its connection.
-func (r *run) stop() {
-	if r.giveUp != nil {
-		r.giveUp()
+	case rock.VerdictOf(err) == rock.NotRun && !r.sent:
+		return failed(err)
+	case r.ctx.Err() != nil:
+		return failed(r.ended(err))
+	case rock.VerdictOf(err) == rock.NotRun:
+		// The earlier call may still arrive, so the task is revoked.
+		r.refusal = err
+		return nil
+	case !lostAnswer(err):
+		return failed(err)
 	}
+	r.sent = true
+	return nil
 }
 
-// close ends all duties.
-func (r *run) close() {
-	r.stop()
-	r.duties.Stop()
-	// The duties return no errors.
-	_ = r.duties.Wait()
-}
-
-// take judges what came of the call, and asks for the task if that does not
-// settle the run.
-func (r *run) take(ctx context.Context, got reply) *outcome {
-	switch {
-	case got.err == nil:
-		return r.answered(got.body)
-	case rock.VerdictOf(got.err) == rock.NotRun:
-		return r.refused(got.err)
-	case ctx.Err() != nil || !lostAnswer(got.err):
-		return failed(got.err)
+// settle asks about the task while no call is outstanding. It returns nil if
+// the task is to be sent again.
+func (r *run) settle() *outcome {
+	for {
+		r.mu.Lock()
+		again := r.again
+		r.mu.Unlock()
+		if again {
+			return nil
+		}
+		if end := r.ask(); end != nil {
+			return end
+		}
+		if !r.pause() {
+			return failed(r.ended(r.ctx.Err()))
+		}
 	}
-	r.sent = true
-	r.ask(false)
-	return nil
 }
 
-// refused judges a call that did not start the task. If an earlier call may
-// still do so, the task is revoked.
-func (r *run) refused(err error) *outcome {
-	if !r.sent {
-		return failed(err)
+// pause waits until the next question, unless the task is to be sent again, and
+// reports whether the run goes on.
+func (r *run) pause() bool {
+	r.mu.Lock()
+	wait := time.Until(r.due)
+	if r.again {
+		wait = 0
+	}
+	r.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.ctx.Done():
+		return false
 	}
-	r.refusal = err
-	r.ask(true)
-	return nil
 }
 
 func (r *run) answered(body []byte) *outcome {
 	return &outcome{answer: rock.NewAnswer(r.task.ID(), r.host.Name(), body)}
 }
 
-// judge judges the target's report on the task.
-func (r *run) judge(ctx context.Context, got report) *outcome {
-	if got.err != nil {
-		return r.missed(ctx, got.err)
-	}
-	r.misses = 0
-	switch got.status.State() {
-	case rock.TaskDone:
-		return r.answered(got.status.Result())
-	case rock.TaskRunning:
-		r.refusal = nil
-		return nil
-	case rock.TaskUnknown:
-		return failed(r.notRun())
-	case rock.TaskCancelled:
-		return failed(r.fail(rock.Expired).Becausef("target stopped the task"))
-	}
-	return failed(r.fail(rock.WorkFailed).Becausef("task is %s", got.status.State()))
+// fail returns a failure of the run after which the task may have run.
+func (r *run) fail(reason rock.Reason) *rock.Failure {
+	return rock.Fail("run", r.subject(), reason, rock.MayHaveRun)
 }
 
-// missed judges a question that was not answered with a status. A task that
-// the target does not know was lost on the way and is sent again on a new
-// connection, under its id; if its bytes arrive after all, they join it.
-func (r *run) missed(ctx context.Context, err error) *outcome {
-	if ctx.Err() != nil {
-		return nil
-	}
-	r.misses++
-	lost := rock.ReasonOf(err) == rock.NotFound
-	switch {
-	case r.misses <= r.client.settings.Probes && lost:
-		r.sent = true
-		r.send(r.client.fresh)
-	case r.misses == r.client.settings.Probes+1 && lost:
-		r.ask(true)
-	case r.misses > r.client.settings.Probes:
-		return failed(r.fail(rock.Unavailable).Because(err))
-	}
-	return nil
+// ended returns the failure of a run whose context ended after a call may have
+// reached the target.
+func (r *run) ended(err error) error {
+	return call{op: "run", host: r.host}.lost(r.ctx, true, err)
 }
 
 // notRun returns the failure of a task that was revoked before its start.
@@ -226,10 +191,5 @@
 	if cause == nil {
 		cause, reason = errors.New("task did not arrive and was revoked"), rock.Unavailable
 	}
-	return rock.Fail("run", r.call().subject(), reason, rock.NotRun).Because(cause)
-}
-
-// fail returns a failure of the run after which the task may have run.
-func (r *run) fail(reason rock.Reason) *rock.Failure {
-	return rock.Fail("run", r.call().subject(), reason, rock.MayHaveRun)
+	return rock.Fail("run", r.subject(), reason, rock.NotRun).Because(cause)
 }
