--- a/core/trace/trace_test.go
+++ b/core/trace/trace_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -118,19 +119,22 @@
 // TestRecordedTraces judges traces that were recorded from runs, see their
 // headers.
 func TestRecordedTraces(t *testing.T) {
-	tests := map[string]struct{ broken string }{
-		"out_of_order_checked": {""},
+	tests := map[string][]string{
+		"out_of_order_checked": {},
 		"out_of_order_plain":   {"whole_answers"},
+		"schedule_checked":     {},
+		"schedule_believing":   {"at_most_once", "not_run_true", "whole_answers"},
 	}
-	for name, test := range tests {
+	for name, want := range tests {
 		t.Run(name, func(t *testing.T) {
 			h, events := load(t, filepath.Join("recorded", name))
 			assert.Equal(t, h.Name, name)
-			found := trace.Check(events, trace.Outcomes())
-			assert.Equal(t, len(found) > 0, test.broken != "")
-			for _, v := range found {
-				assert.Equal(t, v.Outcome(), test.broken)
+			broken := []string{}
+			for _, v := range trace.Check(events, trace.Outcomes()) {
+				broken = append(broken, v.Outcome())
 			}
+			slices.Sort(broken)
+			assert.DeepEqual(t, slices.Compact(broken), want)
 		})
 	}
 }
--- a/io/targ/main_test.go
+++ b/io/targ/main_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bramleyrock/core/trace"
@@ -37,16 +38,40 @@
 			linkFaults()["out of order"].make(b)
 			b.load(t, run, 4, 5, 10*time.Second)
 			b.judge()
-			out := io.Discard
-			if *record != "" {
-				f, err := os.Create(filepath.Join(*record, name+".jsonl"))
-				assert.NilError(t, err)
-				defer f.Close()
-				out = f
-			}
-			assert.NilError(t, b.log.WriteTrace(out, trace.Header{
-				Name: name, Seed: 1, Command: "go test ./io/targ -run TestRecord -record DIRECTORY",
-			}))
+			keep(t, &b.log, name, 1)
 		})
 	}
 }
+
+// TestRecordSchedules records a schedule in which the client without the
+// mechanisms breaks verdicts, and what the real client makes of it.
+func TestRecordSchedules(t *testing.T) {
+	const seed = 2
+	clients := map[string]func(w *wire) (runner, func()){
+		"schedule_checked": checked, "schedule_believing": believing,
+	}
+	for name, client := range clients {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSchedule(seed)
+			run, closeClient := client(s.wire)
+			defer closeClient()
+			s.run(t, run)
+			keep(t, &s.log, name, seed)
+		})
+	}
+}
+
+// keep records a trace, or only checks that it could if the flag is not set.
+func keep(t *testing.T, l *trace.Log, name string, seed uint64) {
+	t.Helper()
+	out := io.Discard
+	if *record != "" {
+		f, err := os.Create(filepath.Join(*record, name+".jsonl"))
+		assert.NilError(t, err)
+		defer f.Close()
+		out = f
+	}
+	assert.NilError(t, l.WriteTrace(out, trace.Header{
+		Name: name, Seed: seed, Command: "go test ./io/targ -run TestRecord -record DIRECTORY",
+	}))
+}
