--- a/io/fakes/work/worker.go
+++ b/io/fakes/work/worker.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -62,7 +61,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.settle(w.settings.Now())
-	return slices.Clone(w.runs)
+	return append([]Run{}, w.runs...)
 }
 
 // Leases returns the number of running tasks, without lag.
--- a/io/targ/wire_test.go
+++ b/io/targ/wire_test.go
@@ -66,6 +66,8 @@
 	handlers map[string]http.Handler
 	duties   *group.Group
 	share    float64
+	// only is the one fault that is made, if it is set.
+	only wireFault
 	// maxLate is the longest delay of a call or an answer.
 	maxLate time.Duration
 
@@ -82,6 +84,9 @@
 	if w.random.Float64() >= w.share {
 		return faultNone, late
 	}
+	if w.only != "" {
+		return w.only, late
+	}
 	all := wireFaults()
 	return all[w.random.IntN(len(all))], late
 }
