--- a/io/client/request.go
+++ b/io/client/request.go
@@ -40,3 +40,15 @@
 	err := c.post(ctx, "/v1/pools/"+url.PathEscape(pool)+"/requests", r, &a)
 	return a, err
 }
+
+// Keys returns fresh idempotency keys.
+func (c *Client) Keys(ctx context.Context, count int) ([]string, error) {
+	var a struct {
+		Keys []string `json:"keys"`
+	}
+	body := struct {
+		Count int `json:"count"`
+	}{count}
+	err := c.post(ctx, "/v1/keys", body, &a)
+	return a.Keys, err
+}
--- a/io/door/door.go
+++ b/io/door/door.go
@@ -25,6 +25,7 @@
 	listener net.Listener
 	server   *http.Server
 	open     atomic.Int64
+	retiring atomic.Bool
 }
 
 // New returns a door that is not listening yet.
@@ -69,6 +70,10 @@
 	return fmt.Errorf("serve %s door: %w", d.name, err)
 }
 
+// Retire ends each connection after its next answer, so that callers open
+// their next connections elsewhere and none is idle when the door closes.
+func (d *Door) Retire() { d.retiring.Store(true) }
+
 // Close takes no more connections and waits until the requests in progress
 // are answered or ctx ends; then it cuts those that are left.
 func (d *Door) Close(ctx context.Context) error {
@@ -90,6 +95,9 @@
 
 // serve checks the limits of the door and hands the request on.
 func (d *Door) serve(w http.ResponseWriter, r *http.Request) {
+	if d.retiring.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if open := d.open.Load(); open > int64(d.limits.Connections) {
 		w.Header().Set("Connection", "close")
 		probl.Write(w, rock.Fail("connect to", d.name+" door", rock.Overloaded, rock.NotRun).
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -46,6 +46,7 @@
 	peer     *door.Door
 	handlers handlers
 	leaving  atomic.Bool
+	placing  atomic.Bool
 }
 
 // handlers are the handlers of the doors, which listen before all parts exist.
@@ -79,6 +80,15 @@
 // Member returns the entry's identity.
 func (e *Entry) Member() rock.Member { return e.member }
 
+// Revision returns the revision in force.
+func (e *Entry) Revision() rock.Revision { return e.books.Revision() }
+
+// Watch returns a channel that is closed when a newer revision is in force.
+func (e *Entry) Watch() <-chan struct{} { return e.books.Watch() }
+
+// Peers returns the number of other entries that are alive.
+func (e *Entry) Peers() int { return len(e.links.Alive(time.Now())) }
+
 // listen opens the doors.
 func (e *Entry) listen() error {
 	open := func(name, address string, handler *http.Handler) (*door.Door, error) {
@@ -157,16 +167,17 @@
 func (e *Entry) buildEngine() {
 	s := e.settings
 	e.engine = route.New(route.Settings{
-		Member:  e.member,
-		Fleet:   e.books,
-		Target:  targ.New(targ.Settings{}),
-		Peers:   e.links,
-		Secret:  []byte(s.PeerSecret),
-		Objects: e.platform,
-		Random:  rand.New(rand.NewPCG(s.Seed, uint64(time.Now().UnixNano()))),
-		Log:     s.Log.WithField(logs.PartField, "route"),
-		Scope:   e.meter.Scope().SubScope("route"),
-		Group:   e.duties,
+		Member:   e.member,
+		Fleet:    e.books,
+		MayPlace: e.placing.Load,
+		Target:   targ.New(targ.Settings{}),
+		Peers:    e.links,
+		Secret:   []byte(s.PeerSecret),
+		Objects:  e.platform,
+		Random:   rand.New(rand.NewPCG(s.Seed, uint64(time.Now().UnixNano()))),
+		Log:      s.Log.WithField(logs.PartField, "route"),
+		Scope:    e.meter.Scope().SubScope("route"),
+		Group:    e.duties,
 	})
 }
 
--- a/io/entry/probes.go
+++ b/io/entry/probes.go
@@ -23,6 +23,9 @@
 	} else if !e.books.Confirmed() {
 		r.Warnings = append(r.Warnings, "unconfirmed: the platform has not confirmed the configuration in force")
 	}
+	if !e.placing.Load() {
+		r.Warnings = append(r.Warnings, "unregistered: requests are served through other entries")
+	}
 	if e.leaving.Load() {
 		r.Missing = append(r.Missing, "leaving")
 	}
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -22,6 +22,7 @@
 	e.duties.Go("links", e.links.Run)
 	e.duties.Go("roster", e.roster.Run)
 	e.duties.Go("duties", e.runner.Run)
+	e.duties.Go("register", e.register)
 	select {
 	case <-ctx.Done():
 	case <-e.duties.Context().Done():
@@ -51,6 +52,8 @@
 	e.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(hard, e.settings.StopTimeout)
 	defer cancel()
+	e.caller.Retire()
+	e.operator.Retire()
 	e.links.Tell()
 	if err := e.roster.Announce(ctx, rock.EntryLeaving); err != nil {
 		log.WithError(err).Warn("The status row could not be marked as leaving.")
--- a/io/route/elsewhere.go
+++ b/io/route/elsewhere.go
@@ -9,7 +9,8 @@
 
 // elsewhere returns the peer of another zone that is expected to run the
 // request sooner than the own zone, or nil if there is none. Asked lists the
-// peers that refused it.
+// peers that refused it. An entry that may not place yet asks the peers of its
+// own zone too.
 func (e *Engine) elsewhere(r rock.Request, asked []string) rock.Peer {
 	if e.settings.Peers == nil || r.Hops() >= e.settings.Limits.Hops {
 		return nil
@@ -43,10 +44,10 @@
 	return e.sched.Load(r.Pool(), r.Class()), true
 }
 
-// waitAt returns the predicted wait at a peer of another zone, the way there
-// and back included, and whether it has open hosts of the pool.
+// waitAt returns the predicted wait at a peer, the way there and back included,
+// and whether it has open hosts of the pool that the entry has not itself.
 func (e *Engine) waitAt(v rock.PeerView, pool string) (time.Duration, bool) {
-	if v.Heartbeat().Member().Zone() == e.settings.Member.Zone() {
+	if v.Heartbeat().Member().Zone() == e.settings.Member.Zone() && e.mayPlace() {
 		return 0, false
 	}
 	for _, l := range v.Heartbeat().Pools() {
--- a/io/route/engine.go
+++ b/io/route/engine.go
@@ -21,6 +21,7 @@
 	ledger   *ledger
 	closings *closings
 	tasks    atomic.Uint64
+	placing  atomic.Bool
 
 	mu      sync.Mutex
 	sched   *sched.Scheduler
@@ -78,10 +79,21 @@
 	if !ok {
 		return rock.Fail("route", "", rock.Unavailable, rock.NotRun).RetryIn(time.Second).Becausef("no configuration is known yet")
 	}
-	e.sched.Update(now, fleet)
+	if e.mayPlace() {
+		e.sched.Update(now, fleet)
+	}
 	return nil
 }
 
+// mayPlace reports whether the entry may place on the hosts of its zone. Until
+// it may, the scheduler knows no host.
+func (e *Engine) mayPlace() bool {
+	if !e.placing.Load() && e.settings.MayPlace() {
+		e.placing.Store(true)
+	}
+	return e.placing.Load()
+}
+
 // dispatch grants free hosts to the waiting requests of the pool. The lock is
 // held.
 func (e *Engine) dispatch(pool string) {
--- a/io/route/settings.go
+++ b/io/route/settings.go
@@ -18,6 +18,9 @@
 	Member rock.Member
 	// Fleet gives the configuration in force.
 	Fleet rock.FleetSource
+	// MayPlace reports whether the entry may place on the hosts of its zone; nil
+	// means that it may. Once it may, it is not asked again.
+	MayPlace func() bool
 	// Target runs tasks on hosts.
 	Target rock.Target
 	// Peers are the other entries; nil means that there are none.
@@ -51,6 +54,9 @@
 	if s.Now == nil {
 		s.Now = time.Now
 	}
+	if s.MayPlace == nil {
+		s.MayPlace = func() bool { return true }
+	}
 	if s.Random == nil {
 		s.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
