--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -1,10 +1,12 @@
 package place
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/eject"
 )
 
 // Placer chooses hosts of one availability zone. It implements [rock.Placer]
@@ -15,6 +17,8 @@
 	nodes    map[string]*node
 	groups   map[string]*group
 	closed   []string
+	memories map[string]memory
+	leaving  map[string]bool
 }
 
 // New returns a placer that knows no host yet.
@@ -25,7 +29,7 @@
 	if s.Hold <= 0 {
 		s.Hold = defaultHold
 	}
-	return &Placer{settings: s, nodes: map[string]*node{}, groups: map[string]*group{}}
+	return &Placer{settings: s, nodes: map[string]*node{}, groups: map[string]*group{}, memories: map[string]memory{}}
 }
 
 // Revision returns the revision of the configuration in use.
@@ -53,6 +57,7 @@
 	for name, n := range old {
 		if p.nodes[name] == nil && n.inFlight > 0 {
 			n.host = rock.NewHost(rock.HostSpec{Name: name, Zone: p.settings.Zone})
+			n.health = &eject.Host{}
 			n.position = -1
 			p.nodes[name] = n
 		}
@@ -61,12 +66,12 @@
 
 // add takes up the hosts of one pool.
 func (p *Placer) add(now time.Time, old map[string]*node, pool string) {
-	g := &group{}
+	g := &group{memory: p.memory(pool)}
 	p.groups[pool] = g
 	for _, h := range p.fleet.PoolHosts(pool, p.settings.Zone) {
-		n := &node{host: h, position: -1}
+		n := &node{host: h, health: g.watch.Join(h.Name()), leaving: p.leaving[h.Name()], position: -1}
 		if o := old[h.Name()]; o != nil {
-			n.inFlight, n.heldUntil = o.inFlight, o.heldUntil
+			n.inFlight, n.most, n.heldUntil = o.inFlight, o.most, o.heldUntil
 		}
 		p.nodes[h.Name()] = n
 		g.nodes = append(g.nodes, n)
@@ -76,11 +81,57 @@
 		}
 		g.slots += h.Slots()
 		g.taken += n.inFlight
-		if now.Before(n.heldUntil) {
-			g.held = append(g.held, n)
+		if until := n.releaseAt(now); !until.IsZero() {
+			g.hold(n, until)
 		}
 		g.settle(now, n)
 	}
+	for _, name := range g.watch.Names() {
+		if n := p.nodes[name]; n == nil || n.host.Pool() != pool {
+			g.watch.Leave(name)
+		}
+	}
+}
+
+// SetLeaving tells the placer which hosts the platform lists as leaving. They
+// get no new work until they are no longer listed so.
+func (p *Placer) SetLeaving(now time.Time, names []string) {
+	old := p.leaving
+	p.leaving = make(map[string]bool, len(names))
+	for _, name := range names {
+		p.leaving[name] = true
+		p.setLeaving(now, name, true)
+	}
+	for name := range old {
+		if !p.leaving[name] {
+			p.setLeaving(now, name, false)
+		}
+	}
+}
+
+// setLeaving marks one host.
+func (p *Placer) setLeaving(now time.Time, name string, leaving bool) {
+	n := p.nodes[name]
+	if n == nil || n.leaving == leaving {
+		return
+	}
+	n.leaving = leaving
+	if g := p.groups[n.host.Pool()]; g != nil {
+		g.settle(now, n)
+	}
+}
+
+// memory returns what is kept of the pool over configurations.
+func (p *Placer) memory(pool string) memory {
+	m, ok := p.memories[pool]
+	if !ok {
+		m = memory{
+			watch:  eject.NewWatch(p.settings.Eject),
+			random: rand.New(rand.NewPCG(p.settings.Random.Uint64(), p.settings.Random.Uint64())),
+		}
+		p.memories[pool] = m
+	}
+	return m
 }
 
 // Choose implements [rock.Placer].
@@ -112,10 +163,10 @@
 	case LeastInFlight:
 		return least(g.ready, avoid)
 	case Random:
-		return scan(g.ready, p.settings.Random.IntN(len(g.ready)), avoid)
+		return scan(g.ready, g.random.IntN(len(g.ready)), avoid)
 	}
-	first := scan(g.ready, p.settings.Random.IntN(len(g.ready)), avoid)
-	second := scan(g.ready, p.settings.Random.IntN(len(g.ready)), avoid)
+	first := scan(g.ready, g.random.IntN(len(g.ready)), avoid)
+	second := scan(g.ready, g.random.IntN(len(g.ready)), avoid)
 	if first != nil && second.load() < first.load() {
 		return second
 	}
@@ -148,7 +199,8 @@
 	return best
 }
 
-// Done implements [rock.Placer].
+// Done implements [rock.Placer]. An outcome that says nothing about the host,
+// such as a cancelled request, is not held against it.
 func (p *Placer) Done(now time.Time, host string, _ time.Duration, err error) {
 	n := p.nodes[host]
 	if n == nil || n.inFlight == 0 {
@@ -165,12 +217,75 @@
 	if n.host.Open() {
 		g.taken--
 	}
-	if rock.ReasonOf(err) == rock.Overloaded && rock.VerdictOf(err) == rock.NotRun {
-		g.hold(now, now.Add(p.settings.Hold), n)
-	}
+	p.learn(now, g, n, err)
 	g.settle(now, n)
 }
 
+// learn learns from the outcome of a task on the node.
+func (p *Placer) learn(now time.Time, g *group, n *node, err error) {
+	if Refused(err) {
+		p.holdBack(now, g, n, rock.ReasonOf(err))
+		return
+	}
+	failed, known := Failed(err)
+	if p.settings.NoEjection || !known {
+		return
+	}
+	if g.watch.Note(now, n.health, failed) {
+		g.hold(n, n.health.Until())
+	}
+}
+
+// holdBack gives no more work to a node that refused some: none beyond what it
+// holds if its slots are taken, and none at all if it is about to leave.
+func (p *Placer) holdBack(now time.Time, g *group, n *node, reason rock.Reason) {
+	n.most, n.heldUntil = n.inFlight, now.Add(p.settings.Hold)
+	if reason != rock.Overloaded {
+		n.most, n.heldUntil = 0, now.Add(leavingHold)
+	}
+	g.hold(n, n.heldUntil)
+}
+
+// Refused reports whether err is the refusal of a target that takes no work at
+// the moment, which says nothing about the request.
+func Refused(err error) bool {
+	if rock.VerdictOf(err) != rock.NotRun {
+		return false
+	}
+	switch rock.ReasonOf(err) {
+	case rock.Overloaded, rock.Leaving, rock.Fenced:
+		return true
+	}
+	return false
+}
+
+// Failed reports whether the outcome of a task is a failure of its host, and
+// whether it says anything about the host at all.
+func Failed(err error) (failed, known bool) {
+	switch rock.ReasonOf(err) {
+	case "":
+		return false, true
+	case rock.WorkFailed, rock.Truncated, rock.Internal, rock.Unsettled, rock.Unavailable:
+		return true, true
+	case rock.DeadlineExceeded:
+		return true, rock.VerdictOf(err) == rock.MayHaveRun
+	}
+	return false, false
+}
+
+// Ejected returns the names of the pool's hosts that are ejected at that time.
+func (p *Placer) Ejected(now time.Time, pool string) []string {
+	var names []string
+	if g := p.groups[pool]; g != nil {
+		for _, n := range g.nodes {
+			if n.health.State(now) == eject.Ejected {
+				names = append(names, n.host.Name())
+			}
+		}
+	}
+	return names
+}
+
 // InFlight returns the number of tasks in flight on the host.
 func (p *Placer) InFlight(host string) int {
 	if n := p.nodes[host]; n != nil {
@@ -199,6 +314,14 @@
 	return g.slots, g.taken
 }
 
+// Hosts returns the number of the pool's hosts in the zone.
+func (p *Placer) Hosts(pool string) int {
+	if g := p.groups[pool]; g != nil {
+		return len(g.nodes)
+	}
+	return 0
+}
+
 // Pools returns the names of the pools that have hosts in the zone.
 func (p *Placer) Pools() []string {
 	var names []string
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -11,6 +11,9 @@
 	rock "bramleyrock"
 	"bramleyrock/core/budget"
 	"bramleyrock/core/group"
+	"bramleyrock/core/move"
+	"bramleyrock/core/peers"
+	"bramleyrock/core/wave"
 	"bramleyrock/io/books"
 	"bramleyrock/io/door"
 	"bramleyrock/io/duty"
@@ -23,8 +26,6 @@
 	"bramleyrock/io/roster"
 	"bramleyrock/io/route"
 	"bramleyrock/io/targ"
-
-	"github.com/google/uuid"
 )
 
 // Entry is one entry process.
@@ -60,7 +61,9 @@
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
-	e.member = rock.NewMember(s.Name, s.Zone, e.peer.Address(), uuid.NewString())
+	now := time.Now()
+	source := rand.New(rand.NewPCG(s.Seed, uint64(now.UnixNano())))
+	e.member = rock.NewMember(s.Name, s.Zone, e.peer.Address(), peers.NewIncarnation(now, source, ""))
 	if err := e.build(); err != nil {
 		return nil, fmt.Errorf("build entry %s: %w", s.Name, err)
 	}
@@ -117,7 +120,7 @@
 	e.books = books.New(books.Settings{
 		Table:           platform,
 		Objects:         platform,
-		Reviewer:        reviewer,
+		Reviewer:        rock.Reviewers{move.Reviewer{}, wave.Reviewer{}, reviewer},
 		Peers:           e.links,
 		Now:             time.Now,
 		Log:             s.Log,
@@ -186,7 +189,7 @@
 		Fleet:    e.books,
 		HostList: platform,
 		Roster:   lastRows{e.roster},
-		Observer: reviewer,
+		Budgets:  reviewer,
 		Log:      s.Log.WithField(logs.PartField, "duty"),
 		Scope:    e.meter.Scope().SubScope("duty"),
 	})
