--- a/core/sched/drive_test.go
+++ b/core/sched/drive_test.go
@@ -35,6 +35,8 @@
 	settings sched.Settings
 	// shared joins all pools into one.
 	shared bool
+	// sharing is how the entries share the hosts.
+	sharing sharing
 	// rate returns the arrivals a second.
 	rate func(pool int, at time.Duration) float64
 	// fails reports whether a host fails what it starts.
@@ -50,6 +52,15 @@
 	cancelled func(n int) (time.Duration, bool)
 }
 
+// sharing is a way in which entries share the hosts of their zone.
+type sharing string
+
+const (
+	ownCounts sharing = ""       // each counts what it has in flight itself
+	gossip    sharing = "gossip" // and heeds what the others told a second ago
+	owners    sharing = "owners" // each host has an owner, the only one to place on it
+)
+
 // visit is one request on its way.
 type visit struct {
 	request rock.Request
@@ -120,8 +131,9 @@
 	seq     int
 	events  events
 	entries []*sched.Scheduler
-	visits  []map[sched.Ticket]*visit // by entry
-	busy    map[string]int            // slots taken, by host
+	visits  []map[sched.Ticket]*visit  // by entry
+	heard   []map[string]rock.PoolLoad // by entry, as told a second ago
+	busy    map[string]int             // slots taken, by host
 	count   int
 	// generation counts the restarts.
 	generation int
@@ -149,7 +161,7 @@
 		s.Place.Zone = "a"
 		s.Place.Random = rand.New(rand.NewPCG(d.seed, uint64(e)+2))
 		entry := sched.New(s)
-		entry.Update(d.clock(), d.fleet())
+		entry.Update(d.clock(), d.fleet(e))
 		d.entries = append(d.entries, entry)
 		d.visits = append(d.visits, map[sched.Ticket]*visit{})
 	}
@@ -170,12 +182,16 @@
 	return fmt.Sprint("p", label)
 }
 
-func (d *drive) fleet() rock.Fleet {
+// fleet returns the configuration as an entry uses it.
+func (d *drive) fleet(e int) rock.Fleet {
 	var pools []rock.Pool
 	var hosts []rock.Host
 	for i := range d.pools {
 		pools = append(pools, rock.NewPool(fmt.Sprint("p", i), "", false))
 		for j := range d.hosts {
+			if d.sharing == owners && j%d.plan.entries != e {
+				continue
+			}
 			hosts = append(hosts, rock.NewHost(rock.HostSpec{Name: fmt.Sprintf("p%dh%d", i, j), Zone: "a", Pool: d.pool(i), Slots: d.slots, Open: true}))
 		}
 	}
@@ -200,6 +216,7 @@
 	for e := range d.entries {
 		d.look(e)
 	}
+	d.tell()
 	for len(d.events) > 0 {
 		next := heap.Pop(&d.events).(event)
 		d.now = next.at
@@ -231,12 +248,58 @@
 	d.at(d.now+tick, func() { d.look(e) })
 }
 
+// tell lets all entries tell each other their loads, once a second.
+func (d *drive) tell() {
+	if d.sharing == ownCounts || d.now > d.length+d.timeout {
+		return
+	}
+	d.heard = nil
+	for _, entry := range d.entries {
+		loads := map[string]rock.PoolLoad{}
+		for label := range d.pools {
+			loads[d.pool(label)] = entry.Load(d.pool(label), rock.Normal)
+		}
+		d.heard = append(d.heard, loads)
+	}
+	d.at(d.now+time.Second, d.tell)
+}
+
+// route returns the entry that queues a request which arrived at entry e.
+func (d *drive) route(e int, pool string) int {
+	if d.sharing != owners {
+		return e
+	}
+	best, least := e, d.entries[e].Load(pool, rock.Normal).Wait()
+	for other, loads := range d.heard {
+		if wait := loads[pool].Wait() + roundTrip; other != e && wait < least {
+			best, least = other, wait
+		}
+	}
+	return best
+}
+
+// crowded reports whether the others are believed to hold the pool's last
+// slots.
+func (d *drive) crowded(e int, pool string) bool {
+	if d.sharing != gossip {
+		return false
+	}
+	load := d.entries[e].Load(pool, rock.Normal)
+	taken := load.InFlight()
+	for other, loads := range d.heard {
+		if other != e {
+			taken += loads[pool].InFlight()
+		}
+	}
+	return taken >= load.Slots()
+}
+
 func (d *drive) arrive(label int) {
 	d.count++
 	t := d.tallies[label]
 	t.offered++
 	t.offers[int(d.now/time.Second)]++
-	e := d.randoms[label].IntN(len(d.entries))
+	e := d.route(d.randoms[label].IntN(len(d.entries)), d.pool(label))
 	v := &visit{label: label, entry: e, era: d.generation, arrived: d.now, work: time.Duration(d.randoms[label].ExpFloat64() * float64(d.service))}
 	v.request = rock.NewRequest(rock.RequestSpec{
 		ID: fmt.Sprint(d.count), Pool: d.pool(label), Idempotent: true, Deadline: d.clock().Add(d.timeout),
@@ -268,7 +331,7 @@
 
 // dispatch starts what an entry grants.
 func (d *drive) dispatch(e int, pool string) {
-	for {
+	for !d.crowded(e, pool) {
 		g, ok := d.entries[e].Next(d.clock(), pool)
 		if !ok {
 			return
