--- a/io/door/door.go
+++ b/io/door/door.go
@@ -111,8 +111,8 @@
 			Becausef("header has %d bytes, at most %d are allowed", size, d.limits.HeaderBytes))
 		return
 	}
-	if r.ProtoMajor == 1 {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(d.limits.ReadTimeout))
+	if r.Body != http.NoBody {
+		r.Body = newTimedBody(r.Body, w, time.Now().Add(d.limits.ReadTimeout))
 	}
 	d.handler.ServeHTTP(w, r)
 }
--- a/io/door/door_test.go
+++ b/io/door/door_test.go
@@ -75,6 +75,32 @@
 	assert.ErrorContains(t, <-failed, "timeout")
 }
 
+// TestLongWorkOutlivesReadTimeout answers a request, with and without a body,
+// later than the time in which it must be read.
+func TestLongWorkOutlivesReadTimeout(t *testing.T) {
+	const readTimeout = 50 * time.Millisecond
+	d := open(t, door.Limits{ReadTimeout: readTimeout}, func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		assert.Check(t, err)
+		select {
+		case <-r.Context().Done():
+			t.Error("the request was cancelled")
+		case <-time.After(4 * readTimeout):
+		}
+		_, _ = io.WriteString(w, "whole")
+	})
+	for name, body := range map[string]io.Reader{"without a body": nil, "with a body": strings.NewReader("{}")} {
+		t.Run(name, func(t *testing.T) {
+			resp, err := http.Post("http://"+d.Address(), "application/json", body)
+			assert.NilError(t, err)
+			defer resp.Body.Close()
+			answer, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(answer), "whole")
+		})
+	}
+}
+
 func TestCloseWaitsForAnswer(t *testing.T) {
 	entered, release := make(chan struct{}), make(chan struct{})
 	d := door.New(door.Settings{Name: "test", Address: "127.0.0.1:0", Log: logs.Discard(), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/io/trial/load.go
+++ b/io/trial/load.go
@@ -51,6 +51,7 @@
 // surges.
 func (l *load) plan() []arrival {
 	s := l.site.shape
+	busy := l.site.settings.LoadShare * float64(s.hosts()*s.slots)
 	var all []arrival
 	for i, pool := range s.pools {
 		surge := steady
@@ -58,7 +59,7 @@
 			surge = surgeOf(l.site.settings.Length)
 		}
 		random := rand.New(rand.NewPCG(l.site.settings.Seed, uint64(10+i)))
-		all = append(all, arrivals(random, pool, s.hosts()*s.slots, l.site.settings.Length, surge)...)
+		all = append(all, arrivals(random, pool, busy, l.site.settings.Length, surge)...)
 	}
 	slices.SortStableFunc(all, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
 	return all
--- a/io/trial/run.go
+++ b/io/trial/run.go
@@ -12,6 +12,7 @@
 // Run runs a trial and returns its report. An error means that the trial could
 // not be carried out.
 func Run(ctx context.Context, s Settings) (Report, error) {
+	s = s.withDefaults()
 	s.progress("starting the platform, the targets and the entries")
 	t, err := newSite(s)
 	if err != nil {
