--- a/io/books/batch.go
+++ b/io/books/batch.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -85,7 +86,7 @@
 	}
 	config := b.Config()
 	if config.Revision() > head {
-		return batch, errAgain
+		return batch, fmt.Errorf("head was at revision %d and %d is in force: %w", head, config.Revision(), errAgain)
 	}
 	t := newTransaction(config, rows)
 	batch = b.endRepeated(ctx, batch, rows)
--- a/io/books/snapshot.go
+++ b/io/books/snapshot.go
@@ -58,25 +58,55 @@
 func (b *Books) readSnapshot(ctx context.Context, head rock.Revision) (*feed.Config, error) {
 	ctx, cancel := b.call(ctx)
 	defer cancel()
+	for {
+		revision, data, err := b.getSnapshot(ctx, head)
+		if err != nil || revision == 0 {
+			return nil, err
+		}
+		if data == nil {
+			// It was replaced by a newer one meanwhile.
+			if next, err := b.newestSnapshot(ctx); err != nil || next == revision {
+				return nil, err
+			}
+			continue
+		}
+		config, err := b.decodeSnapshot(revision, data)
+		if err != nil {
+			b.settings.Log.WithError(err).Error("A snapshot cannot be trusted. The feed is read instead.")
+			return nil, nil
+		}
+		return config, nil
+	}
+}
+
+// newestSnapshot returns the revision of the newest snapshot, or 0 if there is
+// none.
+func (b *Books) newestSnapshot(ctx context.Context) (rock.Revision, error) {
 	rows, err := b.settings.Table.Read(ctx, snapshotKey)
 	if err != nil {
-		return nil, err
+		return 0, err
 	}
 	revision, err := readRevision(rows[0])
-	if err != nil || revision == 0 || revision > head {
-		return nil, nil //nolint:nilerr // The feed serves without a snapshot.
+	if err != nil {
+		b.settings.Log.WithError(err).Error("The row that names the newest snapshot is damaged.")
+		return 0, nil
 	}
-	data, err := b.settings.Objects.Get(ctx, snapshotName(revision))
-	if rock.ReasonOf(err) == rock.NotFound {
-		return nil, nil
+	return revision, nil
+}
+
+// getSnapshot returns the newest snapshot's revision, 0 if there is none that
+// is not newer than head, and its object, nil if that does not exist.
+func (b *Books) getSnapshot(ctx context.Context, head rock.Revision) (rock.Revision, []byte, error) {
+	revision, err := b.newestSnapshot(ctx)
+	if err != nil || revision > head {
+		return 0, nil, err
 	}
-	if err != nil {
-		return nil, err
+	if revision == 0 {
+		return 0, nil, nil
 	}
-	config, err := b.decodeSnapshot(revision, data)
-	if err != nil {
-		b.settings.Log.WithError(err).Error("A snapshot cannot be trusted. The feed is read instead.")
-		return nil, nil
+	data, err := b.settings.Objects.Get(ctx, snapshotName(revision))
+	if rock.ReasonOf(err) == rock.NotFound {
+		return revision, nil, nil
 	}
-	return config, nil
+	return revision, data, err
 }
