--- a/cmd/bramleyrock/deployment_test.go
+++ b/cmd/bramleyrock/deployment_test.go
@@ -58,13 +58,14 @@
 	return d
 }
 
-// startEntry starts an entry and waits until its doors are open.
-func (d *deployment) startEntry(name, zone string) *entryProcess {
+// startEntry starts an entry, with further arguments, and waits until its doors
+// are open.
+func (d *deployment) startEntry(name, zone string, further ...string) *entryProcess {
 	d.t.Helper()
-	p := start(d.t, name, "entry", "--name", name, "--zone", zone,
+	p := start(d.t, name, append([]string{"entry", "--name", name, "--zone", zone,
 		"--caller-address", "127.0.0.1:0", "--operator-address", "127.0.0.1:0", "--peer-address", "127.0.0.1:0",
-		"--platform", "http://"+d.platform, "--peer-secret", peerSecret,
-		"--operator-digest", record.Digest(operatorToken), "--balancer-delay", "200ms", "--log-level", "debug")
+		"--platform", "http://" + d.platform, "--peer-secret", peerSecret,
+		"--operator-digest", record.Digest(operatorToken), "--balancer-delay", "200ms", "--log-level", "debug"}, further...)...)
 	at := p.addresses(3)
 	e := &entryProcess{process: p, caller: at["caller"], operator: at["operator"], peer: at["peer"]}
 	d.entries[name] = e
