--- a/core/feed/propose.go
+++ b/core/feed/propose.go
@@ -1,7 +1,9 @@
 package feed
 
 import (
+	"errors"
 	"fmt"
+	"strings"
 
 	rock "bramleyrock"
 )
@@ -31,6 +33,9 @@
 		}
 		seen[r.Key()] = true
 	}
+	if err := c.checkBodies(p.Records); err != nil {
+		return nil, err
+	}
 	for _, r := range p.Records {
 		e, err := c.proposeWrite(r)
 		if err != nil {
@@ -64,11 +69,27 @@
 	return nil
 }
 
+// checkBodies returns what is wrong with all bodies in one failure.
+func (c *Config) checkBodies(records []rock.Record) error {
+	var all []error
+	for _, r := range records {
+		if _, err := c.settings.Codec.Decode(r); err != nil {
+			all = append(all, err)
+		}
+	}
+	if len(all) < 2 {
+		return errors.Join(all...)
+	}
+	text := make([]string, len(all))
+	for i, err := range all {
+		text[i] = err.Error()
+	}
+	return rock.Fail("check", fmt.Sprintf("%d records", len(all)), rock.ReasonOf(all[0]), rock.NotRun).
+		Because(errors.New(strings.Join(text, "; ")))
+}
+
 func (c *Config) proposeWrite(r rock.Record) (rock.Edit, error) {
 	codec := c.settings.Codec
-	if _, err := codec.Decode(r); err != nil {
-		return rock.Edit{}, err
-	}
 	current, ok := c.Record(r.Key())
 	if current.Version() != r.Version() {
 		return rock.Edit{}, c.conflict(r.Key(), &r)
--- a/core/feed/propose_test.go
+++ b/core/feed/propose_test.go
@@ -30,6 +30,7 @@
 		"missing":          {rock.Proposal{ID: "c1", Who: "w", Deletes: []rock.Record{*org("beta", "b")}}, rock.Conflict, "does not exist"},
 		"unknown kind":     {rock.Proposal{ID: "c1", Who: "w", Records: []rock.Record{*rec("rack", "r1", 1, 0, `{}`)}}, rock.BadInput, `unknown kind "rack"`},
 		"name with slash":  {rock.Proposal{ID: "c1", Who: "w", Records: []rock.Record{*rec("pool", "a/b", 1, 0, `{}`)}}, rock.BadInput, "not allowed"},
+		"two bad bodies":   {rock.Proposal{ID: "c1", Who: "w", Records: []rock.Record{*rec("pool", "p1", 1, 0, `{}`), *rec("pool", "p2", 1, 0, `[]`)}}, rock.BadInput, "2 records: bad_input: decode pool/p1: bad_input: field organisation: missing: want the name of an organisation, or spare: true for a pool that serves all; decode pool/p2"},
 		"v1 drops v2 part": {rock.Proposal{ID: "c1", Who: "w", Records: []rock.Record{*rec("pool", "small", 1, 5, `{"spare":true}`)}}, rock.SchemaUnsupported, "only schema_version 2 can say"},
 	}
 	for name, x := range cases {
--- a/io/books/batch.go
+++ b/io/books/batch.go
@@ -63,10 +63,21 @@
 	return b.jitter(wait), wait > 0 && wait <= maxThrottleWait
 }
 
+// endAll ends proposals that were not committed. The failure names the change
+// of each and keeps the reason and verdict of err.
 func endAll(batch []*pending, err error) {
 	for _, w := range batch {
-		w.end(rock.Change{}, err)
+		w.end(rock.Change{}, named(w, err))
+	}
+}
+
+func named(w *pending, err error) error {
+	f := rock.Fail("change", "change "+w.proposal.ID, rock.ReasonOf(err), rock.VerdictOf(err)).Because(err)
+	var cause *rock.Failure
+	if errors.As(err, &cause) {
+		f = f.RetryIn(cause.RetryAfter())
 	}
+	return f
 }
 
 // attempt checks the batch against the newest configuration and commits it. It
