--- a/io/targ/norace_test.go
+++ b/io/targ/norace_test.go
@@ -5,6 +5,8 @@
 const (
 	// schedules is the number of seeded schedules.
 	schedules = 10_000
+	// siteSchedules is the number of seeded schedules through entries.
+	siteSchedules = 10_000
 	// parallelShards is true if shards run at the same time.
 	parallelShards = true
 )
--- a/io/targ/schedule_test.go
+++ b/io/targ/schedule_test.go
@@ -293,3 +293,49 @@
 	t.Logf("%d of %d schedules broke an outcome: %v", broken, count, ends)
 	assert.Assert(t, broken > count/10)
 }
+
+// TestSchedulesThroughEntries runs requests through two entries with the real
+// engine, with faults between the entries, on the way to the targets and at the
+// targets; what was not answered is sent again with the same key through the
+// other entry. No outcome is broken.
+func TestSchedulesThroughEntries(t *testing.T) {
+	for shard := range uint64(scheduleShards) {
+		t.Run(fmt.Sprintf("shard %d", shard), func(t *testing.T) {
+			if parallelShards {
+				t.Parallel()
+			}
+			const each = siteSchedules / scheduleShards
+			ends := tally{}
+			for seed := shard * each; seed < (shard+1)*each; seed++ {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSite(seed, false)
+					found, err := s.run()
+					assert.NilError(t, err)
+					ends.add(s.log.Events())
+					if len(found) > 0 {
+						t.Errorf("seed %d: %v (trace %s)", seed, found[0], keepTrace(t, s.schedule, seed))
+					}
+				})
+			}
+			t.Logf("%d schedules: %v", each, ends)
+		})
+	}
+}
+
+// TestBelievingEntriesBreakSchedules shows that the schedules break entries
+// whose client of targets lacks the mechanisms.
+func TestBelievingEntriesBreakSchedules(t *testing.T) {
+	const count = 100
+	broken := 0
+	for seed := range uint64(count) {
+		synctest.Test(t, func(t *testing.T) {
+			found, err := newSite(seed, true).run()
+			assert.NilError(t, err)
+			if len(found) > 0 {
+				broken++
+			}
+		})
+	}
+	t.Logf("%d of %d schedules broke an outcome", broken, count)
+	assert.Assert(t, broken > count/10)
+}
