--- a/io/plat/client.go
+++ b/io/plat/client.go
@@ -56,6 +56,7 @@
 	}
 	resp, sent, err := calls.Do(c.settings.Client, req.WithContext(short))
 	if err != nil {
+		c.distrust(short)
 		return nil, a.lost(ctx, sent, err)
 	}
 	defer resp.Body.Close()
@@ -64,11 +65,20 @@
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxAnswer))
 	if err != nil {
+		c.distrust(short)
 		return nil, a.lost(ctx, true, err)
 	}
 	return body, nil
 }
 
+// distrust closes the idle connections after a call that ran into its timeout:
+// if its connection went silent, others are likely to have done so too.
+func (c *Client) distrust(short context.Context) {
+	if errors.Is(short.Err(), context.DeadlineExceeded) {
+		c.settings.Client.CloseIdleConnections()
+	}
+}
+
 // get makes a call whose answer is a JSON value.
 func (c *Client) get(ctx context.Context, a call, value any) error {
 	body, err := c.do(ctx, a)
--- a/io/plat/doc.go
+++ b/io/plat/doc.go
@@ -22,6 +22,9 @@
 // with verdict [rock.MayHaveRun]. A read changes nothing, so its failures
 // always have verdict [rock.NotRun].
 //
+// Connections are kept. A call that runs into its timeout closes those that are
+// idle, so that connections that went silent together cost one call.
+//
 // # Usage
 //
 //	c, err := plat.New(plat.Settings{Base: "http://127.0.0.1:7000", Token: token})
