--- a/io/targ/client.go
+++ b/io/targ/client.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	rock "bramleyrock"
 	"bramleyrock/core/group"
@@ -15,6 +17,10 @@
 	"github.com/google/uuid"
 )
 
+// distrustProbes is the number of probe intervals between two times that the
+// idle connections are closed because one went silent.
+const distrustProbes = 5
+
 // Client is a client of targets. It implements [rock.Target] and is safe for
 // concurrent use.
 type Client struct {
@@ -27,6 +33,10 @@
 	callCount  atomic.Uint64
 	left       *ring.Ring[leftTask]
 	runs       runs
+
+	mu sync.Mutex
+	// trusted is when idle connections may be closed again.
+	trusted time.Time
 }
 
 // New returns a client. It must be closed.
@@ -48,6 +58,18 @@
 	return c
 }
 
+// distrust closes the idle connections after one went silent, but not again
+// within several probe intervals.
+func (c *Client) distrust(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Before(c.trusted) {
+		return
+	}
+	c.trusted = now.Add(distrustProbes * c.settings.Probe)
+	c.kept.CloseIdleConnections()
+}
+
 // Close ends the client's background work. Tasks that are left to be cancelled
 // end when their leases lapse.
 func (c *Client) Close() {
--- a/io/targ/question.go
+++ b/io/targ/question.go
@@ -37,12 +37,24 @@
 	} else {
 		r.judge(f.Status())
 	}
-	if r.giveUp != nil && (r.end != nil || r.again) {
-		r.giveUp()
+	if r.end != nil || r.again {
+		r.abandonCall()
 	}
 	return r.end
 }
 
+// abandonCall ends the outstanding call, whose answer was not needed or did not
+// come. If it was made over a kept connection that went silent, others are
+// likely to have done so too. The lock is held.
+func (r *run) abandonCall() {
+	if r.giveUp == nil {
+		return
+	}
+	r.giveUp()
+	r.giveUp = nil
+	r.client.distrust(time.Now())
+}
+
 // revokes reports whether the next question revokes the task. The lock is held.
 func (r *run) revokes() bool {
 	return r.refusal != nil || r.misses > r.client.settings.Probes
--- a/io/targ/run.go
+++ b/io/targ/run.go
@@ -21,7 +21,8 @@
 	begun  time.Time
 
 	mu sync.Mutex
-	// call counts the calls, and giveUp ends the outstanding one.
+	// call counts the calls, and giveUp ends the outstanding one, if there is
+	// one.
 	call   int
 	giveUp context.CancelFunc
 	// asking is true while a question is outstanding, and due is when the
@@ -99,11 +100,19 @@
 	r.mu.Unlock()
 	r.client.runs.add(r)
 	defer r.client.runs.remove(r)
+	defer r.returned()
 	a := newCall("run", r.host, r.task.ID())
 	a.request.Post("run").BodyJSON(FromTask(r.task))
 	return r.client.do(ctx, h, a)
 }
 
+// returned notes that no call is outstanding.
+func (r *run) returned() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.giveUp = nil
+}
+
 // take judges what came of a call. It returns nil if that does not settle the
 // run.
 func (r *run) take(body []byte, err error) *outcome {
--- a/io/targ/settle_test.go
+++ b/io/targ/settle_test.go
@@ -82,3 +82,30 @@
 	assert.NilError(t, g.Wait())
 	poll.WaitOn(t, slots(0), poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
 }
+
+// TestSilentConnectionsCostOneProbe makes several kept connections go silent:
+// one task finds out, and the next ones go over new connections at once.
+func TestSilentConnectionsCostOneProbe(t *testing.T) {
+	const connections, probe = 8, time.Second
+	ctx := context.Background()
+	b := newBench(t)
+	c := targ.New(targ.Settings{Probe: probe})
+	defer c.Close()
+	g := group.New(ctx)
+	for i := range connections {
+		g.Go("run", func(ctx context.Context) error {
+			_, err := c.Run(ctx, b.host, taskOf(fmt.Sprintf("a%d", i), `{"work_ms":100}`))
+			return err
+		})
+	}
+	assert.NilError(t, g.Wait())
+	b.relay.Silence()
+	begun := time.Now()
+	for i := range connections {
+		_, err := c.Run(ctx, b.host, taskOf(fmt.Sprintf("b%d", i), "1"))
+		assert.NilError(t, err)
+	}
+	took := time.Since(begun)
+	t.Logf("%d tasks took %v", connections, took)
+	assert.Assert(t, took < connections*probe/2)
+}
