--- a/io/targ/schedule_test.go
+++ b/io/targ/schedule_test.go
@@ -245,16 +245,27 @@
 // and of the workers: whatever was refused as not_run is never started, also
 // not by a call that arrives minutes later, and no outcome is broken.
 func TestSchedulesKeepTheirVerdicts(t *testing.T) {
-	for shard := range uint64(scheduleShards) {
-		t.Run(fmt.Sprintf("shard %d", shard), func(t *testing.T) {
-			if parallelShards {
-				t.Parallel()
-			}
-			const each = schedules / scheduleShards
-			ends, _ := runSchedules(t, shard*each, each, checked, true)
-			t.Logf("%d schedules: %v", each, ends)
-			assert.Assert(t, ends["refused as not_run"] > 0 && ends["refused as may_have_run"] > 0)
-		})
+	const each = schedules / scheduleShards
+	var all [scheduleShards]tally
+	t.Run("all", func(t *testing.T) {
+		for shard := range uint64(scheduleShards) {
+			t.Run(fmt.Sprintf("shard %d", shard), func(t *testing.T) {
+				if parallelShards {
+					t.Parallel()
+				}
+				all[shard], _ = runSchedules(t, shard*each, each, checked, true)
+			})
+		}
+	})
+	ends := tally{}
+	for _, y := range all {
+		for end, n := range y {
+			ends[end] += n
+		}
+	}
+	t.Logf("%d schedules: %v", schedules, ends)
+	for _, end := range []string{"answered", "refused as not_run", "refused as may_have_run", "attempts refused as not_run"} {
+		assert.Assert(t, ends[end] > 0, "no request was %s", end)
 	}
 }
 
@@ -318,6 +329,7 @@
 				})
 			}
 			t.Logf("%d schedules: %v", each, ends)
+			assert.Assert(t, ends["answered"] > 0, "no request was answered")
 		})
 	}
 }
