--- a/core/sched/drive_test.go
+++ b/core/sched/drive_test.go
@@ -10,6 +10,7 @@
 	rock "bramleyrock"
 	"bramleyrock/core/retry"
 	"bramleyrock/core/sched"
+	"bramleyrock/core/trace"
 	"bramleyrock/io/fakes/config"
 )
 
@@ -29,12 +30,15 @@
 	hosts    int // per pool
 	slots    int // per host
 	entries  int
-	service  time.Duration // mean; run times are exponential
+	service  time.Duration // mean of exponential run times
+	even     bool          // run times are all the same
 	timeout  time.Duration
 	length   time.Duration
 	settings sched.Settings
 	// shared joins all pools into one.
 	shared bool
+	// blind entries do not know deadlines: late work waits and runs all the same.
+	blind bool
 	// sharing is how the entries share the hosts.
 	sharing sharing
 	// rate returns the arrivals a second.
@@ -43,6 +47,8 @@
 	fails func(host string, at time.Duration) bool
 	// bad reports whether the n-th request of a pool fails wherever it runs.
 	bad func(n int) bool
+	// log takes the events of requests, if it is not nil.
+	log *trace.Log
 	// restart is when all entries are replaced by new ones, if it is not zero.
 	restart time.Duration
 	// watch is called at each look of an entry.
@@ -145,7 +151,7 @@
 func newDrive(p plan) *drive {
 	d := &drive{plan: p, busy: map[string]int{}, to: p.length}
 	d.startEntries()
-	seconds := int(p.length/time.Second) + 2
+	seconds := int((p.length+10*p.timeout)/time.Second) + 2
 	for label := range p.pools {
 		d.randoms = append(d.randoms, rand.New(rand.NewPCG(p.seed, uint64(label)+100)))
 		d.tallies = append(d.tallies, &tally{offers: make([]int, seconds), starts: make([]int, seconds)})
@@ -236,7 +242,7 @@
 
 // look grants held hosts at an entry, now and then.
 func (d *drive) look(e int) {
-	if d.now > d.length+d.timeout {
+	if d.now > d.length+5*d.timeout {
 		return
 	}
 	if d.watch != nil {
@@ -300,7 +306,7 @@
 	t.offered++
 	t.offers[int(d.now/time.Second)]++
 	e := d.route(d.randoms[label].IntN(len(d.entries)), d.pool(label))
-	v := &visit{label: label, entry: e, era: d.generation, arrived: d.now, work: time.Duration(d.randoms[label].ExpFloat64() * float64(d.service))}
+	v := &visit{label: label, entry: e, era: d.generation, arrived: d.now, work: d.runTime(label)}
 	v.request = rock.NewRequest(rock.RequestSpec{
 		ID: fmt.Sprint(d.count), Pool: d.pool(label), Idempotent: true, Deadline: d.clock().Add(d.timeout),
 		Payload: fmt.Appendf(nil, "%d", d.count),
@@ -310,12 +316,16 @@
 	}
 	v.history = retry.NewHistory(v.request)
 	ticket, err := d.entries[e].Submit(d.clock(), v.request)
+	d.note(v, trace.Event{Kind: trace.Arrived, Pool: v.request.Pool()})
 	if err != nil {
 		t.refused++
+		d.note(v, trace.Event{Kind: trace.Refused, Verdict: rock.NotRun, Reason: rock.ReasonOf(err)})
 		return
 	}
 	d.wait(v, ticket)
-	d.at(d.now+d.timeout, func() { d.expire(v, rock.DeadlineExceeded) })
+	if !d.blind {
+		d.at(d.now+d.timeout, func() { d.expire(v, rock.DeadlineExceeded) })
+	}
 	if d.cancelled != nil {
 		if after, ok := d.cancelled(d.count); ok {
 			d.at(d.now+after, func() { d.expire(v, rock.Cancelled) })
@@ -324,6 +334,20 @@
 	d.dispatch(e, v.request.Pool())
 }
 
+// runTime returns how long the next request runs.
+func (d *drive) runTime(label int) time.Duration {
+	if d.even {
+		return d.service
+	}
+	return time.Duration(d.randoms[label].ExpFloat64() * float64(d.service))
+}
+
+// note adds an event of the request to the log.
+func (d *drive) note(v *visit, e trace.Event) {
+	e.At, e.Entry, e.RequestID, e.Idempotent = d.clock(), fmt.Sprint("e", v.entry), v.request.ID(), true
+	d.log.Add(e)
+}
+
 func (d *drive) wait(v *visit, ticket sched.Ticket) {
 	v.ticket = ticket
 	d.visits[v.entry][ticket] = v
@@ -366,6 +390,7 @@
 	if !v.waited {
 		v.waited = true
 		t.waits = append(t.waits, d.now-v.arrived)
+		d.note(v, trace.Event{Kind: trace.Sent, TaskID: v.request.ID(), Host: host})
 	}
 	d.busy[host]++
 	v.holds = true
@@ -390,9 +415,16 @@
 	v.running = false
 	entry.Finish(d.clock(), v.grant, v.work, err)
 	defer d.dispatch(v.entry, v.request.Pool())
+	if err == nil && d.now > v.arrived+d.timeout {
+		v.ended = true
+		t.failed++
+		d.note(v, trace.Event{Kind: trace.Refused, Verdict: rock.MayHaveRun, Reason: rock.DeadlineExceeded})
+		return
+	}
 	if err == nil {
 		v.ended = true
 		t.useful++
+		d.note(v, trace.Event{Kind: trace.Answered, Digest: trace.Digest(v.request.Payload())})
 		if d.now >= d.from && d.now < d.to {
 			t.work += v.work
 		}
@@ -405,6 +437,7 @@
 		if entry.Retry(d.clock(), v.request, v.history, err) != nil {
 			v.ended = true
 			t.failed++
+			d.note(v, trace.Event{Kind: trace.Refused, Verdict: rock.VerdictOf(err), Reason: rock.ReasonOf(err)})
 			if t.failures > 20 {
 				t.lostAfter++
 			}
@@ -431,11 +464,13 @@
 		entry.Withdraw(v.ticket)
 		delete(d.visits[v.entry], v.ticket)
 		t.expired++
+		d.note(v, trace.Event{Kind: trace.Refused, Verdict: rock.NotRun, Reason: reason})
 		return
 	}
 	d.release(v)
 	entry.Finish(d.clock(), v.grant, d.now-v.begun, rock.Fail("run", "", reason, rock.MayHaveRun))
 	t.failed++
+	d.note(v, trace.Event{Kind: trace.Refused, Verdict: rock.MayHaveRun, Reason: reason})
 	d.dispatch(v.entry, v.request.Pool())
 }
 
--- a/core/sched/surge_test.go
+++ b/core/sched/surge_test.go
@@ -61,12 +61,13 @@
 
 // baselines are simpler ways to which the scheduler is compared.
 var baselines = map[string]func(p *plan){
-	"one shared queue": func(p *plan) { p.shared = true },
-	"plain FIFO":       func(p *plan) { p.settings.Queue.FIFO, p.settings.Queue.AdmitAll = true, true },
-	"random":           func(p *plan) { p.settings.Place.Policy = place.Random },
-	"round-robin":      func(p *plan) { p.settings.Place.Policy = place.RoundRobin },
-	"least in flight":  func(p *plan) { p.settings.Place.Policy = place.LeastInFlight },
-	"two choices":      nil,
+	"one shared queue":   func(p *plan) { p.shared = true },
+	"plain FIFO":         func(p *plan) { p.settings.Queue.FIFO, p.settings.Queue.AdmitAll, p.blind = true, true, true },
+	"FIFO, late dropped": func(p *plan) { p.settings.Queue.FIFO, p.settings.Queue.AdmitAll = true, true },
+	"random":             func(p *plan) { p.settings.Place.Policy = place.Random },
+	"round-robin":        func(p *plan) { p.settings.Place.Policy = place.RoundRobin },
+	"least in flight":    func(p *plan) { p.settings.Place.Policy = place.LeastInFlight },
+	"two choices":        nil,
 }
 
 // BenchmarkSurge measures the surge under each baseline, over three seeds.
--- a/core/trace/trace_test.go
+++ b/core/trace/trace_test.go
@@ -121,12 +121,18 @@
 	tests := map[string]struct{ broken string }{
 		"out_of_order_checked": {""},
 		"out_of_order_plain":   {"whole_answers"},
+		"resends_keyed":        {""},
+		"resends_unkeyed":      {"at_most_once"},
+		"surge_fifo":           {"isolation"},
+		"surge_scheduled":      {""},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			h, events := load(t, filepath.Join("recorded", name))
 			assert.Equal(t, h.Name, name)
-			found := trace.Check(events, trace.Outcomes())
+			outcomes, err := trace.Select(h.Outcomes...)
+			assert.NilError(t, err)
+			found := trace.Check(events, outcomes)
 			assert.Equal(t, len(found) > 0, test.broken != "")
 			for _, v := range found {
 				assert.Equal(t, v.Outcome(), test.broken)
--- a/io/route/once_test.go
+++ b/io/route/once_test.go
@@ -215,8 +215,11 @@
 		for _, host := range []string{"a0", "a1", "b0", "b1"} {
 			s.work.Worker(host).SetFaults(work.Faults{CutShort: random.IntN(4) == 0, Refuse: random.IntN(4) == 0})
 		}
-		through := s.engine(fmt.Sprintf("e%d", 1+random.IntN(3)))
-		_, err := through.Do(context.Background(), keyed(fmt.Sprint(label, ".", i), key, label, 0))
+		through := fmt.Sprintf("e%d", 1+random.IntN(3))
+		r := keyed(fmt.Sprint(label, ".", i), key, label, 0)
+		arrived := time.Now()
+		answer, err := s.engine(through).Do(context.Background(), r)
+		s.note(r, label, through, arrived, answer, err)
 		verdicts = append(verdicts, rock.VerdictOf(err))
 		if err == nil && random.IntN(2) == 0 {
 			break
--- a/io/route/peers_test.go
+++ b/io/route/peers_test.go
@@ -11,6 +11,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/group"
+	"bramleyrock/core/trace"
 	"bramleyrock/io/fakes/config"
 	"bramleyrock/io/fakes/work"
 	"bramleyrock/io/route"
@@ -40,6 +41,7 @@
 	starts  int
 	loss    loss
 	groups  map[string]*group.Group
+	log     *trace.Log
 	objects rock.Objects
 }
 
