--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -88,6 +88,9 @@
 	return took <= q.runTime+unusualDeviations*q.deviation
 }
 
+// RunTime returns the mean run time.
+func (q *Queue) RunTime() time.Duration { return q.runTime }
+
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return q.waiting.Len() }
 
--- /dev/null
+++ b/core/sched/handed.go
@@ -0,0 +1,52 @@
+package sched
+
+import (
+	"time"
+
+	rock "bramleyrock"
+)
+
+// Handed counts the requests handed to peers since each peer last told its
+// load, so that a load which is a second old does not draw everything to the
+// same peer. Its zero value is ready to use. It is not safe for concurrent use.
+type Handed struct {
+	counts map[handedKey]handedCount
+}
+
+// handedKey names a pool at a peer.
+type handedKey struct {
+	peer string
+	pool string
+}
+
+// handedCount is the requests handed since the peer told its load.
+type handedCount struct {
+	told  time.Time
+	count int
+}
+
+// Wait returns the predicted wait at a peer that told its load of a pool at
+// that time: the wait that it told, and that for the requests handed to it
+// since then which its free slots do not hold. Runs take runTime on average.
+func (h *Handed) Wait(peer string, told time.Time, load rock.PoolLoad, runTime time.Duration) time.Duration {
+	c := h.counts[handedKey{peer, load.Pool()}]
+	if !c.told.Equal(told) {
+		return load.Wait()
+	}
+	excess := c.count - max(0, load.Slots()-load.InFlight())
+	return load.Wait() + time.Duration(max(0, excess))*runTime/time.Duration(max(1, load.Slots()))
+}
+
+// Add notes that a request is handed to a peer that told its load at that time.
+func (h *Handed) Add(peer string, told time.Time, pool string) {
+	if h.counts == nil {
+		h.counts = map[handedKey]handedCount{}
+	}
+	k := handedKey{peer, pool}
+	c := h.counts[k]
+	if !c.told.Equal(told) {
+		c = handedCount{told: told}
+	}
+	c.count++
+	h.counts[k] = c
+}
--- a/core/sched/sharing_test.go
+++ b/core/sched/sharing_test.go
@@ -18,6 +18,7 @@
 		"own counts, least in flight": func(p *plan) { p.settings.Place.Policy = place.LeastInFlight },
 		"gossip":                      func(p *plan) { p.sharing = gossip },
 		"owners":                      func(p *plan) { p.sharing = owners },
+		"owners, counting":            func(p *plan) { p.sharing, p.counting = owners, true },
 	}
 	for _, entries := range []int{2, 3} {
 		for _, load := range []float64{0.5, 0.8, 0.95} {
--- a/io/route/elsewhere.go
+++ b/io/route/elsewhere.go
@@ -15,43 +15,52 @@
 		return nil
 	}
 	now := e.settings.Now()
-	own, known := e.load(now, r)
-	if !known || own.Slots() > 0 && own.Wait() == 0 {
+	if !e.crowded(now, r) {
 		return nil
 	}
-	var best rock.Peer
-	least := own.Wait()
-	for _, v := range e.settings.Peers.Alive(now) {
+	peers := e.settings.Peers.Alive(now)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	own := e.sched.Load(r.Pool(), r.Class())
+	best, least := -1, own.Wait()
+	for i, v := range peers {
 		if slices.Contains(asked, v.Peer().Member().Name()) {
 			continue
 		}
 		wait, ok := e.waitAt(v, r.Pool())
-		if ok && (wait < least || own.Slots() == 0 && best == nil) {
-			best, least = v.Peer(), wait
+		if ok && (wait < least || own.Slots() == 0 && best < 0) {
+			best, least = i, wait
 		}
 	}
-	return best
+	if best < 0 {
+		return nil
+	}
+	e.handed.Add(peers[best].Peer().Member().Name(), peers[best].HeardAt(), r.Pool())
+	return peers[best].Peer()
 }
 
-// load returns the own load of the request's pool, with the wait of its class.
-func (e *Engine) load(now time.Time, r rock.Request) (rock.PoolLoad, bool) {
+// crowded reports whether the request would have to wait in the own zone.
+func (e *Engine) crowded(now time.Time, r rock.Request) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.refresh(now) != nil {
-		return rock.PoolLoad{}, false
+		return false
 	}
-	return e.sched.Load(r.Pool(), r.Class()), true
+	own := e.sched.Load(r.Pool(), r.Class())
+	return own.Slots() == 0 || own.Wait() > 0
 }
 
 // waitAt returns the predicted wait at a peer of another zone, the way there
-// and back included, and whether it has open hosts of the pool.
+// and back included, and whether it has open hosts of the pool. The lock is
+// held.
 func (e *Engine) waitAt(v rock.PeerView, pool string) (time.Duration, bool) {
 	if v.Heartbeat().Member().Zone() == e.settings.Member.Zone() {
 		return 0, false
 	}
 	for _, l := range v.Heartbeat().Pools() {
 		if l.Pool() == pool && l.Slots() > 0 {
-			return l.Wait() + v.RoundTrip(), true
+			wait := e.handed.Wait(v.Peer().Member().Name(), v.HeardAt(), l, e.sched.RunTime(pool))
+			return wait + v.RoundTrip(), true
 		}
 	}
 	return 0, false
--- a/io/route/engine.go
+++ b/io/route/engine.go
@@ -24,6 +24,7 @@
 
 	mu      sync.Mutex
 	sched   *sched.Scheduler
+	handed  sched.Handed
 	waiters map[sched.Ticket]chan sched.Grant
 	active  int
 	leaving bool
