--- a/io/route/elsewhere.go
+++ b/io/route/elsewhere.go
@@ -9,7 +9,8 @@
 
 // elsewhere returns the peer of another zone that is expected to run the
 // request sooner than the own zone, or nil if there is none. Asked lists the
-// peers that refused it.
+// peers that refused it. An entry that may not place yet asks the peers of its
+// own zone too.
 func (e *Engine) elsewhere(r rock.Request, asked []string) rock.Peer {
 	if e.settings.Peers == nil || r.Hops() >= e.settings.Limits.Hops {
 		return nil
@@ -50,11 +51,11 @@
 	return own.Slots() == 0 || own.Wait() > 0
 }
 
-// waitAt returns the predicted wait at a peer of another zone, the way there
-// and back included, and whether it has open hosts of the pool. The lock is
-// held.
+// waitAt returns the predicted wait at a peer, the way there and back included,
+// and whether it has open hosts of the pool that the entry has not itself. The
+// lock is held.
 func (e *Engine) waitAt(v rock.PeerView, pool string) (time.Duration, bool) {
-	if v.Heartbeat().Member().Zone() == e.settings.Member.Zone() {
+	if v.Heartbeat().Member().Zone() == e.settings.Member.Zone() && e.mayPlace() {
 		return 0, false
 	}
 	for _, l := range v.Heartbeat().Pools() {
