--- /dev/null
+++ b/io/front/whole_test.go
@@ -0,0 +1,144 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/group"
+	"bramleyrock/io/fakes/config"
+	"bramleyrock/io/fakes/work"
+	"bramleyrock/io/front"
+	"bramleyrock/io/route"
+	"bramleyrock/io/targ"
+
+	"gotest.tools/v3/assert"
+)
+
+// whole is a caller door, an engine and a target, joined over HTTP.
+type whole struct {
+	entry  string // URL of the pool's requests
+	target string // URL of the target
+	client *http.Client
+	ids    atomic.Int64
+}
+
+func newWhole(tb testing.TB) *whole {
+	tb.Helper()
+	worker := work.New(work.Settings{Name: "h1", Slots: 256, Retain: time.Second})
+	target := httptest.NewServer(worker.Handler())
+	tb.Cleanup(target.Close)
+	host := rock.NewHost(rock.HostSpec{Name: "h1", Address: strings.TrimPrefix(target.URL, "http://"), Zone: "a", Pool: "tins", Generation: 1, Slots: 256, Open: true})
+	fleet := config.New(1, []rock.Pool{rock.NewPool("tins", "alpha", false)}, []rock.Host{host})
+	fleet.Admit("good", rock.NewIdentity("line-4", "alpha", rock.CallerRole))
+	source := config.NewSource(fleet)
+	targets := targ.New(targ.Settings{PerHost: 256})
+	tb.Cleanup(targets.Close)
+	duties := group.New(context.Background())
+	tb.Cleanup(func() {
+		duties.Stop()
+		assert.NilError(tb, duties.Wait())
+	})
+	engine := route.New(route.Settings{Member: rock.NewMember("e1", "a", "", "i1"), Fleet: source, Target: targets, Group: duties})
+	entry := httptest.NewServer(front.New(front.Settings{Runner: engine, Keys: engine, Fleet: source}))
+	tb.Cleanup(entry.Close)
+	return &whole{
+		entry:  entry.URL + "/v1/pools/tins/requests",
+		target: target.URL + "/run",
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+	}
+}
+
+// post sends a body and reads the whole answer.
+func (w *whole) post(url string, body []byte) error {
+	r, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Authorization", "Bearer good")
+	r.Header.Set("Content-Type", "application/json")
+	resp, err := w.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %s: %s", resp.Status, answer)
+	}
+	return err
+}
+
+// straight sends a request to the target, as an entry would.
+func (w *whole) straight() error {
+	task := rock.NewTask(fmt.Sprint("t", w.ids.Add(1)), "tins", 1, time.Minute, time.Now().Add(time.Minute), []byte(`{"work_ms":0,"line":4}`))
+	body, err := json.Marshal(targ.FromTask(task))
+	if err != nil {
+		return err
+	}
+	return w.post(w.target, body)
+}
+
+// through sends a request through the entry.
+func (w *whole) through() error {
+	return w.post(w.entry, []byte(`{"payload":{"work_ms":0,"line":4},"timeout_ms":60000,"idempotent":true}`))
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkWhole compares a request through an entry with the same request
+// sent straight to the target; the caller and the target are in the same
+// process. Four callers take turns with each way.
+func BenchmarkWhole(b *testing.B) {
+	w := newWhole(b)
+	for name, send := range map[string]func() error{"straight": w.straight, "through": w.through} {
+		b.Run(name, func(b *testing.B) {
+			const callers = 4
+			took := make([][]time.Duration, callers)
+			before := processorTime(b)
+			g := group.New(context.Background())
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range callers {
+				g.Go("caller", func(context.Context) error {
+					for range b.N/callers + 1 {
+						begin := time.Now()
+						if err := send(); err != nil {
+							return err
+						}
+						took[i] = append(took[i], time.Since(begin))
+					}
+					return nil
+				})
+			}
+			assert.NilError(b, g.Wait())
+			all := slices.Concat(took...)
+			slices.Sort(all)
+			b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(len(all)), "cpu_us/op")
+			b.ReportMetric(float64(all[len(all)/2].Microseconds()), "p50_us")
+			b.ReportMetric(float64(all[len(all)*99/100].Microseconds()), "p99_us")
+		})
+	}
+}
+
+func TestWholeRequest(t *testing.T) {
+	w := newWhole(t)
+	assert.NilError(t, w.straight())
+	assert.NilError(t, w.through())
+}
