--- a/core/budget/reviewer.go
+++ b/core/budget/reviewer.go
@@ -8,6 +8,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/forms"
+	"bramleyrock/core/record"
 )
 
 // Reviewer implements [rock.Reviewer]. It is safe for concurrent use.
@@ -17,6 +18,13 @@
 	mu     sync.Mutex
 	seenAt time.Time
 	states map[string]rock.HostState
+	known  map[string]known
+}
+
+// known is the body of one version of a budget's record.
+type known struct {
+	version uint64
+	body    record.Budget
 }
 
 var _ rock.Reviewer = (*Reviewer)(nil)
@@ -27,7 +35,7 @@
 	if s.MaxAge <= 0 {
 		s.MaxAge = defaultMaxAge
 	}
-	return &Reviewer{maxAge: s.MaxAge}
+	return &Reviewer{maxAge: s.MaxAge, known: map[string]known{}}
 }
 
 // Observe takes the platform's list of hosts as read at the time now.
@@ -41,6 +49,20 @@
 	r.seenAt, r.states = now, states
 }
 
+// decode returns the body of a budget that is in force. The caller holds the
+// lock.
+func (r *Reviewer) decode(rec rock.Record) (record.Budget, error) {
+	name := rec.Key().Name()
+	if k, ok := r.known[name]; ok && k.version == rec.Version() {
+		return k.body, nil
+	}
+	b, err := record.As[record.Budget](rec)
+	if err == nil {
+		r.known[name] = known{rec.Version(), b}
+	}
+	return b, err
+}
+
 // Review implements [rock.Reviewer]. The failure of a step that would break a
 // budget has reason [rock.BudgetExceeded] and says how many hosts are
 // available and needed.
--- a/core/budget/room.go
+++ b/core/budget/room.go
@@ -17,27 +17,21 @@
 	counts  map[string]*count
 }
 
-// Room returns the room that the budgets leave in the configuration.
+// Room returns the room that the budgets leave in the configuration. A budget
+// that this program cannot read is left out, since it is the review that
+// decides.
 func (r *Reviewer) Room(_ time.Time, fleet rock.Fleet) *Room {
 	r.mu.Lock()
-	states := r.states
-	r.mu.Unlock()
-	room := &Room{fleet: fleet, states: states, budgets: map[string][]record.Budget{}, counts: map[string]*count{}}
-	for _, record := range fleet.Records(rock.KindBudget) {
-		room.add(record)
+	defer r.mu.Unlock()
+	room := &Room{fleet: fleet, states: r.states, budgets: map[string][]record.Budget{}, counts: map[string]*count{}}
+	for _, rec := range fleet.Records(rock.KindBudget) {
+		if b, err := r.decode(rec); err == nil {
+			room.budgets[b.Pool()] = append(room.budgets[b.Pool()], b)
+		}
 	}
 	return room
 }
 
-// add notes a budget. One that this program cannot read is left out, since it
-// is the review that decides.
-func (r *Room) add(rec rock.Record) {
-	b, err := record.As[record.Budget](rec)
-	if err == nil {
-		r.budgets[b.Pool()] = append(r.budgets[b.Pool()], b)
-	}
-}
-
 // Up reports whether the host is open and live.
 func (r *Room) Up(h rock.Host) bool { return h.Open() && r.Live(h.Name()) }
 
--- a/core/wave/member.go
+++ b/core/wave/member.go
@@ -27,7 +27,7 @@
 
 // members returns the hosts of the pools in the zone, or in all zones if zone
 // is "". A host whose record cannot be read is left out.
-func members(fleet rock.Fleet, pools []string, zone string) []member {
+func members(fleet rock.Fleet, cache *forms.Cache, pools []string, zone string) []member {
 	var found []member
 	for _, pool := range pools {
 		for _, h := range fleet.PoolHosts(pool, zone) {
@@ -35,7 +35,7 @@
 			if !ok {
 				continue
 			}
-			if body, err := forms.DecodeHost(r); err == nil {
+			if body, err := cache.Host(r); err == nil {
 				found = append(found, member{h, r, body})
 			}
 		}
--- a/core/wave/plan.go
+++ b/core/wave/plan.go
@@ -26,6 +26,8 @@
 	// Rebooted gives the time at which the platform confirmed to this holder
 	// that it takes the restart with that id; nil means none.
 	Rebooted func(id string) (time.Time, bool)
+	// Cache keeps decoded hosts between rounds; nil means none.
+	Cache *forms.Cache
 	// Choose orders the hosts that may be taken next; nil means [ByDomain].
 	Choose Order
 }
@@ -37,7 +39,7 @@
 		return []Step{{wave: r.Key().Name(), since: p.Now, waitsFor: "a readable record: " + err.Error()}}
 	}
 	s := stepper{Plan: p, record: r, wave: w, name: r.Key().Name()}
-	s.members = members(p.Fleet, w.Pools, p.Zone)
+	s.members = members(p.Fleet, p.Cache, w.Pools, p.Zone)
 	return s.steps()
 }
 
@@ -168,7 +170,7 @@
 
 // finish ends the wave if no host of any zone is left.
 func (s stepper) finish() []Step {
-	p, err := ProgressOf(s.Fleet, s.record)
+	p, err := ProgressOf(s.Fleet, s.Cache, s.record)
 	if err != nil || p.Done() < p.Hosts() {
 		return nil
 	}
--- a/core/wave/progress.go
+++ b/core/wave/progress.go
@@ -12,15 +12,15 @@
 	away  int
 }
 
-// ProgressOf returns how far the wave in the record is.
-func ProgressOf(fleet rock.Fleet, record rock.Record) (Progress, error) {
+// ProgressOf returns how far the wave in the record is. The cache may be nil.
+func ProgressOf(fleet rock.Fleet, cache *forms.Cache, record rock.Record) (Progress, error) {
 	w, err := forms.DecodeWave(record)
 	if err != nil {
 		return Progress{}, err
 	}
 	var p Progress
 	name := record.Key().Name()
-	for _, m := range members(fleet, w.Pools, "") {
+	for _, m := range members(fleet, cache, w.Pools, "") {
 		p.hosts++
 		switch {
 		case m.owned(name):
--- a/core/wave/take.go
+++ b/core/wave/take.go
@@ -11,7 +11,7 @@
 func (s stepper) take(pending []member) []Step {
 	held := findTrouble(s.Fleet, s.wave.Pools, s.View)
 	away := 0
-	for _, m := range members(s.Fleet, s.wave.Pools, "") {
+	for _, m := range members(s.Fleet, s.Cache, s.wave.Pools, "") {
 		if m.owned(s.name) {
 			away++
 		}
--- /dev/null
+++ b/io/duty/wave_test.go
@@ -0,0 +1,217 @@
+package duty_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/forms"
+	"bramleyrock/core/record"
+	"bramleyrock/core/wave"
+
+	"gotest.tools/v3/assert"
+)
+
+const waveLimit = 6 * time.Hour
+
+// maxRollOut is the greatest ratio of a wave's time to the bound.
+const maxRollOut = 1.15
+
+func TestWaveOverEveryHost(t *testing.T) {
+	t.Parallel()
+	for name, d := range deployments {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newWaveSite(d, siteOptions{seed: 1, records: d.records(fleetHosts)})
+			took := s.run(record.WaveDone, waveLimit, nil)
+			assert.Equal(t, s.state(), record.WaveDone)
+			assert.Equal(t, s.check(), "")
+			assert.Assert(t, took.Seconds() <= maxRollOut*s.bound().Seconds(), "took %v, bound %v", took, s.bound())
+		})
+	}
+}
+
+// oneAtATime takes a host only if none is away.
+func oneAtATime(s *waveSite) wave.Order {
+	return func(c []wave.Candidate) []wave.Candidate {
+		if s.progress().Away() > 0 || len(c) == 0 {
+			return nil
+		}
+		return c[:1]
+	}
+}
+
+// fixedBatches takes batches of as many hosts as max_parallel allows, and
+// takes none while a host of the last batch is away.
+func fixedBatches(s *waveSite) wave.Order {
+	return func(c []wave.Candidate) []wave.Candidate {
+		if s.progress().Away() > 0 {
+			return nil
+		}
+		return wave.ByDomain(c)
+	}
+}
+
+// BenchmarkRollOut measures the roll-out time against the bound, beside the
+// baselines of one host at a time and fixed batches.
+func BenchmarkRollOut(b *testing.B) {
+	orders := map[string]func(s *waveSite) wave.Order{
+		"by domain":     func(*waveSite) wave.Order { return wave.ByDomain },
+		"one at a time": oneAtATime,
+		"fixed batches": fixedBatches,
+	}
+	for name, d := range deployments {
+		for order, choose := range orders {
+			b.Run(name+"/"+order, func(b *testing.B) {
+				for b.Loop() {
+					var s *waveSite
+					s = newWaveSite(d, siteOptions{
+						seed: 1, records: d.records(fleetHosts),
+						order: func(c []wave.Candidate) []wave.Candidate { return choose(s)(c) },
+					})
+					took := s.run(record.WaveDone, waveLimit, nil)
+					if broken := s.check(); broken != "" {
+						b.Fatal(broken)
+					}
+					b.ReportMetric(took.Seconds(), "roll-out-s")
+					b.ReportMetric(took.Seconds()/s.bound().Seconds(), "of-bound")
+				}
+			})
+		}
+	}
+}
+
+// TestWaveHolderDiesAtEveryStep ends or freezes the holder at steps spread over
+// the whole wave: no host is restarted twice or left out.
+func TestWaveHolderDiesAtEveryStep(t *testing.T) {
+	t.Parallel()
+	d := deployment{3, []string{"tins", "lids"}}
+	deaths := map[string]func(s *site, p rock.Proposal){
+		"killed before the effect": func(s *site, _ rock.Proposal) { s.swapHolder() },
+		"killed after the effect": func(s *site, p rock.Proposal) {
+			_, err := s.book.Change(context.Background(), s.now, p)
+			assert.NilError(t, err)
+			s.swapHolder()
+		},
+		"frozen until later": func(s *site, p rock.Proposal) {
+			s.late = append(s.late, p)
+			s.swapHolder()
+		},
+	}
+	for name, kill := range deaths {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newWaveSite(d, siteOptions{seed: 2, records: d.small(12)})
+			s.killAt = &killing{every: true, kill: kill}
+			s.run(record.WaveDone, waveLimit, s.deliverLate)
+			assert.Equal(t, s.state(), record.WaveDone)
+			assert.Equal(t, s.check(), "")
+			assert.Assert(t, s.steps >= 3*12)
+		})
+	}
+}
+
+// TestWavePausesOnCorrelatedFailure lets a rack, and then a zone, fail in the
+// middle of a wave: no host of a pool that lost hosts there is taken until the
+// hosts are back, and the wave then ends by itself.
+func TestWavePausesOnCorrelatedFailure(t *testing.T) {
+	t.Parallel()
+	d := deployments["zarqa"]
+	failed := map[string]func(h rock.Host) bool{
+		"rack": func(h rock.Host) bool { return h.Rack() == "b4" },
+		"zone": func(h rock.Host) bool { return h.Zone() == "b" },
+	}
+	for name, fails := range failed {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newWaveSite(d, siteOptions{seed: 3, records: d.records(fleetHosts)})
+			s.run(record.WaveDone, 5*time.Minute, nil)
+			before := s.progress()
+			assert.Assert(t, before.Done() > 0 && before.Done() < fleetHosts)
+			s.failHosts(fails, true)
+			s.run(record.WaveDone, 4*time.Minute, nil)
+			held := s.openTaken(fails)
+			s.run(record.WaveDone, 8*time.Minute, nil)
+			assert.Equal(t, s.openTaken(fails), held, "hosts of the pools concerned were taken")
+			s.failHosts(fails, false)
+			s.run(record.WaveDone, waveLimit, nil)
+			assert.Equal(t, s.state(), record.WaveDone)
+			assert.Equal(t, s.cutTasks, 0)
+		})
+	}
+}
+
+func TestWavePauseResumeAbort(t *testing.T) {
+	t.Parallel()
+	d := deployment{4, []string{"tins", "lids"}}
+	s := newWaveSite(d, siteOptions{seed: 4, records: d.fleet(20, 20)})
+	s.run(record.WaveDone, 5*time.Minute, nil)
+	s.setState(t, record.WavePaused)
+	s.run(record.WaveDone, 6*time.Minute, nil)
+	paused := s.progress()
+	assert.Equal(t, paused.Away(), 0)
+	s.run(record.WaveDone, 5*time.Minute, nil)
+	assert.Equal(t, s.progress(), paused, "a paused wave went on")
+	s.setState(t, record.WaveRunning)
+	s.run(record.WaveDone, 5*time.Minute, nil)
+	assert.Assert(t, s.progress().Done() > paused.Done())
+	s.setState(t, record.WaveAborted)
+	s.run(record.WaveDone, 6*time.Minute, nil)
+	assert.Equal(t, s.progress().Away(), 0)
+	assert.Equal(t, s.cutTasks, 0)
+	assert.Equal(t, s.lowest, "")
+}
+
+// setState changes the state of the wave as an operator does.
+func (s *waveSite) setState(t *testing.T, state record.WaveState) {
+	t.Helper()
+	f, _ := s.book.Fleet()
+	r, _ := f.Record(rock.NewKey(rock.KindWave, "w1"))
+	w, err := forms.DecodeWave(r)
+	assert.NilError(t, err)
+	w.State = state
+	r, err = forms.Encode(r, w)
+	assert.NilError(t, err)
+	_, err = s.book.Change(context.Background(), s.now, rock.Proposal{ID: fmt.Sprint(state, r.Version()), Records: []rock.Record{r}})
+	assert.NilError(t, err)
+}
+
+// failHosts makes the hosts fail or come back.
+func (s *waveSite) failHosts(fails func(h rock.Host) bool, gone bool) {
+	for _, h := range s.hosts() {
+		if fails(h) {
+			s.platform.SetGone(h.Name(), gone)
+			s.floor.Reboot(h.Name())
+		}
+	}
+}
+
+func (s *waveSite) hosts() []rock.Host {
+	f, _ := s.book.Fleet()
+	var all []rock.Host
+	for _, p := range s.pools {
+		all = append(all, f.PoolHosts(p, "")...)
+	}
+	return all
+}
+
+// openTaken returns how many hosts were taken of the pools that lost hosts.
+func (s *waveSite) openTaken(fails func(h rock.Host) bool) int {
+	concerned := map[string]bool{}
+	for _, h := range s.hosts() {
+		if fails(h) && h.Open() {
+			concerned[h.Pool()] = true
+		}
+	}
+	f, _ := s.book.Fleet()
+	taken := 0
+	for _, h := range s.hosts() {
+		r, _ := f.Record(rock.NewKey(rock.KindHost, h.Name()))
+		if b, err := forms.DecodeHost(r); err == nil && concerned[h.Pool()] && b.Maintenance != nil {
+			taken++
+		}
+	}
+	return taken
+}
--- a/io/duty/waver.go
+++ b/io/duty/waver.go
@@ -23,6 +23,7 @@
 	// behind is the revision of the own latest change.
 	behind   rock.Revision
 	memory   drain.Memory
+	cache    forms.Cache
 	rebooted map[string]time.Time
 }
 
@@ -50,6 +51,7 @@
 		Now: now, Fleet: turn.Fleet, Zone: w.zone, View: view, Room: w.settings.Budgets.Room(now, turn.Fleet),
 		Rebooted: func(id string) (time.Time, bool) { at, ok := w.rebooted[id]; return at, ok },
 		Choose:   w.settings.Order,
+		Cache:    &w.cache,
 	}
 	var all []Waiting
 	var errs []error
--- /dev/null
+++ b/io/duty/wavesite_test.go
@@ -0,0 +1,198 @@
+package duty_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/forms"
+	"bramleyrock/core/record"
+	"bramleyrock/core/wave"
+)
+
+// deployment is the fleet of one of the users.
+type deployment struct {
+	zones int
+	pools []string
+}
+
+var deployments = map[string]deployment{
+	"zarqa":    {3, []string{"alpha", "beta", "gamma", "delta", "tooling"}},
+	"blespind": {4, []string{"rounds", "bookings", "bundles", "billing", "office"}},
+}
+
+const (
+	fleetHosts   = 52
+	hostsPerRack = 4
+	// taskTime is the longest time that a task runs.
+	taskTime   = 30 * time.Second
+	rebootTime = 180 * time.Second
+)
+
+// records returns a fleet of 52 hosts, four to a rack, spread over the pools,
+// each pool with a budget of four fifths of its hosts, and a wave over all.
+func (d deployment) records(maxParallel int) []rock.Record { return d.fleet(fleetHosts, maxParallel) }
+
+// small returns a fleet of n hosts and a wave over all of them.
+func (d deployment) small(n int) []rock.Record { return d.fleet(n, n) }
+
+func (d deployment) fleet(hosts, maxParallel int) []rock.Record {
+	var records []rock.Record
+	for _, p := range d.pools {
+		records = append(records,
+			newRecord(rock.KindPool, p, `{"organisation":"alpha","spare":false}`),
+			rock.NewRecord(rock.NewKey(rock.KindBudget, p), 2, 0, fmt.Appendf(nil, `{"pool":%q,"min_available":{"share":0.8}}`, p)))
+	}
+	for i := range hosts {
+		rack := i / hostsPerRack
+		zone := string(rune('a' + rack%d.zones))
+		records = append(records, newHost(fmt.Sprintf("h%02d", i), zone, fmt.Sprintf("%s%d", zone, rack), d.pools[i%len(d.pools)]))
+	}
+	pools := "\"" + d.pools[0] + "\""
+	for _, p := range d.pools[1:] {
+		pools += ",\"" + p + "\""
+	}
+	return append(records, newRecord(rock.KindWave, "w1",
+		fmt.Sprintf(`{"pools":[%s],"action":"reboot","state":"running","max_parallel":%d}`, pools, maxParallel)))
+}
+
+// waveSite is a site on which a wave runs.
+type waveSite struct {
+	*site
+	pools []string
+	// closedAt is when each host was closed, and drains how long its work took
+	// to end after that.
+	closedAt map[string]time.Time
+	drains   map[string]time.Duration
+	lowest   string
+}
+
+func newWaveSite(d deployment, o siteOptions) *waveSite {
+	s := &waveSite{newSite(o), d.pools, map[string]time.Time{}, map[string]time.Duration{}, ""}
+	s.prompt = true
+	for i := range d.zones {
+		zone := string(rune('a' + i))
+		for j := range 2 {
+			s.addEntry(fmt.Sprintf("%s%d", zone, j), zone, fmt.Sprintf("10.0.%d.%d:7000", i, j))
+		}
+	}
+	for _, e := range s.entries {
+		e.Poll(s.now)
+		e.Report(s.now)
+		e.Poll(s.now)
+	}
+	return s
+}
+
+// work lets entries place tasks at random and end those whose time is over.
+func (s *waveSite) work() {
+	for _, e := range s.entries {
+		if s.random.IntN(2) == 0 && e.Choose(s.now, s.pools[s.random.IntN(len(s.pools))]) {
+			e.Send(s.now)
+		}
+		e.FinishDue(s.now)
+	}
+}
+
+// watch notes how long hosts take to drain, and the first pool that falls
+// short of its budget.
+func (s *waveSite) watch() {
+	f, _ := s.book.Fleet()
+	for _, p := range s.pools {
+		hosts := f.PoolHosts(p, "")
+		open := 0
+		for _, h := range hosts {
+			if h.Open() {
+				open++
+				delete(s.closedAt, h.Name())
+				continue
+			}
+			s.noteDrain(h.Name())
+		}
+		if need := record.ShareLimit(0.8).Of(len(hosts)); open < need && s.lowest == "" {
+			s.lowest = fmt.Sprintf("pool %s had %d of %d hosts open, needs %d", p, open, len(hosts), need)
+		}
+	}
+}
+
+func (s *waveSite) noteDrain(host string) {
+	at, ok := s.closedAt[host]
+	if !ok {
+		at = s.now
+		s.closedAt[host] = at
+		s.drains[host] = 0
+	}
+	if s.floor.Leases(host) > 0 {
+		s.drains[host] = s.now.Sub(at) + tick
+	}
+}
+
+func (s *waveSite) progress() wave.Progress {
+	f, _ := s.book.Fleet()
+	r, _ := f.Record(rock.NewKey(rock.KindWave, "w1"))
+	p, _ := wave.ProgressOf(f, nil, r)
+	return p
+}
+
+func (s *waveSite) state() record.WaveState {
+	f, _ := s.book.Fleet()
+	r, _ := f.Record(rock.NewKey(rock.KindWave, "w1"))
+	w, _ := forms.DecodeWave(r)
+	return w.State
+}
+
+// run runs until the wave is in the state or the time is over, and returns how
+// long that took.
+func (s *waveSite) run(state record.WaveState, limit time.Duration, during func()) time.Duration {
+	begin := s.now
+	for s.state() != state && s.now.Sub(begin) < limit {
+		if during != nil {
+			during()
+		}
+		s.work()
+		s.beat()
+		s.watch()
+	}
+	return s.now.Sub(begin)
+}
+
+// bound returns the shortest time that the budgets and the drain and reboot
+// times allow. A pool with room for r hosts away at once works like r machines,
+// one of which takes at least the n/r shortest of its n hosts.
+func (s *waveSite) bound() time.Duration {
+	f, _ := s.book.Fleet()
+	var longest time.Duration
+	for _, p := range s.pools {
+		hosts := f.PoolHosts(p, "")
+		room := len(hosts) - record.ShareLimit(0.8).Of(len(hosts))
+		var times []time.Duration
+		var sum, fewest time.Duration
+		for _, h := range hosts {
+			times = append(times, s.drains[h.Name()]+rebootTime)
+			sum += s.drains[h.Name()] + rebootTime
+		}
+		slices.Sort(times)
+		for _, d := range times[:(len(times)+room-1)/room] {
+			fewest += d
+		}
+		longest = max(longest, sum/time.Duration(room), fewest)
+	}
+	return longest
+}
+
+// check returns what the wave broke.
+func (s *waveSite) check() string {
+	if s.cutTasks > 0 {
+		return fmt.Sprintf("restarts cut %d tasks", s.cutTasks)
+	}
+	if s.lowest != "" {
+		return s.lowest
+	}
+	for _, h := range s.hosts() {
+		if n := s.reboots[h.Name()]; n != 1 {
+			return fmt.Sprintf("host %s was restarted %d times", h.Name(), n)
+		}
+	}
+	return ""
+}
--- a/io/fakes/crew/entry.go
+++ b/io/fakes/crew/entry.go
@@ -18,6 +18,7 @@
 	chosen   []rock.Host
 	sent     []sent
 	contact  time.Time
+	reported rock.EntryStatus
 	frozen   bool
 	cut      bool
 	dead     bool
@@ -31,6 +32,7 @@
 type sent struct {
 	id   int
 	host string
+	ends time.Time
 }
 
 // NewEntry returns an entry that knows no configuration yet.
@@ -87,12 +89,24 @@
 	e.contact = peer.contact
 }
 
+// Settled reports whether a closed host has nothing in flight any more of which
+// the last status row does not say so.
+func (e *Entry) Settled() bool {
+	for host, n := range e.inFlight {
+		if was, ok := e.reported.InFlight(host); ok && n == 0 && was > 0 {
+			return true
+		}
+	}
+	return e.Revision() > e.reported.Revision()
+}
+
 // Report writes the entry's status row, if the platform can be reached.
 func (e *Entry) Report(now time.Time) {
 	if !e.Running() || e.cut || e.fleet == nil {
 		return
 	}
-	e.listed = e.set.Registry.Write(e.status(now))
+	e.reported = e.status(now)
+	e.listed = e.set.Registry.Write(e.reported)
 }
 
 func (e *Entry) status(now time.Time) rock.EntryStatus {
@@ -153,7 +167,11 @@
 	}
 	delay := time.Duration(e.set.Random.Int64N(int64(deliveryTime)))
 	id := e.set.Floor.Deliver(now.Add(delay), h.Name(), h.Pool(), e.set.Member.Incarnation())
-	e.sent = append(e.sent, sent{id, h.Name()})
+	ends := now.Add(delay)
+	if e.set.TaskTime > 0 {
+		ends = ends.Add(time.Duration(e.set.Random.Int64N(int64(e.set.TaskTime))))
+	}
+	e.sent = append(e.sent, sent{id, h.Name(), ends})
 }
 
 // Renew renews the leases of all tasks in flight.
@@ -176,3 +194,20 @@
 	e.set.Floor.End(s.host, s.id)
 	e.inFlight[s.host]--
 }
+
+// FinishDue ends the tasks whose time is over.
+func (e *Entry) FinishDue(now time.Time) {
+	if !e.Running() {
+		return
+	}
+	left := e.sent[:0]
+	for _, s := range e.sent {
+		if s.ends.After(now) {
+			left = append(left, s)
+			continue
+		}
+		e.set.Floor.End(s.host, s.id)
+		e.inFlight[s.host]--
+	}
+	e.sent = left
+}
--- a/io/fakes/crew/settings.go
+++ b/io/fakes/crew/settings.go
@@ -19,6 +19,8 @@
 	Registry *Registry
 	// Random is the source of choices.
 	Random *rand.Rand
+	// TaskTime is the longest time that a task runs, for [Entry.FinishDue].
+	TaskTime time.Duration
 	// FenceAfter makes the entry place nothing if it has not reached the
 	// platform for that long; 0 means never.
 	FenceAfter time.Duration
