--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -12,6 +12,7 @@
 	"bramleyrock/core/budget"
 	"bramleyrock/core/group"
 	"bramleyrock/core/move"
+	"bramleyrock/core/peers"
 	"bramleyrock/core/wave"
 	"bramleyrock/io/books"
 	"bramleyrock/io/door"
@@ -25,8 +26,6 @@
 	"bramleyrock/io/roster"
 	"bramleyrock/io/route"
 	"bramleyrock/io/targ"
-
-	"github.com/google/uuid"
 )
 
 // Entry is one entry process.
@@ -47,6 +46,7 @@
 	peer     *door.Door
 	handlers handlers
 	leaving  atomic.Bool
+	placing  atomic.Bool
 }
 
 // handlers are the handlers of the doors, which listen before all parts exist.
@@ -62,7 +62,9 @@
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
-	e.member = rock.NewMember(s.Name, s.Zone, e.peer.Address(), uuid.NewString())
+	now := time.Now()
+	source := rand.New(rand.NewPCG(s.Seed, uint64(now.UnixNano())))
+	e.member = rock.NewMember(s.Name, s.Zone, e.peer.Address(), peers.NewIncarnation(now, source, ""))
 	if err := e.build(); err != nil {
 		return nil, fmt.Errorf("build entry %s: %w", s.Name, err)
 	}
@@ -78,6 +80,15 @@
 // Member returns the entry's identity.
 func (e *Entry) Member() rock.Member { return e.member }
 
+// Revision returns the revision in force.
+func (e *Entry) Revision() rock.Revision { return e.books.Revision() }
+
+// Watch returns a channel that is closed when a newer revision is in force.
+func (e *Entry) Watch() <-chan struct{} { return e.books.Watch() }
+
+// Peers returns the number of other entries that are alive.
+func (e *Entry) Peers() int { return len(e.links.Alive(time.Now())) }
+
 // listen opens the doors.
 func (e *Entry) listen() error {
 	open := func(name, address string, handler *http.Handler) (*door.Door, error) {
@@ -156,16 +167,17 @@
 func (e *Entry) buildEngine() {
 	s := e.settings
 	e.engine = route.New(route.Settings{
-		Member:  e.member,
-		Fleet:   e.books,
-		Target:  targ.New(targ.Settings{}),
-		Peers:   e.links,
-		Secret:  []byte(s.PeerSecret),
-		Objects: e.platform,
-		Random:  rand.New(rand.NewPCG(s.Seed, uint64(time.Now().UnixNano()))),
-		Log:     s.Log.WithField(logs.PartField, "route"),
-		Scope:   e.meter.Scope().SubScope("route"),
-		Group:   e.duties,
+		Member:   e.member,
+		Fleet:    e.books,
+		MayPlace: e.placing.Load,
+		Target:   targ.New(targ.Settings{}),
+		Peers:    e.links,
+		Secret:   []byte(s.PeerSecret),
+		Objects:  e.platform,
+		Random:   rand.New(rand.NewPCG(s.Seed, uint64(time.Now().UnixNano()))),
+		Log:      s.Log.WithField(logs.PartField, "route"),
+		Scope:    e.meter.Scope().SubScope("route"),
+		Group:    e.duties,
 	})
 }
 
