--- a/io/duty/site_test.go
+++ b/io/duty/site_test.go
@@ -207,7 +207,7 @@
 
 func newHost(name, zone, rack, pool string) rock.Record {
 	return newRecord(rock.KindHost, name, fmt.Sprintf(
-		`{"address":"127.0.0.1:9000","zone":%q,"rack":%q,"pool":%q,"generation":1,"slots":8,"open":true}`, zone, rack, pool))
+		`{"address":"127.0.0.1:90%s","zone":%q,"rack":%q,"pool":%q,"generation":1,"slots":8,"open":true}`, name[1:], zone, rack, pool))
 }
 
 func newMove(name, host, from, to string) rock.Record {
