--- /dev/null
+++ b/core/plan/move.go
@@ -0,0 +1,34 @@
+package plan
+
+import (
+	"fmt"
+	"time"
+)
+
+// Move is a proposal to move a host.
+type Move struct {
+	host  string
+	from  string
+	to    string
+	gain  float64
+	since time.Time
+}
+
+// Host returns the name of the host.
+func (m Move) Host() string { return m.host }
+
+// From returns the pool that the host leaves.
+func (m Move) From() string { return m.from }
+
+// To returns the pool that the host joins.
+func (m Move) To() string { return m.to }
+
+// Gain returns by how much the move is worth more than its price, in slots
+// that are lacking on average.
+func (m Move) Gain() float64 { return m.gain }
+
+// Why returns the reason in a sentence.
+func (m Move) Why() string {
+	return fmt.Sprintf("pool %s needs a host more than pool %s since %s, by %.2f slots on average",
+		m.to, m.from, m.since.UTC().Format(time.RFC3339), m.gain)
+}
--- /dev/null
+++ b/core/plan/sample.go
@@ -0,0 +1,14 @@
+package plan
+
+// Sample is what was seen of a pool at one time.
+type Sample struct {
+	// Pool is the pool's name.
+	Pool string
+	// Demand is the number of slots that the pool's work needs: tasks in
+	// flight and requests waiting.
+	Demand float64
+	// Hosts is the number of the pool's hosts.
+	Hosts int
+	// Away is the number of these hosts that are not available.
+	Away int
+}
--- /dev/null
+++ b/core/plan/settings.go
@@ -0,0 +1,53 @@
+package plan
+
+import "time"
+
+const (
+	defaultHalfLife = time.Hour
+	defaultHold     = 30 * time.Minute
+	defaultRest     = 4 * time.Hour
+	defaultSlots    = 8
+	defaultMaxMoves = 2
+)
+
+// Settings are the settings of a [Planner]. The zero value stands for the
+// defaults.
+type Settings struct {
+	// Weights say what matters; the zero value means [MovesFirst].
+	Weights Weights
+	// HalfLife is the age at which what was seen of a pool counts half; the
+	// default is 1 hour.
+	HalfLife time.Duration
+	// Hold is how long a move must be worth its price before it is proposed;
+	// the default is 30 minutes.
+	Hold time.Duration
+	// Rest is how long a host stays after a move; the default is 4 hours.
+	Rest time.Duration
+	// Slots is the number of slots of a host; the default is 8.
+	Slots int
+	// MaxMoves is the greatest number of moves under way at once; the default
+	// is 2.
+	MaxMoves int
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Weights == (Weights{}) {
+		s.Weights = MovesFirst()
+	}
+	if s.HalfLife <= 0 {
+		s.HalfLife = defaultHalfLife
+	}
+	if s.Hold <= 0 {
+		s.Hold = defaultHold
+	}
+	if s.Rest <= 0 {
+		s.Rest = defaultRest
+	}
+	if s.Slots <= 0 {
+		s.Slots = defaultSlots
+	}
+	if s.MaxMoves <= 0 {
+		s.MaxMoves = defaultMaxMoves
+	}
+	return s
+}
