--- a/core/job/job.go
+++ b/core/job/job.go
@@ -34,6 +34,7 @@
 	StartedAt   time.Time       `json:"started_at,omitzero"`
 	Started     bool            `json:"started,omitempty"`
 	FailedHosts []string        `json:"failed_hosts,omitempty"`
+	Failures    int             `json:"failures,omitempty"`
 	Checkpoint  json.RawMessage `json:"checkpoint,omitempty"`
 	Result      json.RawMessage `json:"result,omitempty"`
 	Verdict     rock.Verdict    `json:"verdict,omitempty"`
@@ -145,10 +146,13 @@
 // Release returns the job as waiting again. The task did not start if unstarted
 // is true; a job that is not idempotent has then never been started.
 func (j Job) Release(now time.Time, unstarted bool) Job {
+	j.form.State, j.form.Since, j.form.Holder = Waiting, now, ""
 	if unstarted && (!j.form.Idempotent || j.form.Epoch <= 1) {
 		j.form.Started = false
 	}
-	j.form.State, j.form.Since, j.form.Holder = Waiting, now, ""
+	if unstarted {
+		j.form.Since = j.form.SubmittedAt // it did not stop waiting
+	}
 	return j
 }
 
@@ -158,16 +162,21 @@
 	return j.end(now, Done, rock.Ran, "", "")
 }
 
+// failuresPerHost bounds the failures of a job in a pool with fewer hosts than
+// it takes to quarantine it: so many times that number.
+const failuresPerHost = 2
+
 // Fail returns the job after its task failed on its host: waiting again if it
 // is idempotent and failed on fewer than maxHosts hosts, and else ended.
 func (j Job) Fail(now time.Time, maxHosts int) Job {
+	j.form.Failures++
 	if !slices.Contains(j.form.FailedHosts, j.form.Host) {
 		j.form.FailedHosts = append(slices.Clone(j.form.FailedHosts), j.form.Host)
 	}
 	switch {
 	case !j.form.Idempotent:
 		return j.end(now, Failed, rock.Ran, rock.WorkFailed, "the task failed on host "+j.form.Host)
-	case len(j.form.FailedHosts) >= maxHosts:
+	case len(j.form.FailedHosts) >= maxHosts || j.form.Failures >= failuresPerHost*maxHosts:
 		return j.end(now, Quarantined, rock.Ran, rock.Quarantined, fmt.Sprintf("the task failed on hosts %v", j.form.FailedHosts))
 	}
 	return j.Release(now, false)
--- /dev/null
+++ b/io/jobs/access.go
@@ -0,0 +1,146 @@
+package jobs
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/job"
+)
+
+// retryQuota is the wait that is suggested to a caller over its quota.
+const retryQuota = 5 * time.Second
+
+// caller returns the configuration in force and who calls.
+func (s *Jobs) caller(r *http.Request) (rock.Fleet, rock.Identity, error) {
+	fleet, ok := s.settings.Fleet.Fleet()
+	if !ok {
+		return nil, rock.Identity{}, rock.Fail("authenticate", "caller", rock.Unavailable, rock.NotRun).RetryIn(time.Second).Becausef("no configuration is known yet")
+	}
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return nil, rock.Identity{}, rock.Fail("authenticate", "caller", rock.Unauthenticated, rock.NotRun).Becausef("header Authorization: want \"Bearer TOKEN\"")
+	}
+	id, err := fleet.Authenticate(token)
+	if err != nil {
+		return nil, rock.Identity{}, rock.Fail("authenticate", "caller", rock.Unauthenticated, rock.NotRun).Because(err)
+	}
+	if id.Role() != rock.CallerRole || id.Organisation() == "" {
+		return nil, rock.Identity{}, rock.Fail("authorise", "caller", rock.Forbidden, rock.NotRun).Becausef("role %s: want %s of an organisation", id.Role(), rock.CallerRole)
+	}
+	return fleet, id, nil
+}
+
+// own returns the job that the request names, if it is the caller's. Another
+// organisation's job is refused in the same words as one that does not exist.
+func (s *Jobs) own(r *http.Request) (job.Job, uint64, error) {
+	_, id, err := s.caller(r)
+	if err != nil {
+		return job.Job{}, 0, err
+	}
+	name := r.PathValue("id")
+	refusal := rock.Fail("find", "job", rock.NotFound, rock.NotRun).Becausef("organisation %s has no job %q", id.Organisation(), name)
+	if rock.CheckName(name) != nil {
+		return job.Job{}, 0, refusal
+	}
+	rows, err := s.read(r.Context(), jobKey(name))
+	if err != nil {
+		return job.Job{}, 0, err
+	}
+	if !rows[0].Exists() {
+		return job.Job{}, 0, refusal
+	}
+	j, err := parseJob(rows[0])
+	if err != nil {
+		return job.Job{}, 0, rock.Fail("read", "job "+name, rock.Internal, rock.NotRun).Because(err)
+	}
+	if j.Organisation() != id.Organisation() {
+		return job.Job{}, 0, refusal
+	}
+	return j, rows[0].Version(), nil
+}
+
+// admit refuses a job if its organisation has as many jobs waiting, and held
+// by this entry, as its quota allows.
+func (s *Jobs) admit(fleet rock.Fleet, organisation string) error {
+	quota := fleet.Quota(organisation)
+	if quota == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	n := 0
+	for _, w := range s.waiting {
+		if _, held := s.held[w.id]; !held && w.Organisation == organisation {
+			n++
+		}
+	}
+	for _, i := range s.held {
+		if i.job.Organisation() == organisation {
+			n++
+		}
+	}
+	s.mu.Unlock()
+	if n < quota {
+		return nil
+	}
+	return rock.Fail("admit", "organisation "+organisation, rock.QuotaExceeded, rock.NotRun).
+		RetryIn(retryQuota).Becausef("%d jobs are waiting or running, its quota is %d", n, quota)
+}
+
+// submit makes the job's rows. A lost answer is settled by reading the job's
+// row: the id is new, so the row is there only if the submission took effect.
+func (s *Jobs) submit(ctx context.Context, j job.Job) error {
+	var t rock.Transaction
+	t.Require(jobKey(j.ID()), 0)
+	if err := putJSON(&t, jobKey(j.ID()), j); err != nil {
+		return badInput("payload: %w", err)
+	}
+	if err := putWaiting(&t, j); err != nil {
+		return badInput("%w", err)
+	}
+	err := s.commit(ctx, t)
+	if err != nil && rock.VerdictOf(err) == rock.MayHaveRun {
+		// Written again under the same condition, it takes effect once.
+		again := s.commit(ctx, t)
+		if again == nil || rock.ReasonOf(again) == rock.Conflict {
+			err = nil
+		}
+	}
+	if err != nil {
+		return err
+	}
+	s.nudge()
+	return nil
+}
+
+// progress returns the share of a job's work that is done, from 0 to 1.
+func (s *Jobs) progress(ctx context.Context, j job.Job) float64 {
+	switch j.State() {
+	case job.Done:
+		return 1
+	case job.Running:
+	default:
+		return 0
+	}
+	s.mu.Lock()
+	i, held := s.held[j.ID()]
+	var known float64
+	if held {
+		known = i.sight.Status.Progress()
+	}
+	s.mu.Unlock()
+	if held {
+		return known
+	}
+	rows, err := s.read(ctx, heldKey(j.Holder()))
+	if err != nil {
+		return 0
+	}
+	list, err := parseHeld(rows[0])
+	if err != nil {
+		return 0
+	}
+	return list.Jobs[j.ID()]
+}
--- /dev/null
+++ b/io/jobs/call.go
@@ -0,0 +1,74 @@
+package jobs
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// callOverhead is the room for the fields of a submission besides the payload,
+// in bytes.
+const callOverhead = 1024
+
+// call is the JSON form of a submission.
+type call struct {
+	Payload    json.RawMessage `json:"payload"`
+	Class      rock.Class      `json:"class"`
+	Idempotent bool            `json:"idempotent"`
+	MaxRunMS   *int64          `json:"max_run_ms"`
+}
+
+func badInput(format string, args ...any) *rock.Failure {
+	return rock.Fail("read", "job", rock.BadInput, rock.NotRun).Becausef(format, args...)
+}
+
+// readCall reads a body that holds one JSON object without unknown fields.
+func readCall(w http.ResponseWriter, r *http.Request, limit int64, c *call) error {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return rock.Fail("read", "job", rock.TooLarge, rock.NotRun).Becausef("body is larger than %d bytes", limit)
+	}
+	if err != nil {
+		return badInput("body did not arrive whole: %w", err)
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(c); err != nil {
+		return badInput("body: %w", err)
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return badInput("body: want one JSON object and nothing after it")
+	}
+	return nil
+}
+
+// check reports the first field that is not allowed.
+func (c call) check(s Settings) error {
+	if len(c.Payload) == 0 {
+		return badInput("payload: want a JSON value")
+	}
+	if n := int64(len(c.Payload)); n > s.PayloadBytes {
+		return rock.Fail("read", "job", rock.TooLarge, rock.NotRun).Becausef("payload of %d bytes: at most %d are allowed", n, s.PayloadBytes)
+	}
+	if c.Class != "" && !c.Class.Valid() {
+		return badInput("class %q: want %s or %s", c.Class, rock.Urgent, rock.Normal)
+	}
+	if c.MaxRunMS != nil && (*c.MaxRunMS < 1 || *c.MaxRunMS > s.MaxRun.Milliseconds()) {
+		return badInput("max_run_ms %d: want 1 to %d", *c.MaxRunMS, s.MaxRun.Milliseconds())
+	}
+	return nil
+}
+
+// maxRun returns the bound of one run, or 0 for none.
+func (c call) maxRun() time.Duration {
+	if c.MaxRunMS == nil {
+		return 0
+	}
+	return time.Duration(*c.MaxRunMS) * time.Millisecond
+}
--- /dev/null
+++ b/io/jobs/chaos_test.go
@@ -0,0 +1,86 @@
+package jobs_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/job"
+	"bramleyrock/io/fakes/depot"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestJobsUnderRandomFaults kills, stops, freezes and thaws entries, cuts the
+// platform off and loses its answers, while jobs are submitted and cancelled.
+func TestJobsUnderRandomFaults(t *testing.T) {
+	t.Parallel()
+	const jobCount = 40
+	for seed := uint64(1); seed <= 4; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			source := rand.New(rand.NewPCG(seed, seed))
+			f := newFleet(t, 3, 6, nil)
+			entries := []*entry{f.start("e1"), f.start("e2"), f.start("e3")}
+			safe := f.start("e9") // takes the callers' calls and is left alone
+			var ids []string
+			cancelled := map[string]bool{}
+			for n := range jobCount {
+				ids = append(ids, safe.submit(fmt.Sprintf(long, n%2 == 0, 200+source.IntN(1200))))
+				strike(f, source, entries, fmt.Sprintf("e%d", n+10))
+				if n%10 == 9 {
+					safe.call("DELETE", "/v1/jobs/"+ids[n-2], "alpha-token", "", nil)
+					cancelled[ids[n-2]] = true
+				}
+				time.Sleep(time.Duration(source.IntN(60)) * time.Millisecond) // the pace of the schedule
+			}
+			f.depot.SetFaults(depot.Faults{})
+			for _, e := range entries {
+				e.gate.thaw()
+			}
+			counts := map[job.State]int{}
+			for n, id := range ids {
+				got := safe.await(id, job.Done, job.Unsettled, job.Cancelled)
+				counts[got.State]++
+				idempotent := n%2 == 0
+				runs := f.runs(id)
+				if !idempotent {
+					assert.Assert(t, runs <= 1, "job %s ran %d times", id, runs)
+				}
+				if got.Verdict == rock.NotRun {
+					assert.Equal(t, runs, 0, "job %s", id)
+				}
+				if idempotent && !cancelled[id] {
+					assert.Equal(t, got.State, job.Done, "job %s", id)
+				}
+			}
+			t.Logf("%v", counts)
+			eventually(t, "free targets", func() bool { return f.running() == 0 })
+		})
+	}
+}
+
+// strike does one fault, or none.
+func strike(f *fleet, source *rand.Rand, entries []*entry, name string) {
+	n := source.IntN(len(entries))
+	e := entries[n]
+	switch source.IntN(10) {
+	case 0:
+		e.kill()
+		entries[n] = f.start(name)
+	case 1:
+		e.gate.thaw()
+		e.stop()
+		entries[n] = f.start(name)
+	case 2, 3:
+		e.gate.freeze()
+	case 4, 5:
+		e.gate.thaw()
+	case 6:
+		f.depot.SetFaults(depot.Faults{LoseShare: 0.3})
+	case 7:
+		f.depot.SetFaults(depot.Faults{})
+	}
+}
--- /dev/null
+++ b/io/jobs/claim.go
@@ -0,0 +1,228 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/job"
+)
+
+// maxClaims is the number of jobs that are claimed in one round.
+const maxClaims = 50
+
+// otherHostWait is how long a job waits for a host on which it did not fail.
+const otherHostWait = 5 * time.Second
+
+// refusedRounds is the number of rounds for which a pool counts as full after
+// a target refused a task.
+const refusedRounds = 4
+
+// claimAll claims waiting jobs for free slots, and ends those that were
+// cancelled while they waited.
+func (s *Jobs) claimAll(ctx context.Context, cancels map[string]bool) error {
+	full := s.refusing()
+	var claimed []*item
+	for _, w := range s.waiting {
+		if len(claimed) >= maxClaims || ctx.Err() != nil {
+			break
+		}
+		if cancels[w.id] {
+			if err := s.cancelWaiting(ctx, w); err != nil {
+				return err
+			}
+			continue
+		}
+		if full[w.Pool] && !w.urgent {
+			continue
+		}
+		i, err := s.claim(ctx, w, full[w.Pool])
+		if rock.ReasonOf(err) == rock.NoHost {
+			full[w.Pool] = true
+			continue
+		}
+		if rock.ReasonOf(err) == rock.Conflict {
+			continue // another entry was first
+		}
+		if err != nil {
+			return err
+		}
+		if i != nil {
+			claimed = append(claimed, i)
+		}
+	}
+	s.startAll(ctx, claimed)
+	return nil
+}
+
+// refusing returns the pools whose targets refused tasks lately, since other
+// entries use their slots.
+func (s *Jobs) refusing() map[string]bool {
+	now := s.settings.Now()
+	full := map[string]bool{}
+	for pool, until := range s.fullUntil {
+		if now.Before(until) {
+			full[pool] = true
+		}
+	}
+	return full
+}
+
+// claim claims a waiting job, on a free slot or on that of a job which makes
+// room. It returns nil if the job does not wait any more, or not for this
+// entry.
+func (s *Jobs) claim(ctx context.Context, w waitingRow, full bool) (*item, error) {
+	waited := s.settings.Now().Sub(w.Since)
+	limit := s.settings.Limits.PreemptAfter
+	// A pool may be full though the placer counts free slots: other entries
+	// use its hosts, too. So an urgent job that got no slot in time goes on to
+	// the slot of a normal one.
+	if w.urgent && (waited >= 2*limit || full && waited >= limit) {
+		i, err := s.preempt(ctx, w)
+		if rock.ReasonOf(err) != rock.NoHost {
+			return i, err
+		}
+	}
+	if full {
+		return nil, rock.Fail("claim", "job "+w.id, rock.NoHost, rock.NotRun)
+	}
+	return s.claimFree(ctx, w)
+}
+
+// claimFree claims a waiting job for a free slot.
+func (s *Jobs) claimFree(ctx context.Context, w waitingRow) (*item, error) {
+	now := s.settings.Now()
+	host, err := s.settings.Placer.Choose(now, w.Pool, nil)
+	if err != nil {
+		return nil, err
+	}
+	giveBack := func() { s.settings.Placer.Done(s.settings.Now(), host.Name(), 0, nil) }
+	j, version, err := s.readWaiting(ctx, w)
+	if err != nil || version == 0 {
+		giveBack()
+		return nil, err
+	}
+	if slices.Contains(j.FailedHosts(), host.Name()) && now.Sub(w.Since) < otherHostWait {
+		giveBack()
+		if host, err = s.settings.Placer.Choose(now, w.Pool, j.FailedHosts()); err != nil {
+			return nil, nil
+		}
+	}
+	i, err := s.write(ctx, w, newItem(now, j.Claim(now, s.session, host.Name()), version, host, true), nil)
+	if err != nil {
+		giveBack()
+	}
+	return i, err
+}
+
+// readWaiting reads the job of a waiting row. The version is 0 if the job does
+// not wait any more.
+func (s *Jobs) readWaiting(ctx context.Context, w waitingRow) (job.Job, uint64, error) {
+	rows, err := s.read(ctx, jobKey(w.id))
+	if err != nil {
+		return job.Job{}, 0, fmt.Errorf("read waiting job: %w", err)
+	}
+	if !rows[0].Exists() {
+		return job.Job{}, 0, nil
+	}
+	j, err := parseJob(rows[0])
+	if err != nil || j.State() != job.Waiting {
+		return j, 0, err
+	}
+	return j, rows[0].Version(), nil
+}
+
+// write commits a claim, together with the step of a job that makes room for
+// it, if there is one.
+func (s *Jobs) write(ctx context.Context, w waitingRow, i *item, victim *change) (*item, error) {
+	t := s.begin()
+	t.Require(w.key, w.version)
+	t.Delete(w.key)
+	t.Require(jobKey(w.id), i.version)
+	if err := putJSON(&t, jobKey(w.id), i.job); err != nil {
+		return nil, err
+	}
+	var leaving []string
+	if victim != nil {
+		leaving = append(leaving, victim.next.ID())
+		if err := putStep(&t, victim); err != nil {
+			return nil, err
+		}
+	}
+	if err := s.putList(&t, []string{w.id}, leaving); err != nil {
+		return nil, err
+	}
+	if err := s.commitList(ctx, t); err != nil {
+		return nil, fmt.Errorf("claim job %s: %w", w.id, err)
+	}
+	i.version++
+	s.hold(i)
+	return i, nil
+}
+
+// startAll starts the tasks of jobs that were claimed.
+func (s *Jobs) startAll(ctx context.Context, claimed []*item) {
+	refused := make(chan *change, len(claimed))
+	s.each(ctx, claimed, func(ctx context.Context, i *item) {
+		if c := s.start(ctx, i); c != nil {
+			refused <- c
+		}
+	})
+	close(refused)
+	for c := range refused {
+		if rock.ReasonOf(c.outcome) == rock.Overloaded {
+			s.fullUntil[c.next.Pool()] = s.settings.Now().Add(refusedRounds * s.settings.Interval)
+		}
+		if err := s.writeChanges(ctx, []*change{c}); err != nil {
+			s.settings.Log.WithError(err).WithField("job", c.next.ID()).Warn("refused job not given back")
+		}
+	}
+}
+
+// start starts the task of a job. It returns the step to be written if the
+// target did not take it.
+func (s *Jobs) start(ctx context.Context, i *item) *change {
+	now := s.settings.Now()
+	if !s.settings.Terms.Mine(now, s.session, s.lease) {
+		// The step fails if another entry took the session over.
+		return &change{i, i.job.Release(now, true), nil}
+	}
+	j := i.job
+	task := rock.NewTask(j.TaskID(), j.Pool(), i.host.Generation(), s.settings.Limits.TaskLease, time.Time{}, j.TaskPayload())
+	ctx, cancel := s.call(ctx)
+	defer cancel()
+	err := s.settings.Target.Start(ctx, i.host, task)
+	if err == nil {
+		s.settings.Log.WithField("job", j.ID()).WithField("host", i.host.Name()).Info("job started")
+		s.settings.Scope.Timer("wait").Record(now.Sub(j.SubmittedAt()))
+		return nil
+	}
+	s.settings.Log.WithError(err).WithField("job", j.ID()).WithField("host", i.host.Name()).Info("job not started")
+	if rock.VerdictOf(err) == rock.NotRun {
+		return &change{i, j.Release(now, true), err}
+	}
+	return nil
+}
+
+// cancelWaiting ends a job that was cancelled while it waited.
+func (s *Jobs) cancelWaiting(ctx context.Context, w waitingRow) error {
+	j, version, err := s.readWaiting(ctx, w)
+	if err != nil || version == 0 {
+		return err
+	}
+	var t rock.Transaction
+	t.Require(w.key, w.version)
+	t.Delete(w.key)
+	t.Require(jobKey(w.id), version)
+	t.Delete(cancelKey(w.id))
+	if err := putJSON(&t, jobKey(w.id), j.Cancel(s.settings.Now())); err != nil {
+		return err
+	}
+	err = s.commit(ctx, t)
+	if rock.ReasonOf(err) == rock.Conflict {
+		return nil // another entry was first
+	}
+	return err
+}
--- /dev/null
+++ b/io/jobs/fleet_test.go
@@ -0,0 +1,238 @@
+package jobs_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/group"
+	"bramleyrock/core/job"
+	"bramleyrock/core/lease"
+	"bramleyrock/core/place"
+	"bramleyrock/io/fakes/config"
+	"bramleyrock/io/fakes/depot"
+	"bramleyrock/io/fakes/work"
+	"bramleyrock/io/jobs"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// fleet is a platform, targets of pool tins in zone a, and entries.
+type fleet struct {
+	t       testing.TB
+	depot   *depot.Depot
+	targets *work.Fleet
+	config  *config.Source
+	hosts   []rock.Host
+	change  func(*jobs.Settings)
+}
+
+func newFleet(t testing.TB, hosts, slots int, change func(*jobs.Settings)) *fleet {
+	t.Helper()
+	f := &fleet{t: t, depot: depot.New(depot.Settings{Seed: 1, WritesPerSecond: -1, ReadsPerSecond: -1}), targets: work.NewFleet(), change: change}
+	for n := range hosts {
+		h := rock.HostSpec{Name: fmt.Sprintf("h%d", n+1), Zone: "a", Pool: "tins", Slots: slots, Open: true}
+		f.hosts = append(f.hosts, rock.NewHost(h))
+		f.targets.Add(work.New(work.Settings{Name: h.Name, Slots: slots, ServiceTime: 10 * time.Millisecond}))
+	}
+	f.config = config.NewSource(f.configuration(1, f.hosts))
+	return f
+}
+
+func (f *fleet) configuration(revision rock.Revision, hosts []rock.Host) *config.Fleet {
+	c := config.New(revision, []rock.Pool{rock.NewPool("tins", "alpha", false)}, hosts)
+	c.Admit("alpha-token", rock.NewIdentity("line", "alpha", rock.CallerRole))
+	c.Admit("beta-token", rock.NewIdentity("line", "beta", rock.CallerRole))
+	c.Admit("op-token", rock.NewIdentity("op", "", rock.OperatorRole))
+	return c
+}
+
+// entry is one entry's jobs, behind a gate.
+type entry struct {
+	fleet  *fleet
+	gate   *gate
+	jobs   *jobs.Jobs
+	door   http.Handler
+	group  *group.Group
+	placer *placer
+}
+
+// placer makes a place.Placer safe for concurrent use.
+type placer struct {
+	mu     sync.Mutex
+	config rock.FleetSource
+	inner  *place.Placer
+}
+
+func (p *placer) Choose(now time.Time, pool string, avoid []string) (rock.Host, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f, _ := p.config.Fleet()
+	p.inner.Update(now, f)
+	return p.inner.Choose(now, pool, avoid)
+}
+
+func (p *placer) Done(now time.Time, host string, took time.Duration, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inner.Done(now, host, took, err)
+}
+
+func (p *placer) taken() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, taken := p.inner.Slots("tins")
+	return taken
+}
+
+// quick are settings under which all goes about ten times as fast.
+func quick(s *jobs.Settings) {
+	s.Limits = job.Limits{TaskLease: 4 * time.Second, CheckpointInterval: 50 * time.Millisecond, PreemptAfter: 100 * time.Millisecond}
+	s.Terms = lease.Terms{Lifetime: 1500 * time.Millisecond, Skew: 200 * time.Millisecond}
+	s.Interval, s.StatusInterval = 20*time.Millisecond, 40*time.Millisecond
+	s.ProgressInterval, s.ReclaimInterval = 100*time.Millisecond, 100*time.Millisecond
+	s.ZoneGrace = 2 * time.Second
+}
+
+func (f *fleet) start(name string) *entry {
+	f.t.Helper()
+	e := &entry{fleet: f, gate: &gate{Table: f.depot, Target: f.targets}}
+	e.placer = &placer{config: f.config, inner: place.New(place.Settings{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})}
+	s := jobs.Settings{
+		Member: rock.NewMember(name, "a", "127.0.0.1:1", "i1"),
+		Table:  e.gate, Target: e.gate, Fleet: f.config, Placer: e.placer,
+	}
+	quick(&s)
+	if f.change != nil {
+		f.change(&s)
+	}
+	e.jobs = jobs.New(s)
+	e.door = e.jobs.Handler()
+	e.group = group.New(context.Background())
+	e.group.Go("jobs", e.jobs.Run)
+	f.t.Cleanup(e.kill)
+	return e
+}
+
+// stop is a planned stop.
+func (e *entry) stop() {
+	e.group.Stop()
+	_ = e.group.Wait()
+}
+
+// kill ends the entry without a word to anybody.
+func (e *entry) kill() {
+	e.gate.kill()
+	e.stop()
+}
+
+// call makes a call at the caller door and decodes the answer into v.
+func (e *entry) call(method, path, token, body string, v any) int {
+	e.fleet.t.Helper()
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+token)
+	w := httptest.NewRecorder()
+	e.door.ServeHTTP(w, r)
+	data, err := io.ReadAll(w.Result().Body)
+	assert.NilError(e.fleet.t, err)
+	if v != nil {
+		assert.NilError(e.fleet.t, json.Unmarshal(data, v), "%s", data)
+	}
+	return w.Code
+}
+
+// submit submits a job to pool tins and returns its id.
+func (e *entry) submit(body string) string {
+	e.fleet.t.Helper()
+	var answer struct {
+		JobID string `json:"job_id"`
+	}
+	code := e.call("POST", "/v1/pools/tins/jobs", "alpha-token", body, &answer)
+	assert.Equal(e.fleet.t, code, http.StatusAccepted)
+	return answer.JobID
+}
+
+// jobView is a job as its caller sees it.
+type jobView struct {
+	State    job.State       `json:"state"`
+	Verdict  rock.Verdict    `json:"verdict"`
+	Reason   rock.Reason     `json:"reason"`
+	Progress float64         `json:"progress"`
+	Result   json.RawMessage `json:"result"`
+}
+
+func (e *entry) get(id string) jobView {
+	e.fleet.t.Helper()
+	var v jobView
+	code := e.call("GET", "/v1/jobs/"+id, "alpha-token", "", &v)
+	assert.Equal(e.fleet.t, code, http.StatusOK)
+	return v
+}
+
+// await waits until the job is in one of the states.
+func (e *entry) await(id string, want ...job.State) jobView {
+	e.fleet.t.Helper()
+	var v jobView
+	poll.WaitOn(e.fleet.t, func(poll.LogT) poll.Result {
+		v = e.get(id)
+		for _, s := range want {
+			if v.State == s {
+				return poll.Success()
+			}
+		}
+		return poll.Continue("job is %s, want %s", v.State, want)
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(5*time.Millisecond))
+	return v
+}
+
+// row returns the job as its row says.
+func (f *fleet) row(id string) job.Job {
+	f.t.Helper()
+	rows, err := f.depot.Read(context.Background(), "job/"+id)
+	assert.NilError(f.t, err)
+	var j job.Job
+	assert.NilError(f.t, json.Unmarshal(rows[0].Value(), &j))
+	return j
+}
+
+// runs returns how many tasks of the job were started.
+func (f *fleet) runs(id string) int {
+	n := 0
+	for _, runs := range f.targets.Runs() {
+		for _, r := range runs {
+			if strings.HasPrefix(r.TaskID, id+".") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// running returns the number of tasks that run on all targets.
+func (f *fleet) running() int {
+	n := 0
+	for _, h := range f.hosts {
+		n += f.targets.Worker(h.Name()).Leases()
+	}
+	return n
+}
+
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(5*time.Millisecond))
+}
--- /dev/null
+++ b/io/jobs/gate_test.go
@@ -0,0 +1,112 @@
+package jobs_test
+
+import (
+	"context"
+	"sync"
+
+	rock "bramleyrock"
+)
+
+// gate stands between an entry and all that it calls. It can freeze the entry,
+// whose calls then go on late when it is thawed, or kill it.
+type gate struct {
+	rock.Table
+	rock.Target
+
+	mu     sync.Mutex
+	thawed chan struct{} // nil unless frozen
+	dead   bool
+}
+
+func (g *gate) freeze() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.thawed == nil {
+		g.thawed = make(chan struct{})
+	}
+}
+
+func (g *gate) thaw() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.thawed != nil {
+		close(g.thawed)
+		g.thawed = nil
+	}
+}
+
+func (g *gate) kill() {
+	g.mu.Lock()
+	g.dead = true
+	g.mu.Unlock()
+	g.thaw()
+}
+
+// pass waits while the entry is frozen, and reports whether it lives.
+func (g *gate) pass() error {
+	g.mu.Lock()
+	thawed := g.thawed
+	g.mu.Unlock()
+	if thawed != nil {
+		<-thawed
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.dead {
+		return rock.Fail("call", "", rock.Unavailable, rock.NotRun).Becausef("the entry is dead")
+	}
+	return nil
+}
+
+// late is the context of a call that goes on though its time is over, as does
+// one that a frozen process had already sent.
+func late(ctx context.Context) context.Context { return context.WithoutCancel(ctx) }
+
+func (g *gate) Read(ctx context.Context, keys ...string) ([]rock.Row, error) {
+	if err := g.pass(); err != nil {
+		return nil, err
+	}
+	return g.Table.Read(late(ctx), keys...)
+}
+
+func (g *gate) Scan(ctx context.Context, prefix, after string, limit int) ([]rock.Row, error) {
+	if err := g.pass(); err != nil {
+		return nil, err
+	}
+	return g.Table.Scan(late(ctx), prefix, after, limit)
+}
+
+func (g *gate) Commit(ctx context.Context, t rock.Transaction) error {
+	if err := g.pass(); err != nil {
+		return err
+	}
+	return g.Table.Commit(late(ctx), t)
+}
+
+func (g *gate) Start(ctx context.Context, h rock.Host, t rock.Task) error {
+	if err := g.pass(); err != nil {
+		return err
+	}
+	return g.Target.Start(late(ctx), h, t)
+}
+
+func (g *gate) Status(ctx context.Context, h rock.Host, id string) (rock.TaskStatus, error) {
+	if err := g.pass(); err != nil {
+		return rock.TaskStatus{}, err
+	}
+	return g.Target.Status(late(ctx), h, id)
+}
+
+func (g *gate) Checkpoint(ctx context.Context, h rock.Host, id string) (rock.TaskStatus, error) {
+	if err := g.pass(); err != nil {
+		return rock.TaskStatus{}, err
+	}
+	return g.Target.Checkpoint(late(ctx), h, id)
+}
+
+func (g *gate) Cancel(ctx context.Context, h rock.Host, id string) error {
+	if err := g.pass(); err != nil {
+		return err
+	}
+	return g.Target.Cancel(late(ctx), h, id)
+}
--- /dev/null
+++ b/io/jobs/item.go
@@ -0,0 +1,37 @@
+package jobs
+
+import (
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/job"
+)
+
+// item is a job that the session holds.
+type item struct {
+	job      job.Job
+	version  uint64 // of the job's row
+	host     rock.Host
+	sight    job.Sight
+	lookedAt time.Time
+	// counted is true if the placer counts the task.
+	counted bool
+}
+
+// newItem returns a job that was claimed or adopted now.
+func newItem(now time.Time, j job.Job, version uint64, host rock.Host, counted bool) *item {
+	return &item{
+		job: j, version: version, host: host, counted: counted,
+		sight: job.Sight{ReachedAt: now, SavedAt: now},
+	}
+}
+
+// youngShare is the part of its age after which a young task is looked at
+// again: one in so many.
+const youngShare = 10
+
+// due reports whether the task should be looked at.
+func (i *item) due(now time.Time, s Settings) bool {
+	wait := min(max(now.Sub(i.job.StartedAt())/youngShare, s.Interval), s.StatusInterval)
+	return now.Sub(i.lookedAt) >= wait
+}
--- /dev/null
+++ b/io/jobs/jobs.go
@@ -0,0 +1,192 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/job"
+	"bramleyrock/core/lease"
+)
+
+// Jobs holds the jobs that an entry runs. Its handler is safe for concurrent
+// use with [Jobs.Run].
+type Jobs struct {
+	settings Settings
+	wake     chan struct{}
+
+	// The fields below belong to the goroutine of Run.
+	sessions   int
+	session    string
+	lease      lease.Lease
+	list       uint64               // version of the row that lists the held jobs
+	lapsed     map[string]time.Time // since when a session was seen lapsed
+	fullUntil  map[string]time.Time // of pools whose targets refused tasks
+	progressAt time.Time
+	reclaimAt  time.Time
+	sweepAt    time.Time
+
+	mu      sync.Mutex
+	held    map[string]*item
+	waiting []waitingRow // as last read
+}
+
+// New returns jobs that hold none yet.
+func New(s Settings) *Jobs {
+	j := &Jobs{
+		settings:  s.withDefaults(),
+		wake:      make(chan struct{}, 1),
+		lapsed:    map[string]time.Time{},
+		fullUntil: map[string]time.Time{},
+	}
+	j.open()
+	return j
+}
+
+// Run claims, watches and ends jobs until ctx ends. It then hands its jobs over
+// to other entries; their tasks run on.
+func (s *Jobs) Run(ctx context.Context) error {
+	ticker := time.NewTicker(s.settings.Interval)
+	defer ticker.Stop()
+	for {
+		if err := s.round(ctx); err != nil && ctx.Err() == nil {
+			s.settings.Log.WithError(err).Warn("round failed")
+			s.settings.Scope.Counter("round_failed").Inc(1)
+		}
+		select {
+		case <-ticker.C:
+		case <-s.wake:
+		case <-ctx.Done():
+			s.handOver(context.WithoutCancel(ctx))
+			return ctx.Err()
+		}
+	}
+}
+
+// open begins a new session, without jobs.
+func (s *Jobs) open() {
+	s.sessions++
+	m := s.settings.Member
+	s.session = fmt.Sprintf("%s/%s/%d", m.Name(), m.Incarnation(), s.sessions)
+	s.lease, _ = lease.Parse(dutyPrefix+s.session, rock.Row{})
+	s.list = 0
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = map[string]*item{}
+}
+
+// round does all that is due. Without the platform it only looks at the tasks,
+// which renews their leases at the targets.
+func (s *Jobs) round(ctx context.Context) error {
+	now := s.settings.Now()
+	kept := s.keepSession(ctx, now)
+	s.look(ctx)
+	if kept != nil {
+		clear(s.lapsed)
+		return kept
+	}
+	cancels, err := s.readMarks(ctx)
+	if err != nil {
+		clear(s.lapsed)
+		return err
+	}
+	steps := []func(context.Context) error{
+		func(ctx context.Context) error { return s.settleAll(ctx, cancels) },
+		func(ctx context.Context) error { return s.claimAll(ctx, cancels) },
+		s.reclaimIfDue,
+		s.saveProgressIfDue,
+		s.sweepIfDue,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	s.settings.Scope.Gauge("held").Update(float64(len(s.held)))
+	return nil
+}
+
+// call bounds a call to the platform or a target.
+func (s *Jobs) call(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, s.settings.CallTimeout)
+}
+
+// nudge makes the next round begin at once.
+func (s *Jobs) nudge() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// items returns the held jobs.
+func (s *Jobs) items() []*item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*item, 0, len(s.held))
+	for _, i := range s.held {
+		all = append(all, i)
+	}
+	return all
+}
+
+func (s *Jobs) find(id string) (*item, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.held[id]
+	return i, ok
+}
+
+func (s *Jobs) hold(i *item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held[i.job.ID()] = i
+}
+
+// drop stops holding a job and frees its slot.
+func (s *Jobs) drop(i *item, outcome error) {
+	s.mu.Lock()
+	delete(s.held, i.job.ID())
+	s.mu.Unlock()
+	s.uncount(i, outcome)
+}
+
+// count makes the placer count the task of an adopted job, if the host is open
+// and has a free slot by the placer's count.
+func (s *Jobs) count(i *item) {
+	fleet, ok := s.settings.Fleet.Fleet()
+	if !ok {
+		return
+	}
+	var others []string
+	for _, h := range fleet.PoolHosts(i.job.Pool(), s.settings.Member.Zone()) {
+		if h.Name() != i.host.Name() {
+			others = append(others, h.Name())
+		}
+	}
+	_, err := s.settings.Placer.Choose(s.settings.Now(), i.job.Pool(), others)
+	i.counted = err == nil
+}
+
+// uncount takes the job's task off the placer's count.
+func (s *Jobs) uncount(i *item, outcome error) {
+	if !i.counted {
+		return
+	}
+	i.counted = false
+	now := s.settings.Now()
+	s.settings.Placer.Done(now, i.host.Name(), now.Sub(i.job.StartedAt()), outcome)
+}
+
+// host returns the job's host as configured, and whether it still takes work of
+// the job's pool.
+func (s *Jobs) host(j job.Job) (rock.Host, bool) {
+	fleet, ok := s.settings.Fleet.Fleet()
+	if !ok {
+		return rock.Host{}, true
+	}
+	h, ok := fleet.Host(j.Host())
+	return h, ok && h.Open() && h.Pool() == j.Pool()
+}
--- /dev/null
+++ b/io/jobs/jobs_test.go
@@ -0,0 +1,274 @@
+package jobs_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/job"
+	"bramleyrock/io/fakes/depot"
+	"bramleyrock/io/fakes/work"
+	"bramleyrock/io/jobs"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	long = `{"idempotent":%t,"payload":{"work_ms":%d,"echo":"roll"}}`
+	// longMS is longer than any test waits, in milliseconds.
+	longMS = 600_000
+)
+
+func TestJobIsSeenThroughAnyEntry(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 2, nil)
+	first, second := f.start("e1"), f.start("e2")
+	id := first.submit(fmt.Sprintf(long, false, 1500))
+	first.await(id, job.Running)
+	eventually(t, "progress at both", func() bool {
+		return first.get(id).Progress > 0 && second.get(id).Progress > 0
+	})
+	got := second.await(id, job.Done)
+	assert.Equal(t, got.Verdict, rock.Ran)
+	assert.Equal(t, got.Progress, 1.0)
+	assert.Equal(t, string(got.Result), `{"echo":"roll"}`)
+	assert.Equal(t, f.runs(id), 1)
+}
+
+// TestJobOutlivesItsHolder ends or pauses the entry that holds a job. The task
+// runs on, and is adopted.
+func TestJobOutlivesItsHolder(t *testing.T) {
+	t.Parallel()
+	cases := map[string]func(holder, other *entry){
+		"planned stop":    func(holder, _ *entry) { holder.stop() },
+		"killed":          func(holder, _ *entry) { holder.kill() },
+		"frozen for good": func(holder, _ *entry) { holder.gate.freeze() },
+	}
+	for name, fault := range cases {
+		for _, idempotent := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, idempotent %t", name, idempotent), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(t, 2, 2, nil)
+				holder := f.start("e1")
+				id := holder.submit(fmt.Sprintf(long, idempotent, 3500))
+				holder.await(id, job.Running)
+				eventually(t, "start", func() bool { return f.runs(id) == 1 })
+				other := f.start("e2")
+				fault(holder, other)
+				got := other.await(id, job.Done, job.Unsettled)
+				assert.Equal(t, got.State, job.Done)
+				assert.Equal(t, f.runs(id), 1, "the task was started again")
+				assert.Assert(t, f.row(id).Epoch() >= 2, "nobody adopted the job")
+			})
+		}
+	}
+}
+
+// TestThawedHolderFindsItsJobsTaken freezes the holder past its lease.
+func TestThawedHolderFindsItsJobsTaken(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 4, nil)
+	holder := f.start("e1")
+	id := holder.submit(fmt.Sprintf(long, false, longMS))
+	holder.await(id, job.Running)
+	other := f.start("e2")
+	holder.gate.freeze()
+	eventually(t, "adoption", func() bool { return f.row(id).Epoch() == 2 })
+	adopted := f.row(id)
+	holder.gate.thaw()
+	eventually(t, "the thawed holder to drop its jobs", func() bool { return holder.placer.taken() == 0 })
+	next := holder.submit(fmt.Sprintf(long, true, 10)) // it goes on under a new session
+	other.await(next, job.Done)
+	now := f.row(id)
+	assert.Equal(t, now.Holder(), adopted.Holder())
+	assert.Equal(t, now.Epoch(), adopted.Epoch())
+	assert.Equal(t, now.State(), job.Running)
+	assert.Equal(t, f.runs(id), 1)
+}
+
+func TestAllEntriesAreReplaced(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 8, nil)
+	entries := []*entry{f.start("e1"), f.start("e2")}
+	var ids []string
+	for n := range 12 {
+		ids = append(ids, entries[n%2].submit(fmt.Sprintf(long, n%3 == 0, 4000)))
+	}
+	for _, e := range entries {
+		e.kill()
+	}
+	f.depot.SetFaults(depot.Faults{Down: true})
+	fresh := f.start("e3")
+	f.depot.SetFaults(depot.Faults{})
+	for n, id := range ids {
+		got := fresh.await(id, job.Done, job.Unsettled)
+		if n%3 == 0 {
+			assert.Equal(t, got.State, job.Done)
+		}
+		if got.State == job.Done && n%3 != 0 {
+			assert.Equal(t, f.runs(id), 1)
+		}
+	}
+}
+
+// TestTaskIsLost takes the host away from a job.
+func TestTaskIsLost(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		idempotent bool
+		state      job.State
+		verdict    rock.Verdict
+	}{
+		"idempotent":     {true, job.Running, ""},
+		"not idempotent": {false, job.Unsettled, rock.MayHaveRun},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 2, 2, func(s *jobs.Settings) { s.Limits.TaskLease = time.Second })
+			e := f.start("e1")
+			id := e.submit(fmt.Sprintf(long, c.idempotent, longMS))
+			eventually(t, "a checkpoint", func() bool {
+				return f.runs(id) == 1 && (!c.idempotent || len(f.row(id).Checkpoint()) > 0)
+			})
+			first := f.row(id)
+			f.targets.Worker(first.Host()).SetFaults(work.Faults{Down: true})
+			eventually(t, "the loss", func() bool {
+				j := f.row(id)
+				return j.State() == c.state && j.TaskID() != "" && (j.Epoch() > first.Epoch() || j.State().Ended())
+			})
+			eventually(t, "the runs", func() bool { return f.runs(id) == map[bool]int{true: 2, false: 1}[c.idempotent] })
+			now := f.row(id)
+			assert.Equal(t, now.Verdict(), c.verdict)
+			if c.idempotent {
+				assert.Assert(t, now.Host() != first.Host())
+				assert.Assert(t, len(now.Checkpoint()) > 0)
+			}
+		})
+	}
+}
+
+// TestUrgentJobStartsInTime uses the default limits and intervals.
+func TestUrgentJobStartsInTime(t *testing.T) {
+	t.Parallel()
+	const bound = 7800 * time.Millisecond
+	cases := map[string]struct {
+		normalIdempotent bool
+		starts           bool
+	}{
+		"a normal job makes room":          {true, true},
+		"no job can be stopped (baseline)": {false, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 1, 2, func(s *jobs.Settings) {
+				*s = jobs.Settings{Member: s.Member, Table: s.Table, Target: s.Target, Fleet: s.Fleet, Placer: s.Placer}
+			})
+			holder, other := f.start("e1"), f.start("e2")
+			var normal []string
+			for range 2 {
+				normal = append(normal, holder.submit(fmt.Sprintf(long, c.normalIdempotent, longMS)))
+			}
+			eventually(t, "normal jobs", func() bool { return f.runs(normal[0])+f.runs(normal[1]) == 2 })
+			submitted := time.Now()
+			id := other.submit(`{"class":"urgent","payload":{"work_ms":600000}}`)
+			if !c.starts {
+				time.Sleep(3 * time.Second) // well past the time that it takes with room made
+				assert.Equal(t, f.row(id).State(), job.Waiting)
+				return
+			}
+			eventually(t, "urgent job", func() bool { return f.runs(id) == 1 })
+			took := time.Since(submitted)
+			t.Logf("urgent job started after %v", took)
+			assert.Assert(t, took < bound, "took %v", took)
+			states := []job.State{f.row(normal[0]).State(), f.row(normal[1]).State()}
+			assert.Assert(t, states[0] == job.Waiting || states[1] == job.Waiting, "%v", states)
+			holder.call(http.MethodDelete, "/v1/jobs/"+id, "alpha-token", "", nil)
+			eventually(t, "the normal jobs to go on", func() bool {
+				return f.row(normal[0]).State() == job.Running && f.row(normal[1]).State() == job.Running && f.running() == 2
+			})
+		})
+	}
+}
+
+func TestJobThatAlwaysFailsIsQuarantined(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 5, 2, nil)
+	e := f.start("e1")
+	id := e.submit(`{"idempotent":true,"payload":{"work_ms":5,"fail":true}}`)
+	got := e.await(id, job.Quarantined, job.Failed)
+	assert.Equal(t, got.State, job.Quarantined)
+	assert.Equal(t, got.Reason, rock.Quarantined)
+	assert.Equal(t, f.runs(id), 3)
+	assert.Equal(t, len(f.row(id).FailedHosts()), 3)
+
+	once := e.submit(`{"payload":{"work_ms":5,"fail":true}}`)
+	got = e.await(once, job.Failed, job.Quarantined)
+	assert.Equal(t, got.Reason, rock.WorkFailed)
+	assert.Equal(t, f.runs(once), 1)
+}
+
+func TestCancelFreesTheSlot(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 10, nil)
+	e, other := f.start("e1"), f.start("e2")
+	var ids []string
+	for range 60 {
+		ids = append(ids, e.submit(fmt.Sprintf(long, false, longMS)))
+	}
+	eventually(t, "full targets", func() bool { return f.running() == 20 })
+	for _, id := range ids {
+		assert.Equal(t, other.call(http.MethodDelete, "/v1/jobs/"+id, "alpha-token", "", nil), http.StatusAccepted)
+	}
+	for _, id := range ids {
+		got := e.await(id, job.Cancelled)
+		assert.Equal(t, got.Verdict == rock.NotRun, f.runs(id) == 0, "verdict %s of a job that ran %d times", got.Verdict, f.runs(id))
+	}
+	eventually(t, "free slots", func() bool { return f.running() == 0 && e.placer.taken()+other.placer.taken() == 0 })
+	assert.Equal(t, e.call(http.MethodDelete, "/v1/jobs/"+ids[0], "alpha-token", "", nil), http.StatusConflict)
+}
+
+func TestJobLeavesAClosedHost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2, nil)
+	e := f.start("e1")
+	moves, stays := e.submit(fmt.Sprintf(long, true, longMS)), e.submit(fmt.Sprintf(long, false, longMS))
+	eventually(t, "starts", func() bool { return f.runs(moves) == 1 && f.runs(stays) == 1 })
+	before := []job.Job{f.row(moves), f.row(stays)}
+	var closed []rock.Host
+	for _, h := range f.hosts {
+		open := h.Name() != before[0].Host()
+		closed = append(closed, rock.NewHost(rock.HostSpec{Name: h.Name(), Zone: "a", Pool: "tins", Slots: 2, Open: open}))
+	}
+	f.config.Set(f.configuration(2, closed))
+	eventually(t, "the move", func() bool { return f.runs(moves) == 2 })
+	assert.Assert(t, f.row(moves).Host() != before[0].Host())
+	assert.Equal(t, f.row(stays).TaskID(), before[1].TaskID())
+}
+
+func TestOutageOfThePlatform(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 4, func(s *jobs.Settings) { s.Limits.TaskLease = time.Second })
+	e, other := f.start("e1"), f.start("e2")
+	id := e.submit(fmt.Sprintf(long, false, 4000))
+	e.await(id, job.Running)
+	eventually(t, "start", func() bool { return f.runs(id) == 1 })
+	f.depot.SetFaults(depot.Faults{Down: true})
+	var problem struct {
+		Verdict rock.Verdict `json:"verdict"`
+	}
+	code := e.call(http.MethodPost, "/v1/pools/tins/jobs", "alpha-token", `{"payload":1}`, &problem)
+	assert.Equal(t, code, http.StatusServiceUnavailable)
+	assert.Equal(t, problem.Verdict, rock.NotRun)
+	// The outage outlasts the session's lease and the task's.
+	assert.Equal(t, f.running(), 1)
+	time.Sleep(2500 * time.Millisecond)
+	assert.Equal(t, f.running(), 1, "the task was not kept alive")
+	f.depot.SetFaults(depot.Faults{})
+	got := other.await(id, job.Done, job.Unsettled)
+	assert.Equal(t, got.State, job.Done)
+	assert.Equal(t, f.runs(id), 1)
+}
--- /dev/null
+++ b/io/jobs/preempt.go
@@ -0,0 +1,45 @@
+package jobs
+
+import (
+	"context"
+
+	rock "bramleyrock"
+	"bramleyrock/core/job"
+)
+
+// preempt claims an urgent job on the slot of a normal one. The normal job
+// saves its state and waits again. It fails with [rock.NoHost] if none can make
+// room.
+func (s *Jobs) preempt(ctx context.Context, w waitingRow) (*item, error) {
+	urgent, version, err := s.readWaiting(ctx, w)
+	if err != nil || version == 0 {
+		return nil, err
+	}
+	now := s.settings.Now()
+	var running []job.Job
+	for _, i := range s.items() {
+		if i.counted {
+			running = append(running, i.job)
+		}
+	}
+	chosen, ok := s.settings.Limits.Victim(now, urgent, running)
+	if !ok {
+		return nil, rock.Fail("claim", "job "+w.id, rock.NoHost, rock.NotRun).Becausef("no job of pool %s can make room", w.Pool)
+	}
+	victim, ok := s.find(chosen.ID())
+	if !ok {
+		return nil, nil
+	}
+	saved := victim.job.Save(s.checkpoint(ctx, victim))
+	step := &change{item: victim, next: saved.Release(now, false)}
+	claimed := newItem(now, urgent.Claim(now, s.session, victim.host.Name()), version, victim.host, true)
+	i, err := s.write(ctx, w, claimed, step)
+	if err != nil {
+		return nil, err
+	}
+	s.stopTask(ctx, victim)
+	victim.counted = false // the slot is the urgent job's now
+	s.apply(step)
+	s.settings.Scope.Counter("preempted").Inc(1)
+	return i, nil
+}
--- /dev/null
+++ b/io/jobs/reclaim.go
@@ -0,0 +1,191 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/job"
+	"bramleyrock/core/lease"
+)
+
+// ownGrace is for how long a lapsed session of the own availability zone is
+// left to its entry, for example after an outage of the platform.
+const ownGrace = time.Second
+
+// reclaimIfDue takes over the jobs of sessions that were released or lapsed.
+func (s *Jobs) reclaimIfDue(ctx context.Context) error {
+	now := s.settings.Now()
+	if now.Sub(s.reclaimAt) < s.settings.ReclaimInterval {
+		return nil
+	}
+	s.reclaimAt = now
+	rows, err := s.scan(ctx, leasePrefix)
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		session := strings.TrimPrefix(row.Key(), leasePrefix)
+		if session == s.session {
+			continue
+		}
+		l, err := lease.Parse(dutyPrefix+session, row)
+		if err != nil {
+			s.settings.Log.WithError(err).Warn("row not readable")
+			continue
+		}
+		if err := s.reclaim(ctx, now, session, l); err != nil && rock.ReasonOf(err) != rock.Conflict {
+			return err
+		}
+	}
+	return nil
+}
+
+// reclaim takes over one session if its time has come.
+func (s *Jobs) reclaim(ctx context.Context, now time.Time, session string, l lease.Lease) error {
+	next, action := s.settings.Terms.Next(now, s.session, l)
+	if action == lease.Wait {
+		delete(s.lapsed, session)
+		return nil
+	}
+	rows, err := s.read(ctx, heldKey(session))
+	if err != nil {
+		return err
+	}
+	list, err := parseHeld(rows[0])
+	if err != nil {
+		return err
+	}
+	if !s.ripe(now, session, l, list) {
+		return nil
+	}
+	var t rock.Transaction
+	if err := next.Claim(&t, l); err != nil {
+		return err
+	}
+	if err := s.commit(ctx, t); err != nil {
+		return fmt.Errorf("take session %s: %w", session, err)
+	}
+	s.settings.Log.WithField("session", session).WithField("jobs", len(list.Jobs)).Info("session taken over")
+	return s.takeJobs(ctx, session, next, rows[0].Version(), list)
+}
+
+// ripe reports whether this entry may take the session over. Time counts from
+// when this entry first saw the session lapsed, without losing sight of the
+// platform, so that after an outage its own entry is first.
+func (s *Jobs) ripe(now time.Time, session string, l lease.Lease, list heldList) bool {
+	since, seen := s.lapsed[session]
+	if !seen {
+		s.lapsed[session] = now
+		since = now
+	}
+	own := list.Zone == "" || list.Zone == s.settings.Member.Zone()
+	switch {
+	case own && l.Holder() == "":
+		return true // released by a planned stop
+	case own:
+		return now.Sub(since) >= ownGrace
+	}
+	return now.Sub(since) >= s.settings.ZoneGrace
+}
+
+// takeJobs moves the jobs of a session whose lease this entry took to its own
+// session, and removes the other session's rows.
+func (s *Jobs) takeJobs(ctx context.Context, session string, taken lease.Lease, version uint64, list heldList) error {
+	own := list.Zone == "" || list.Zone == s.settings.Member.Zone()
+	ids := slices.Sorted(maps.Keys(list.Jobs))
+	for len(ids) > 0 {
+		n := min(len(ids), maxGroup)
+		for _, id := range ids[:n] {
+			delete(list.Jobs, id)
+		}
+		if err := s.takeGroup(ctx, session, taken, &version, ids[:n], list, own); err != nil {
+			return err
+		}
+		ids = ids[n:]
+	}
+	t := taken.Guard()
+	t.Delete(lease.Key(taken.Duty()))
+	t.Delete(heldKey(session))
+	delete(s.lapsed, session)
+	return s.commit(ctx, t)
+}
+
+// takeGroup moves some jobs. Of another availability zone, whose hosts this
+// entry cannot reach, the tasks count as lost.
+func (s *Jobs) takeGroup(ctx context.Context, session string, taken lease.Lease, version *uint64, ids []string, left heldList, own bool) error {
+	now := s.settings.Now()
+	items, err := s.readOrphans(ctx, now, session, ids)
+	if err != nil {
+		return err
+	}
+	t := s.begin()
+	guard := taken.Guard()
+	for _, c := range guard.Conditions() {
+		t.Require(c.Key(), c.Version())
+	}
+	t.Require(heldKey(session), *version)
+	if err := putJSON(&t, heldKey(session), left); err != nil {
+		return err
+	}
+	var kept []string
+	for _, i := range items {
+		if !own {
+			i.job = i.job.Lose(now, "its availability zone has no running entry")
+		} else {
+			i.job = i.job.Adopt(s.session)
+			kept = append(kept, i.job.ID())
+		}
+		if err := putStep(&t, &change{item: i, next: i.job}); err != nil {
+			return err
+		}
+	}
+	if err := s.putList(&t, kept, nil); err != nil {
+		return err
+	}
+	if err := s.commitList(ctx, t); err != nil {
+		return fmt.Errorf("take jobs of %s: %w", session, err)
+	}
+	*version++
+	for _, i := range items {
+		i.version++
+		if i.job.State() == job.Running {
+			s.count(i)
+			s.hold(i)
+		}
+	}
+	s.settings.Scope.Counter("adopted").Inc(int64(len(kept)))
+	return nil
+}
+
+// readOrphans reads the jobs that the session still holds.
+func (s *Jobs) readOrphans(ctx context.Context, now time.Time, session string, ids []string) ([]*item, error) {
+	keys := make([]string, len(ids))
+	for n, id := range ids {
+		keys[n] = jobKey(id)
+	}
+	rows, err := s.read(ctx, keys...)
+	if err != nil {
+		return nil, fmt.Errorf("read orphaned jobs: %w", err)
+	}
+	var items []*item
+	for _, row := range rows {
+		if !row.Exists() {
+			continue
+		}
+		j, err := parseJob(row)
+		if err != nil {
+			return nil, err
+		}
+		if j.State() != job.Running || j.Holder() != session {
+			continue
+		}
+		host, _ := s.host(j)
+		items = append(items, newItem(now, j, row.Version(), host, false))
+	}
+	return items, nil
+}
--- /dev/null
+++ b/io/jobs/session.go
@@ -0,0 +1,177 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/lease"
+)
+
+// keepSession takes or renews the session's lease if that is due. It fails if
+// the platform cannot be reached.
+func (s *Jobs) keepSession(ctx context.Context, now time.Time) error {
+	next, action := s.settings.Terms.Next(now, s.session, s.lease)
+	if action == lease.Hold {
+		return nil
+	}
+	if action == lease.Wait {
+		return s.resync(ctx)
+	}
+	var t rock.Transaction
+	if err := next.Claim(&t, s.lease); err != nil {
+		return err
+	}
+	err := s.commit(ctx, t)
+	if err == nil {
+		s.lease = next
+		return nil
+	}
+	if rock.VerdictOf(err) == rock.MayHaveRun || rock.ReasonOf(err) == rock.Conflict {
+		return s.resync(ctx)
+	}
+	return fmt.Errorf("renew session: %w", err)
+}
+
+// begin returns a transaction that fails unless the session and its list are
+// as this process knows them.
+func (s *Jobs) begin() rock.Transaction {
+	t := s.lease.Guard()
+	t.Require(heldKey(s.session), s.list)
+	return t
+}
+
+// putList adds a write of the list of held jobs, with the ids added and without
+// those removed.
+func (s *Jobs) putList(t *rock.Transaction, add, remove []string) error {
+	list := heldList{Zone: s.settings.Member.Zone(), Jobs: map[string]float64{}}
+	for _, i := range s.items() {
+		list.Jobs[i.job.ID()] = i.sight.Status.Progress()
+	}
+	for _, id := range remove {
+		delete(list.Jobs, id)
+	}
+	for _, id := range add {
+		list.Jobs[id] = 0
+	}
+	return putJSON(t, heldKey(s.session), list)
+}
+
+// commitList commits a transaction that writes the list. If it is not known
+// whether the rows are still as this process knows them, it reads them again.
+func (s *Jobs) commitList(ctx context.Context, t rock.Transaction) error {
+	err := s.commit(ctx, t)
+	if err == nil {
+		s.list++
+		return nil
+	}
+	if rock.VerdictOf(err) == rock.MayHaveRun || rock.ReasonOf(err) == rock.Conflict {
+		if again := s.resync(ctx); again != nil {
+			return again
+		}
+	}
+	return err
+}
+
+func (s *Jobs) commit(ctx context.Context, t rock.Transaction) error {
+	ctx, cancel := s.call(ctx)
+	defer cancel()
+	return s.settings.Table.Commit(ctx, t)
+}
+
+func (s *Jobs) read(ctx context.Context, keys ...string) ([]rock.Row, error) {
+	ctx, cancel := s.call(ctx)
+	defer cancel()
+	return s.settings.Table.Read(ctx, keys...)
+}
+
+// resync reads the session's rows again after a conflict or a lost answer. If
+// another entry took the session over, it drops all jobs and begins anew.
+func (s *Jobs) resync(ctx context.Context) error {
+	rows, err := s.read(ctx, leasePrefix+s.session, heldKey(s.session))
+	if err != nil {
+		return fmt.Errorf("read session: %w", err)
+	}
+	current, err := lease.Parse(dutyPrefix+s.session, rows[0])
+	if err != nil {
+		return err
+	}
+	if current.Holder() != s.session {
+		s.lose(current)
+		return nil
+	}
+	list, err := parseHeld(rows[1])
+	if err != nil {
+		return err
+	}
+	s.lease, s.list = current, rows[1].Version()
+	return s.resyncJobs(ctx, list)
+}
+
+// lose drops all jobs, which another entry holds now, and begins a new session.
+func (s *Jobs) lose(current lease.Lease) {
+	all := s.items()
+	if current.Version() > 0 || len(all) > 0 {
+		s.settings.Log.WithField("session", s.session).WithField("by", current.Holder()).WithField("jobs", len(all)).
+			Warn("session was taken over, its jobs are dropped")
+		s.settings.Scope.Counter("sessions_lost").Inc(1)
+	}
+	for _, i := range all {
+		s.uncount(i, nil)
+	}
+	s.open()
+}
+
+// resyncJobs makes the held jobs those of the list, as their rows say.
+func (s *Jobs) resyncJobs(ctx context.Context, list heldList) error {
+	var ids, keys []string
+	for id := range list.Jobs {
+		ids, keys = append(ids, id), append(keys, jobKey(id))
+	}
+	var rows []rock.Row
+	if len(keys) > 0 {
+		var err error
+		if rows, err = s.read(ctx, keys...); err != nil {
+			return fmt.Errorf("read held jobs: %w", err)
+		}
+	}
+	for _, i := range s.items() {
+		if _, listed := list.Jobs[i.job.ID()]; !listed {
+			s.drop(i, nil)
+		}
+	}
+	now := s.settings.Now()
+	for n, row := range rows {
+		j, err := parseJob(row)
+		if err != nil {
+			return err
+		}
+		if i, ok := s.find(ids[n]); ok && i.job.TaskID() == j.TaskID() {
+			i.job, i.version = j, row.Version()
+			continue
+		}
+		// A claim whose answer was lost: its task was not started.
+		host, _ := s.host(j)
+		s.hold(newItem(now, j, row.Version(), host, false))
+	}
+	return nil
+}
+
+// handOver releases the session, so that other entries take its jobs at once.
+func (s *Jobs) handOver(ctx context.Context) {
+	if s.lease.Version() == 0 {
+		return
+	}
+	released := s.settings.Terms.Release(s.lease)
+	var t rock.Transaction
+	if err := released.Claim(&t, s.lease); err != nil {
+		return
+	}
+	if err := s.commit(ctx, t); err != nil {
+		s.settings.Log.WithError(err).Warn("session not released, it is left to lapse")
+	}
+	for _, i := range s.items() {
+		s.uncount(i, nil)
+	}
+}
--- /dev/null
+++ b/io/jobs/settle.go
@@ -0,0 +1,183 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	rock "bramleyrock"
+	"bramleyrock/core/job"
+)
+
+// maxGroup is the number of jobs that are written in one transaction.
+const maxGroup = 50
+
+// change is a step of a held job that is to be written.
+type change struct {
+	item    *item
+	next    job.Job
+	outcome error // of the task, for the placer
+}
+
+// settleAll judges all held jobs, and writes the steps in groups.
+func (s *Jobs) settleAll(ctx context.Context, cancels map[string]bool) error {
+	items := s.items()
+	changes := make([]*change, len(items))
+	index := make(map[*item]int, len(items))
+	for n, i := range items {
+		index[i] = n
+	}
+	s.each(ctx, items, func(ctx context.Context, i *item) {
+		changes[index[i]] = s.settle(ctx, i, cancels[i.job.ID()])
+	})
+	var due []*change
+	for _, c := range changes {
+		if c != nil {
+			due = append(due, c)
+		}
+	}
+	for len(due) > 0 {
+		n := min(len(due), maxGroup)
+		if err := s.writeChanges(ctx, due[:n]); err != nil {
+			return err
+		}
+		due = due[n:]
+	}
+	return nil
+}
+
+// settle judges one job, does what is needed at its target, and returns the
+// step to be written, or nil.
+func (s *Jobs) settle(ctx context.Context, i *item, cancelled bool) *change {
+	now := s.settings.Now()
+	_, open := s.host(i.job)
+	i.sight.CancelAsked, i.sight.HostClosed = cancelled, !open
+	switch s.settings.Limits.Judge(now, i.job, i.sight) {
+	case job.Finish:
+		return &change{i, i.job.Finish(now, i.sight.Status.Result()), nil}
+	case job.Fail:
+		failed := rock.Fail("run", "job "+i.job.ID(), rock.WorkFailed, rock.Ran)
+		return &change{i, i.job.Fail(now, s.settings.Limits.MaxFailedHosts), failed}
+	case job.Lose:
+		s.stopTask(ctx, i) // whether it can be reached or not
+		return &change{i, i.job.Lose(now, "the task was lost on host "+i.host.Name()), nil}
+	case job.Stop:
+		if !s.stopTask(ctx, i) && now.Sub(i.sight.ReachedAt) <= s.settings.Limits.TaskLease {
+			return nil
+		}
+		return &change{i, i.job.Cancel(now), nil}
+	case job.Expire:
+		if !s.stopTask(ctx, i) {
+			return nil
+		}
+		return &change{i, i.job.Expire(now), nil}
+	case job.Move:
+		saved := i.job.Save(s.checkpoint(ctx, i))
+		if !s.stopTask(ctx, i) {
+			return nil
+		}
+		return &change{i, saved.Release(now, false), nil}
+	case job.Save:
+		i.sight.SavedAt = now
+		return &change{i, i.job.Save(s.checkpoint(ctx, i)), nil}
+	}
+	return nil
+}
+
+// stopTask cancels the task and reports whether the target took the call.
+func (s *Jobs) stopTask(ctx context.Context, i *item) bool {
+	ctx, cancel := s.call(ctx)
+	defer cancel()
+	err := s.settings.Target.Cancel(ctx, i.host, i.job.TaskID())
+	if err != nil {
+		s.settings.Log.WithError(err).WithField("job", i.job.ID()).Debug("task not cancelled")
+	}
+	return err == nil
+}
+
+// checkpoint returns the task's saved state, or nil if there is none or it is
+// too large.
+func (s *Jobs) checkpoint(ctx context.Context, i *item) json.RawMessage {
+	ctx, cancel := s.call(ctx)
+	defer cancel()
+	status, err := s.settings.Target.Checkpoint(ctx, i.host, i.job.TaskID())
+	log := s.settings.Log.WithField("job", i.job.ID())
+	if err != nil {
+		log.WithError(err).Info("no checkpoint")
+		return nil
+	}
+	if size := int64(len(status.Checkpoint())); size > s.settings.PayloadBytes {
+		log.WithField("bytes", size).Warn("checkpoint is too large and not kept")
+		return nil
+	}
+	return status.Checkpoint()
+}
+
+// writeChanges writes steps in one transaction. A job that ends or waits again
+// leaves the session.
+func (s *Jobs) writeChanges(ctx context.Context, changes []*change) error {
+	t := s.begin()
+	var leaving []string
+	for _, c := range changes {
+		if err := putStep(&t, c); err != nil {
+			return err
+		}
+		if c.next.State() != job.Running {
+			leaving = append(leaving, c.next.ID())
+		}
+	}
+	if err := s.putList(&t, nil, leaving); err != nil {
+		return err
+	}
+	if err := s.commitList(ctx, t); err != nil {
+		return fmt.Errorf("write %d steps: %w", len(changes), err)
+	}
+	for _, c := range changes {
+		s.apply(c)
+	}
+	return nil
+}
+
+// putStep adds the rows of a step to the transaction.
+func putStep(t *rock.Transaction, c *change) error {
+	key := jobKey(c.next.ID())
+	t.Require(key, c.item.version)
+	if err := putJSON(t, key, c.next); err != nil {
+		return err
+	}
+	if c.next.State() == job.Waiting {
+		return putWaiting(t, c.next)
+	}
+	if c.item.sight.CancelAsked && c.next.State().Ended() {
+		t.Delete(cancelKey(c.next.ID()))
+	}
+	return nil
+}
+
+// apply makes a written step the known state.
+func (s *Jobs) apply(c *change) {
+	c.item.version++
+	if c.next.State() == job.Running {
+		s.mu.Lock()
+		c.item.job = c.next
+		s.mu.Unlock()
+		return
+	}
+	s.drop(c.item, c.outcome)
+	s.settings.Scope.Tagged(map[string]string{"state": string(c.next.State())}).Counter("steps").Inc(1)
+	s.settings.Log.WithField("job", c.next.ID()).WithField("state", c.next.State()).Info("job left the entry")
+}
+
+// saveProgressIfDue writes the progress of all held jobs.
+func (s *Jobs) saveProgressIfDue(ctx context.Context) error {
+	now := s.settings.Now()
+	if now.Sub(s.progressAt) < s.settings.ProgressInterval || len(s.items()) == 0 {
+		return nil
+	}
+	s.progressAt = now
+	t := s.begin()
+	if err := s.putList(&t, nil, nil); err != nil {
+		return err
+	}
+	return s.commitList(ctx, t)
+}
--- /dev/null
+++ b/io/jobs/sweep.go
@@ -0,0 +1,80 @@
+package jobs
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// sweepIfDue removes rows of jobs that ended long ago, and requests to cancel
+// jobs that have ended.
+func (s *Jobs) sweepIfDue(ctx context.Context) error {
+	now := s.settings.Now()
+	if now.Sub(s.sweepAt) < s.settings.SweepInterval {
+		return nil
+	}
+	s.sweepAt = now
+	if err := s.sweepEnded(ctx, now); err != nil {
+		return err
+	}
+	return s.sweepCancels(ctx)
+}
+
+// sweepEnded looks at the oldest jobs only: ids grow with time.
+func (s *Jobs) sweepEnded(ctx context.Context, now time.Time) error {
+	rows, err := s.scan(ctx, jobPrefix)
+	if err != nil {
+		return err
+	}
+	var t rock.Transaction
+	for _, row := range rows {
+		j, err := parseJob(row)
+		if err != nil || len(t.Writes()) >= maxGroup || now.Sub(j.SubmittedAt()) < s.settings.KeepEnded {
+			break
+		}
+		if j.State().Ended() && now.Sub(j.Since()) >= s.settings.KeepEnded {
+			t.Require(row.Key(), row.Version())
+			t.Delete(row.Key())
+		}
+	}
+	return s.commitSweep(ctx, t)
+}
+
+func (s *Jobs) sweepCancels(ctx context.Context) error {
+	rows, err := s.scan(ctx, cancelPrefix)
+	if err != nil || len(rows) == 0 {
+		return err
+	}
+	rows = rows[:min(len(rows), maxGroup)]
+	keys := make([]string, len(rows))
+	for n, row := range rows {
+		keys[n] = jobKey(strings.TrimPrefix(row.Key(), cancelPrefix))
+	}
+	jobs, err := s.read(ctx, keys...)
+	if err != nil {
+		return err
+	}
+	var t rock.Transaction
+	for n, row := range jobs {
+		j, err := parseJob(row)
+		if !row.Exists() || err == nil && j.State().Ended() {
+			t.Require(rows[n].Key(), rows[n].Version())
+			t.Delete(rows[n].Key())
+		}
+	}
+	return s.commitSweep(ctx, t)
+}
+
+// commitSweep commits removals; another entry may have been first.
+func (s *Jobs) commitSweep(ctx context.Context, t rock.Transaction) error {
+	if len(t.Writes()) == 0 {
+		return nil
+	}
+	err := s.commit(ctx, t)
+	if rock.ReasonOf(err) == rock.Conflict {
+		return nil
+	}
+	return err
+}
