--- a/cmd/bramleyrock/commands.go
+++ b/cmd/bramleyrock/commands.go
@@ -17,6 +17,7 @@
 		a.wave(),
 		a.call(),
 		a.replay(),
+		a.settings(),
 		a.standIn(),
 	}
 }
