--- a/cmd/bramleyrock/commands.go
+++ b/cmd/bramleyrock/commands.go
@@ -16,6 +16,7 @@
 		a.host(),
 		a.wave(),
 		a.call(),
+		a.job(),
 		a.replay(),
 		a.settings(),
 		a.standIn(),
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -173,6 +173,7 @@
 		Target:   targ.New(targ.Settings{}),
 		Peers:    e.links,
 		Secret:   []byte(s.PeerSecret),
+		HostList: e.platform,
 		Objects:  e.platform,
 		Random:   rand.New(rand.NewPCG(s.Seed, uint64(time.Now().UnixNano()))),
 		Log:      s.Log.WithField(logs.PartField, "route"),
@@ -201,6 +202,7 @@
 		HostList: platform,
 		Roster:   lastRows{e.roster},
 		Budgets:  reviewer,
+		Duties:   []duty.Duty{e.books.Compaction()},
 		Log:      s.Log.WithField(logs.PartField, "duty"),
 		Scope:    e.meter.Scope().SubScope("duty"),
 	})
