--- a/io/books/batch.go
+++ b/io/books/batch.go
@@ -72,7 +72,7 @@
 }
 
 func named(w *pending, err error) error {
-	f := rock.Fail("change", "change "+w.proposal.ID, rock.ReasonOf(err), rock.VerdictOf(err)).Because(err)
+	f := rock.Fail("change", w.proposal.ID, rock.ReasonOf(err), rock.VerdictOf(err)).Because(err)
 	var cause *rock.Failure
 	if errors.As(err, &cause) {
 		f = f.RetryIn(cause.RetryAfter())
@@ -148,7 +148,7 @@
 		case err != nil:
 			w.end(rock.Change{}, unsettled(w.proposal.ID, err))
 		case !b.makes(w.proposal, accepted):
-			w.end(rock.Change{}, rock.Fail("change", "change "+w.proposal.ID, rock.Duplicate, rock.NotRun).
+			w.end(rock.Change{}, rock.Fail("change", w.proposal.ID, rock.Duplicate, rock.NotRun).
 				Becausef("the change id was used for another change, which made revision %d", accepted.Revision()))
 		default:
 			w.end(accepted, nil)
--- a/io/books/change.go
+++ b/io/books/change.go
@@ -28,7 +28,7 @@
 func (b *Books) ChangeIf(ctx context.Context, now time.Time, p rock.Proposal, check func(before *feed.Config) error) (rock.Change, error) {
 	w := newPending(now, p, check)
 	if !b.enqueue(w) {
-		return rock.Change{}, rock.Fail("change", "change "+p.ID, rock.Overloaded, rock.NotRun).
+		return rock.Change{}, rock.Fail("change", p.ID, rock.Overloaded, rock.NotRun).
 			RetryIn(time.Second).Becausef("%d changes are waiting", maxWaiting)
 	}
 	for {
@@ -66,13 +66,13 @@
 	}
 	b.mu.Unlock()
 	if i >= 0 {
-		return rock.Change{}, rock.Fail("change", "change "+w.proposal.ID, rock.Cancelled, rock.NotRun).Because(cause)
+		return rock.Change{}, rock.Fail("change", w.proposal.ID, rock.Cancelled, rock.NotRun).Because(cause)
 	}
 	return rock.Change{}, unsettled(w.proposal.ID, cause)
 }
 
 func unsettled(id string, cause error) error {
-	return rock.Fail("change", "change "+id, rock.Unsettled, rock.MayHaveRun).Because(cause)
+	return rock.Fail("change", id, rock.Unsettled, rock.MayHaveRun).Because(cause)
 }
 
 // take removes the next batch from the queue: one proposal that must be alone,
--- a/io/books/outage_test.go
+++ b/io/books/outage_test.go
@@ -15,13 +15,18 @@
 	"gotest.tools/v3/assert"
 )
 
-// outageChanges is the number of changes before the outage.
-const outageChanges = 120
+const (
+	// outageChanges is the number of changes before the outage.
+	outageChanges = 120
+	// maxOutageCalls is the greatest number of calls of the platform in a
+	// second of the outage, by nine entries.
+	maxOutageCalls = 20
+)
 
 // TestOutage replays an outage of 30 minutes in which every entry is replaced.
 // New entries have their peers' configuration in force within 8 s, changes are
-// refused as not_run, and when the platform returns its rates are kept and all
-// entries are confirmed within 10 s. Without peers new entries serve nothing,
+// refused as not_run, and when the platform returns its rates are kept at 100
+// changes in the first second and all entries are confirmed within 10 s. Without peers new entries serve nothing,
 // and without backoff the platform is called far more often.
 func TestOutage(t *testing.T) {
 	cases := map[string]struct {
@@ -48,9 +53,9 @@
 					}
 				}
 				served, busiest := replayOutage(w, c.length)
-				t.Logf("new entries that served: %d of 9, busiest second of the platform: %d calls", served, busiest)
+				t.Logf("new entries that served: %d of 9, busiest second of the outage: %d calls", served, busiest)
 				assert.Check(t, (served == 9) == c.served)
-				assert.Check(t, (busiest <= 100) == c.calm)
+				assert.Check(t, (busiest <= maxOutageCalls) == c.calm)
 				if c.hints {
 					assert.Check(t, len(w.judge()) == 0, "%v", w.judge())
 				}
@@ -60,7 +65,7 @@
 }
 
 // replayOutage replays an outage of that length. It returns how many of the new entries served during the outage,
-// and the most calls that the platform got in a second.
+// and the most calls that the platform got in a second of it.
 func replayOutage(w *world, length time.Duration) (served, busiest int) {
 	for i, n := range slices.Repeat(w.startAll(3, "a", "b", "c"), outageChanges/9+1) {
 		w.mustChange(n, fmt.Sprintf("c%d", i))
@@ -85,12 +90,14 @@
 		assert.Check(w.t, rock.ReasonOf(err) == rock.Unavailable)
 	}
 	time.Sleep(length - time.Since(begin))
+	busiest = w.busiest(begin.Add(time.Second))
 	w.platformDown(false)
 	w.returnOfPlatform()
-	return served, w.busiest(begin)
+	return served, busiest
 }
 
-// returnOfPlatform makes 100 changes as soon as the platform is back.
+// returnOfPlatform makes 100 changes in the first second after the return, all
+// of which must be accepted and in force everywhere within 10 s.
 func (w *world) returnOfPlatform() {
 	before := w.depot.Stats()
 	g := group.New(context.Background())
@@ -101,8 +108,9 @@
 			_, err := n.change(name, organisation(name, 0, 1))
 			return err
 		})
+		time.Sleep(10 * time.Millisecond)
 	}
-	time.Sleep(10 * time.Second)
+	time.Sleep(9 * time.Second)
 	assert.Check(w.t, g.Wait())
 	after := w.depot.Stats()
 	w.t.Logf("first 10 s after the return: %d reads, %d writes, %d refused for the rates",
--- a/io/oper/guard.go
+++ b/io/oper/guard.go
@@ -32,7 +32,7 @@
 func checkHostByHand(codec record.Codec, r, current rock.Record, exists bool) error {
 	next, err := record.AsKnown[record.Host](codec, r)
 	if err != nil || !exists {
-		return err
+		return nil // A wrong body is refused with all others.
 	}
 	old, err := record.AsKnown[record.Host](codec, current)
 	if err != nil {
@@ -51,7 +51,7 @@
 func checkMoveByHand(codec record.Codec, r, current rock.Record, exists bool) error {
 	next, err := record.AsKnown[record.Move](codec, r)
 	if err != nil {
-		return err
+		return nil // A wrong body is refused with all others.
 	}
 	state := next.Spec().State
 	if !exists {
--- a/io/oper/oper_test.go
+++ b/io/oper/oper_test.go
@@ -110,6 +110,7 @@
 		"bad address":        {"root", "POST", "/v1/changes", `{"change_id":"x","records":[` + host("h9", "localhost:1", "tins", 1, 0) + `]}`, 400, "field address"},
 		"host moved by hand": {"root", "POST", "/v1/changes", `{"change_id":"x","records":[` + host("h1", "127.0.0.1:9001", "lids", 2, 1) + `]}`, 400, "want a move record"},
 		"generation by hand": {"root", "POST", "/v1/changes", `{"change_id":"x","records":[` + host("h1", "127.0.0.1:9001", "tins", 2, 1) + `]}`, 400, "only a move changes it"},
+		"two wrong bodies":   {"root", "POST", "/v1/changes", `{"change_id":"x","records":[` + rec("host", "h7", 0, `{"slots":-1}`) + `,` + rec("budget", "b1", 0, `{"pool":"x","min_available":-3}`) + `]}`, 400, "got -3"},
 		"move begun halfway": {"root", "POST", "/v1/changes", `{"change_id":"x","records":[` + rec("move", "m1", 0, `{"host":"h1","from":"tins","to":"lids","state":"released"}`) + `]}`, 400, "want \\\"wanted\\\""},
 	}
 	for name, c := range cases {
