--- a/core/claim/book.go
+++ b/core/claim/book.go
@@ -54,6 +54,21 @@
 	return Claimed{state: Fresh}, nil
 }
 
+// Knows reports whether the key is remembered.
+func (b *Book) Knows(now time.Time, key string) bool {
+	b.sweep(now)
+	return b.entries[key] != nil
+}
+
+// Drop forgets a claimed key that was not run and will not be.
+func (b *Book) Drop(now time.Time, key string) {
+	b.sweep(now)
+	if e := b.entries[key]; e != nil && !e.settled {
+		delete(b.entries, key)
+		heap.Remove(&b.expiry, e.index)
+	}
+}
+
 // Close makes the book refuse new keys; it goes on to tell what became of the
 // others.
 func (b *Book) Close() { b.closed = true }
@@ -79,8 +94,7 @@
 		return
 	}
 	if _, err := o.Result(); rock.VerdictOf(err) == rock.NotRun {
-		delete(b.entries, key)
-		heap.Remove(&b.expiry, e.index)
+		b.Drop(now, key)
 		return
 	}
 	e.settled, e.outcome = true, o
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -174,6 +174,8 @@
 		Peers:    e.links,
 		Secret:   []byte(s.PeerSecret),
 		Objects:  e.platform,
+		Table:    e.platform,
+		HostList: e.platform,
 		Random:   rand.New(rand.NewPCG(s.Seed, uint64(time.Now().UnixNano()))),
 		Log:      s.Log.WithField(logs.PartField, "route"),
 		Scope:    e.meter.Scope().SubScope("route"),
--- a/io/route/engine.go
+++ b/io/route/engine.go
@@ -20,6 +20,7 @@
 	keyring  *claim.Keyring
 	ledger   *ledger
 	closings *closings
+	rows     *rows
 	tasks    atomic.Uint64
 	placing  atomic.Bool
 
@@ -50,6 +51,11 @@
 		idle:    make(chan struct{}),
 	}
 	s.Group.Go("route", e.tick)
+	if s.Table != nil {
+		e.rows = newRows(s.Table, s.Limits.ChosenPerSecond)
+		s.Group.Go("claim rows", e.rows.run)
+		s.Group.Go("claim row sweep", e.sweep)
+	}
 	if s.HostList != nil {
 		s.Group.Go("host list", e.followHostList)
 	}
--- /dev/null
+++ b/io/route/export_test.go
@@ -0,0 +1,13 @@
+package route
+
+import (
+	"context"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// SweepPage sweeps one page of claim rows.
+func SweepPage(ctx context.Context, table rock.Table, now time.Time, after string) (string, error) {
+	return newRows(table, 1).sweepPage(ctx, now, after)
+}
--- a/io/route/ledger.go
+++ b/io/route/ledger.go
@@ -15,10 +15,13 @@
 	mu   sync.Mutex
 	book *claim.Book
 	runs map[string]*run
+	// free holds the keys chosen by callers that are claimed here by a row but
+	// have not run, with the time at which the row expires.
+	free map[string]time.Time
 }
 
 func newLedger(l claim.Limits) *ledger {
-	return &ledger{book: claim.NewBook(l), runs: map[string]*run{}}
+	return &ledger{book: claim.NewBook(l), runs: map[string]*run{}, free: map[string]time.Time{}}
 }
 
 // claim claims a key. It returns the run under way, unless the key is settled.
@@ -40,6 +43,56 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.book.Settle(now, key, o)
+	l.end(key, o)
+}
+
+// settleChosen notes the outcome of the run of a key that is claimed by a row
+// until a time. If it did not run, the key may be run here again.
+func (l *ledger) settleChosen(now time.Time, key string, until time.Time, o claim.Outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.book.Settle(now, key, o)
+	if _, err := o.Result(); rock.VerdictOf(err) == rock.NotRun {
+		l.free[key] = until
+	}
+	for name, at := range l.free {
+		if now.After(at) {
+			delete(l.free, name)
+		}
+	}
+	l.end(key, o)
+}
+
+// drop forgets a key that was not run here, and tells the outcome to those who
+// wait for it.
+func (l *ledger) drop(now time.Time, key string, o claim.Outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.book.Drop(now, key)
+	l.end(key, o)
+}
+
+// knows reports whether the key is remembered, or claimed by a row without
+// having run.
+func (l *ledger) knows(now time.Time, key string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, free := l.free[key]
+	return free || l.book.Knows(now, key)
+}
+
+// take takes a key that is claimed by a row without having run, and returns
+// when the row expires.
+func (l *ledger) take(key string) (time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	until, ok := l.free[key]
+	delete(l.free, key)
+	return until, ok
+}
+
+// end tells those who wait for a key's run its outcome. The lock is held.
+func (l *ledger) end(key string, o claim.Outcome) {
 	r := l.runs[key]
 	delete(l.runs, key)
 	r.outcome = o
--- a/io/route/limits.go
+++ b/io/route/limits.go
@@ -12,6 +12,12 @@
 	Attempts int
 	// KeyLifetime is how long an idempotency key is valid; 10 min.
 	KeyLifetime time.Duration
+	// ChosenLifetime is how long an idempotency key that its caller chose is
+	// kept claimed; 1 h.
+	ChosenLifetime time.Duration
+	// ChosenPerSecond is how many idempotency keys chosen by callers the entry
+	// claims a second; 3, so that the sweep of expired claims keeps up.
+	ChosenPerSecond int
 	// ListInterval is the time between looks at the platform's host list;
 	// 2 s.
 	ListInterval time.Duration
@@ -32,6 +38,12 @@
 	if l.KeyLifetime <= 0 {
 		l.KeyLifetime = 10 * time.Minute
 	}
+	if l.ChosenLifetime <= 0 {
+		l.ChosenLifetime = time.Hour
+	}
+	if l.ChosenPerSecond <= 0 {
+		l.ChosenPerSecond = 3
+	}
 	if l.ListInterval <= 0 {
 		l.ListInterval = 2 * time.Second
 	}
--- a/io/route/once.go
+++ b/io/route/once.go
@@ -15,23 +15,34 @@
 // once runs a request with an idempotency key at most once: at the key's home,
 // which remembers it.
 func (e *Engine) once(ctx context.Context, r rock.Request) (rock.Answer, error) {
-	refusal := rock.Fail("claim", "idempotency key", rock.BadInput, rock.NotRun)
 	if !claim.Issued(r.IdempotencyKey()) {
-		return rock.Answer{}, refusal.Becausef("want a key that an entry issued")
+		return asHome(r)(e.chosen(ctx, r))
 	}
 	key, err := e.keyring.Open(r.IdempotencyKey(), r.Organisation())
 	if err != nil {
-		return rock.Answer{}, refusal.Because(err)
+		return rock.Answer{}, rock.Fail("claim", "idempotency key", rock.BadInput, rock.NotRun).Because(err)
 	}
 	if key.Home() != e.settings.Member.Name() {
 		return e.sendHome(ctx, r, key)
 	}
-	answer, err := e.atHome(ctx, r, key)
-	var f *rock.Failure
-	if errors.As(err, &f) && f.Verdict() == rock.NotRun {
-		return rock.Answer{}, rock.Fail(opOnce, "request "+r.ID(), f.Reason(), rock.NotRun).RetryIn(f.RetryAfter()).Because(err)
+	return asHome(r)(e.atHome(ctx, r, key))
+}
+
+// asHome marks a refusal as that of the home of a key.
+func asHome(r rock.Request) func(rock.Answer, error) (rock.Answer, error) {
+	return func(answer rock.Answer, err error) (rock.Answer, error) {
+		var f *rock.Failure
+		if errors.As(err, &f) && f.Verdict() == rock.NotRun {
+			return rock.Answer{}, rock.Fail(opOnce, "request "+r.ID(), f.Reason(), rock.NotRun).RetryIn(f.RetryAfter()).Because(err)
+		}
+		return answer, err
 	}
-	return answer, err
+}
+
+// fromHome reports whether err is a refusal by the home of a key.
+func fromHome(err error) bool {
+	var f *rock.Failure
+	return errors.As(err, &f) && f.Op() == opOnce
 }
 
 // atHome runs a request whose key is at home here, or returns the outcome of
@@ -78,9 +89,8 @@
 func (e *Engine) sendHome(ctx context.Context, r rock.Request, key claim.Key) (rock.Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline())
 	defer cancel()
-	answer, err := e.forwardHome(ctx, r, key)
-	var f *rock.Failure
-	if err == nil || rock.VerdictOf(err) == rock.MayHaveRun || errors.As(err, &f) && f.Op() == opOnce {
+	answer, err := e.forwardHome(ctx, r, key.Home())
+	if err == nil || rock.VerdictOf(err) == rock.MayHaveRun || fromHome(err) {
 		return answer, err
 	}
 	if e.closings.rule(ctx, e.settings.Now(), r, key) {
@@ -90,12 +100,12 @@
 }
 
 // forwardHome forwards the request to the home of its key, once.
-func (e *Engine) forwardHome(ctx context.Context, r rock.Request, key claim.Key) (rock.Answer, error) {
-	unknown := rock.Fail("forward", "entry "+key.Home(), rock.Unavailable, rock.NotRun)
+func (e *Engine) forwardHome(ctx context.Context, r rock.Request, home string) (rock.Answer, error) {
+	unknown := rock.Fail("forward", "entry "+home, rock.Unavailable, rock.NotRun)
 	if r.Hops() > 0 || e.settings.Peers == nil {
 		return rock.Answer{}, unknown.Becausef("it is not this entry")
 	}
-	v, ok := e.settings.Peers.Find(key.Home())
+	v, ok := e.settings.Peers.Find(home)
 	if !ok {
 		return rock.Answer{}, unknown.Becausef("it is not known here")
 	}
--- a/io/route/peers_test.go
+++ b/io/route/peers_test.go
@@ -30,7 +30,7 @@
 
 // site is entries in memory that reach each other, all on the same workers.
 type site struct {
-	t      *testing.T
+	t      testing.TB
 	work   *work.Fleet
 	source *config.Source
 	group  *group.Group
@@ -43,11 +43,12 @@
 	groups  map[string]*group.Group
 	log     *trace.Log
 	objects rock.Objects
+	table   rock.Table
 }
 
 // newSite starts entries e1 and e2 in zone a and e3 in zone b, with two hosts
 // of pool tins in each zone.
-func newSite(t *testing.T) *site {
+func newSite(t testing.TB) *site {
 	t.Helper()
 	s := &site{t: t, work: work.NewFleet(), group: group.New(context.Background()), engines: map[string]*route.Engine{}, members: map[string]rock.Member{}, groups: map[string]*group.Group{}}
 	var hosts []rock.Host
@@ -90,7 +91,7 @@
 	s.groups[name] = group.New(context.Background())
 	s.engines[name] = route.New(route.Settings{
 		Member: m, Fleet: s.source, Target: s.work, Peers: &view{s, name}, Secret: []byte("shared"),
-		Random: rand.New(rand.NewPCG(uint64(s.starts), 2)), Group: s.groups[name], Objects: s.objects,
+		Random: rand.New(rand.NewPCG(uint64(s.starts), 2)), Group: s.groups[name], Objects: s.objects, Table: s.table, Limits: route.Limits{ChosenPerSecond: 1000},
 	})
 }
 
--- a/io/route/settings.go
+++ b/io/route/settings.go
@@ -33,6 +33,9 @@
 	// HostList tells which hosts are leaving; nil means that only the
 	// configuration does.
 	HostList rock.HostList
+	// Table keeps the claims of idempotency keys that callers chose; nil means
+	// that such keys are refused.
+	Table rock.Table
 	// Objects keeps the statement of the keys claimed here when the entry
 	// stops; nil means that keys not yet sent are lost with it.
 	Objects rock.Objects
--- /dev/null
+++ b/io/route/sweep.go
@@ -0,0 +1,67 @@
+package route
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	rock "bramleyrock"
+)
+
+const (
+	// sweepInterval is the time between looks at a page of claim rows.
+	sweepInterval = 30 * time.Second
+	// sweepPage is the number of rows on a page.
+	sweepPage = 100
+	// sweepMargin is how long an expired row is kept, so that entries whose
+	// clocks differ agree on it.
+	sweepMargin = time.Minute
+)
+
+// sweep deletes expired claim rows, a page at a time.
+func (e *Engine) sweep(ctx context.Context) error {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	after := ""
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+		next, err := e.rows.sweepPage(ctx, e.settings.Now(), after)
+		if err != nil {
+			e.settings.Log.WithField("part", "route").WithError(err).Debug("Expired claim rows could not be swept.")
+			continue
+		}
+		after = next
+	}
+}
+
+// sweepPage deletes the expired rows of the page after a key. It returns the
+// last key of the page, or "" at the end of the rows.
+func (r *rows) sweepPage(ctx context.Context, now time.Time, after string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, rowTimeout)
+	defer cancel()
+	page, err := r.table.Scan(ctx, rowPrefix, after, sweepPage)
+	if err != nil {
+		return after, err
+	}
+	var t rock.Transaction
+	for _, row := range page {
+		var f rowForm
+		if json.Unmarshal(row.Value(), &f) == nil && now.After(f.ExpiresAt.Add(sweepMargin)) {
+			t.Require(row.Key(), row.Version())
+			t.Delete(row.Key())
+		}
+	}
+	if len(t.Writes()) > 0 {
+		if err := r.table.Commit(ctx, t); err != nil {
+			return after, err
+		}
+	}
+	if len(page) < sweepPage {
+		return "", nil
+	}
+	return page[len(page)-1].Key(), nil
+}
