--- a/io/route/engine.go
+++ b/io/route/engine.go
@@ -21,6 +21,7 @@
 	ledger   *ledger
 	closings *closings
 	rows     *rows
+	waits    sync.Map // of tally.Histogram by pool
 	tasks    atomic.Uint64
 	placing  atomic.Bool
 
@@ -51,6 +52,7 @@
 		idle:    make(chan struct{}),
 	}
 	s.Group.Go("route", e.tick)
+	s.Group.Go("route report", e.report)
 	if s.Table != nil {
 		e.rows = newRows(s.Table, s.Limits.ChosenPerSecond)
 		s.Group.Go("claim rows", e.rows.run)
--- a/io/route/wait.go
+++ b/io/route/wait.go
@@ -28,12 +28,14 @@
 // the host is given back.
 func (e *Engine) wait(ctx context.Context, r rock.Request, enqueue func(now time.Time) (sched.Ticket, error)) (sched.Grant, error) {
 	granted := make(chan sched.Grant, 1)
+	begin := e.settings.Now()
 	ticket, err := e.enqueue(r, granted, enqueue)
 	if err != nil {
 		return sched.Grant{}, err
 	}
 	select {
 	case g := <-granted:
+		e.noteWait(r.Pool(), e.settings.Now().Sub(begin))
 		return g, nil
 	case <-ctx.Done():
 	}
