--- a/core/wave/take.go
+++ b/core/wave/take.go
@@ -6,6 +6,10 @@
 	"bramleyrock/core/forms"
 )
 
+// maxTaken is the greatest number of hosts that one round takes in one zone. It
+// bounds the writes of a round.
+const maxTaken = 8
+
 // take returns the steps that close further hosts, as many as the budgets and
 // max_parallel allow, and the reason to wait if there are none.
 func (s stepper) take(pending []member) []Step {
@@ -24,6 +28,9 @@
 	var reason string
 	for _, c := range choose(s.candidates(pending)) {
 		m := c.member
+		if len(steps) == maxTaken {
+			break
+		}
 		if away+len(steps) >= s.wave.MaxParallel {
 			reason = fmt.Sprintf("one of %d hosts away at once to come back", s.wave.MaxParallel)
 			break
--- a/core/wave/trouble.go
+++ b/core/wave/trouble.go
@@ -14,7 +14,7 @@
 	correlatedInZone = 3
 )
 
-// trouble is the hosts that are down though nobody closed them.
+// trouble is the hosts that are down without an act of ours.
 type trouble struct {
 	racks map[string]int
 	zones map[string]int
@@ -32,7 +32,7 @@
 	t := trouble{racks: map[string]int{}, zones: map[string]int{}, pools: map[string][]domain{}}
 	for _, pool := range pools {
 		for _, h := range fleet.PoolHosts(pool, "") {
-			if s, ok := view.Host(h.Name()); h.Open() && ok && s.State() != rock.HostLive {
+			if s, ok := view.Host(h.Name()); ok && lost(h, s) {
 				t.zones[h.Zone()]++
 				t.racks[h.Zone()+"/"+h.Rack()]++
 				t.pools[pool] = append(t.pools[pool], domain{h.Zone(), h.Rack()})
@@ -42,6 +42,12 @@
 	return t
 }
 
+// lost reports whether the host is down without an act of ours: a host that a
+// wave restarts is closed and rebooting.
+func lost(h rock.Host, s rock.HostStatus) bool {
+	return s.State() == rock.HostGone || h.Open() && s.State() != rock.HostLive
+}
+
 // holds returns why no further host of the pool is taken, or "".
 func (t trouble) holds(pool string) string {
 	for _, d := range t.pools[pool] {
--- /dev/null
+++ b/io/duty/slope_test.go
@@ -0,0 +1,172 @@
+package duty_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/budget"
+	"bramleyrock/core/drain"
+	"bramleyrock/core/forms"
+	"bramleyrock/core/move"
+	"bramleyrock/core/plan"
+	"bramleyrock/core/wave"
+	"bramleyrock/io/fakes/fleet"
+
+	"gotest.tools/v3/assert"
+)
+
+// slope is a fleet of a size, for the slopes of the duties' costs.
+type slope struct {
+	book     *fleet.Book
+	reviewer *budget.Reviewer
+	entries  []rock.EntryStatus
+	hosts    []rock.HostStatus
+	pools    []string
+}
+
+var slopeSizes = []int{50, 500, 5500}
+
+// newSlope returns n hosts, four to a rack, in 8 zones and 27 pools, with a
+// move, and a wave over all.
+func newSlope(n int) *slope {
+	s := &slope{reviewer: budget.New(budget.Settings{})}
+	var records []rock.Record
+	names := ""
+	for i := range 27 {
+		p := fmt.Sprintf("p%02d", i)
+		s.pools = append(s.pools, p)
+		names += fmt.Sprintf(",%q", p)
+		records = append(records,
+			newRecord(rock.KindPool, p, `{"organisation":"alpha","spare":false}`),
+			rock.NewRecord(rock.NewKey(rock.KindBudget, p), 2, 0, fmt.Appendf(nil, `{"pool":%q,"min_available":{"share":0.5}}`, p)))
+	}
+	for i := range n {
+		name, rack := fmt.Sprintf("h%04d", i), i/4
+		records = append(records, newHost(name, fmt.Sprintf("z%d", rack%8), fmt.Sprintf("r%d", rack), s.pools[i%27]))
+		s.hosts = append(s.hosts, rock.NewHostStatus(name, rock.HostLive, 0, 1, siteStart))
+	}
+	records = append(records, newMove("m1", "h0000", "p00", "p01"), newRecord(rock.KindWave, "w1",
+		fmt.Sprintf(`{"pools":[%s],"action":"reboot","state":"running","max_parallel":%d}`, names[1:], n)))
+	for i := range 24 {
+		m := rock.NewMember(fmt.Sprintf("e%d", i), fmt.Sprintf("z%d", i%8), fmt.Sprintf("10.0.0.%d:7000", i), fmt.Sprint(i))
+		s.entries = append(s.entries, rock.NewEntryStatus(m, rock.EntryRunning, 1, siteStart, nil))
+	}
+	s.book = fleet.NewBook(s.reviewer, records...)
+	s.reviewer.Observe(siteStart, s.hosts)
+	return s
+}
+
+// eachSize runs a benchmark at every size.
+func eachSize(b *testing.B, run func(b *testing.B, s *slope, f rock.Fleet)) {
+	for _, n := range slopeSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := newSlope(n)
+			f, _ := s.book.Fleet()
+			b.ReportAllocs()
+			run(b, s, f)
+		})
+	}
+}
+
+// BenchmarkView measures the indexing of the entries' rows and the platform's
+// list, which every round needs.
+func BenchmarkView(b *testing.B) {
+	eachSize(b, func(b *testing.B, s *slope, _ rock.Fleet) {
+		for b.Loop() {
+			drain.NewView(s.entries, s.hosts, nil)
+		}
+	})
+}
+
+// BenchmarkMoveStep measures one step of a move, and the bytes of its change.
+func BenchmarkMoveStep(b *testing.B) {
+	eachSize(b, func(b *testing.B, s *slope, f rock.Fleet) {
+		view := drain.NewView(s.entries, s.hosts, nil)
+		r, _ := f.Record(rock.NewKey(rock.KindMove, "m1"))
+		var step move.Step
+		for b.Loop() {
+			step = move.Next(siteStart, f, r, view)
+		}
+		reportChange(b, step.Records())
+	})
+}
+
+// BenchmarkWaveRound measures one round of a wave in one zone that takes what
+// the budgets allow.
+func BenchmarkWaveRound(b *testing.B) {
+	eachSize(b, func(b *testing.B, s *slope, f rock.Fleet) {
+		view := drain.NewView(s.entries, s.hosts, nil)
+		r, _ := f.Record(rock.NewKey(rock.KindWave, "w1"))
+		var cache forms.Cache
+		var steps []wave.Step
+		for b.Loop() {
+			p := wave.Plan{Now: siteStart, Fleet: f, Zone: "z1", View: view, Room: s.reviewer.Room(siteStart, f), Cache: &cache}
+			steps = p.Steps(r)
+		}
+		reportChange(b, steps[0].Proposal("e1", rock.Transaction{}).Records)
+		b.ReportMetric(float64(len(steps)), "steps")
+	})
+}
+
+// BenchmarkReview measures the review of one voluntary step by all reviewers.
+func BenchmarkReview(b *testing.B) {
+	eachSize(b, func(b *testing.B, s *slope, f rock.Fleet) {
+		from, _ := f.Record(rock.NewKey(rock.KindHost, "h0001"))
+		h, err := forms.DecodeHost(from)
+		assert.NilError(b, err)
+		h.Open, h.ClosedBy = false, "wave/w1"
+		to, err := forms.Encode(from, h)
+		assert.NilError(b, err)
+		edits := []rock.Edit{rock.NewEdit(from.Key(), &from, &to)}
+		all := rock.Reviewers{move.Reviewer{}, wave.Reviewer{}, s.reviewer}
+		for b.Loop() {
+			assert.NilError(b, all.Review(siteStart, f, edits))
+		}
+	})
+}
+
+// BenchmarkPlanLook measures one look of the capacity planner at all pools.
+func BenchmarkPlanLook(b *testing.B) {
+	eachSize(b, func(b *testing.B, s *slope, f rock.Fleet) {
+		p := plan.New(plan.Settings{})
+		now := siteStart
+		for b.Loop() {
+			now = now.Add(30 * time.Second)
+			for i, pool := range s.pools {
+				n := len(f.PoolHosts(pool, ""))
+				p.Observe(now, plan.Sample{Pool: pool, Demand: float64(n * (3 + i%4)), Hosts: n})
+			}
+			p.Moves(now, f)
+		}
+	})
+}
+
+// BenchmarkMove measures the platform's reads and writes, and the rounds, of
+// one whole move, the changes counted as five rows each.
+func BenchmarkMove(b *testing.B) {
+	for b.Loop() {
+		s := moveSite(siteOptions{seed: 1, records: []rock.Record{newHost("h0", "a", "a1", "tins"), newMove("m1", "h0", "tins", "lids")}})
+		for len(s.moving()) > 0 {
+			s.beat()
+		}
+		f, _ := s.book.Fleet()
+		stats := s.platform.Stats()
+		b.ReportMetric(float64(f.Revision()-1), "changes")
+		b.ReportMetric(float64(stats.Reads), "lease-reads")
+		b.ReportMetric(float64(stats.Writes), "lease-and-guard-writes")
+		b.ReportMetric(float64(stats.Lists), "list-reads")
+		b.ReportMetric(s.now.Sub(siteStart).Seconds(), "move-s")
+	}
+}
+
+// reportChange reports the bytes of the records of a step.
+func reportChange(b *testing.B, records []rock.Record) {
+	n := 0
+	for _, r := range records {
+		n += len(r.Body())
+	}
+	b.ReportMetric(float64(n), "record-bytes")
+	b.ReportMetric(float64(len(records)), "records")
+}
--- a/io/fakes/crew/entry.go
+++ b/io/fakes/crew/entry.go
@@ -185,13 +185,13 @@
 }
 
 // Finish ends the task that is in flight for the longest time.
-func (e *Entry) Finish() {
+func (e *Entry) Finish(now time.Time) {
 	if !e.Running() || len(e.sent) == 0 {
 		return
 	}
 	s := e.sent[0]
 	e.sent = e.sent[1:]
-	e.set.Floor.End(s.host, s.id)
+	e.set.Floor.End(now, s.host, s.id)
 	e.inFlight[s.host]--
 }
 
@@ -206,7 +206,7 @@
 			left = append(left, s)
 			continue
 		}
-		e.set.Floor.End(s.host, s.id)
+		e.set.Floor.End(now, s.host, s.id)
 		e.inFlight[s.host]--
 	}
 	e.sent = left
--- a/io/fakes/crew/floor.go
+++ b/io/fakes/crew/floor.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"bramleyrock/core/trace"
 )
 
 // taskLease is how long a task runs without a renewal.
@@ -16,6 +18,22 @@
 	running    map[string][]task
 	started    map[string]int
 	violations []string
+	log        *trace.Log
+}
+
+// Record makes the floor note what its targets start and end in the log.
+func (f *Floor) Record(log *trace.Log) { f.log = log }
+
+// note notes that a target started or ended a task.
+func (f *Floor) note(now time.Time, kind trace.Kind, t task) {
+	if f.log == nil {
+		return
+	}
+	e := trace.Event{At: now, Kind: kind, Host: t.host, TaskID: fmt.Sprint(t.id), Pool: t.pool, Entry: t.entry}
+	if kind == trace.Ended {
+		e.State = "done"
+	}
+	f.log.Add(e)
 }
 
 // NewFloor returns targets that run nothing.
@@ -42,7 +60,13 @@
 	}
 	f.coming = waiting
 	for host, tasks := range f.running {
-		f.running[host] = slices.DeleteFunc(tasks, func(t task) bool { return !t.lapses.After(now) })
+		f.running[host] = slices.DeleteFunc(tasks, func(t task) bool {
+			if t.lapses.After(now) {
+				return false
+			}
+			f.note(now, trace.Ended, t)
+			return true
+		})
 	}
 }
 
@@ -54,6 +78,7 @@
 		}
 	}
 	f.started[t.host]++
+	f.note(now, trace.Started, t)
 	f.running[t.host] = append(f.running[t.host], t)
 }
 
@@ -67,10 +92,14 @@
 }
 
 // End ends a task, whether it has arrived or not.
-func (f *Floor) End(host string, id int) {
-	same := func(t task) bool { return t.id == id }
-	f.coming = slices.DeleteFunc(f.coming, same)
-	f.running[host] = slices.DeleteFunc(f.running[host], same)
+func (f *Floor) End(now time.Time, host string, id int) {
+	f.coming = slices.DeleteFunc(f.coming, func(t task) bool { return t.id == id })
+	f.running[host] = slices.DeleteFunc(f.running[host], func(t task) bool {
+		if t.id == id {
+			f.note(now, trace.Ended, t)
+		}
+		return t.id == id
+	})
 }
 
 // Reboot stops everything on the host and returns how many tasks it cut.
--- a/io/fakes/fleet/book.go
+++ b/io/fakes/fleet/book.go
@@ -21,6 +21,8 @@
 	changes map[string]rock.Change
 	// guard checks the conditions of a proposal's guard; nil allows all.
 	guard func(rock.Transaction) error
+	// accepted is told of every change; nil for nobody.
+	accepted func(rock.Change)
 	// lose is the number of coming changes whose answer is lost.
 	lose int
 }
@@ -53,6 +55,13 @@
 	b.guard = check
 }
 
+// Accepted makes tell be called with every accepted change.
+func (b *Book) Accepted(tell func(rock.Change)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.accepted = tell
+}
+
 // LoseAnswers makes the next n changes take effect without an answer.
 func (b *Book) LoseAnswers(n int) {
 	b.mu.Lock()
@@ -135,6 +144,9 @@
 	}
 	b.config = config
 	b.changes[p.ID] = c
+	if b.accepted != nil {
+		b.accepted(c)
+	}
 	if b.lose > 0 {
 		b.lose--
 		return rock.Change{}, rock.Fail("change", p.ID, rock.Unsettled, rock.MayHaveRun)
