--- a/io/jobs/gate_test.go
+++ b/io/jobs/gate_test.go
@@ -16,6 +16,33 @@
 	mu     sync.Mutex
 	thawed chan struct{} // nil unless frozen
 	dead   bool
+	// freezeAt, if not empty, freezes the entry as it is about to write the
+	// row with that key.
+	freezeAt string
+}
+
+// freezeAtWriteOf freezes the entry at its next write of the row.
+func (g *gate) freezeAtWriteOf(key string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.freezeAt = key
+}
+
+// freezeIfArmed freezes the entry if the transaction writes the armed row.
+func (g *gate) freezeIfArmed(t rock.Transaction) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, w := range t.Writes() {
+		if w.Key() == g.freezeAt {
+			g.freezeAt, g.thawed = "", make(chan struct{})
+		}
+	}
+}
+
+func (g *gate) isFrozen() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.thawed != nil
 }
 
 func (g *gate) freeze() {
@@ -77,6 +104,7 @@
 }
 
 func (g *gate) Commit(ctx context.Context, t rock.Transaction) error {
+	g.freezeIfArmed(t)
 	if err := g.pass(); err != nil {
 		return err
 	}
--- a/io/jobs/jobs_test.go
+++ b/io/jobs/jobs_test.go
@@ -88,6 +88,27 @@
 	assert.Equal(t, f.runs(id), 1)
 }
 
+// TestLateWriteOfAFrozenHolderFails freezes the holder between its decision to
+// write a job's row and the write.
+func TestLateWriteOfAFrozenHolderFails(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 4, nil)
+	holder := f.start("e1")
+	id := holder.submit(fmt.Sprintf(long, true, longMS))
+	eventually(t, "start", func() bool { return f.runs(id) == 1 })
+	holder.gate.freezeAtWriteOf("job/" + id) // the next checkpoint
+	eventually(t, "the freeze", holder.gate.isFrozen)
+	f.start("e2")
+	eventually(t, "adoption", func() bool { return f.row(id).Epoch() == 2 })
+	adopted := f.row(id)
+	holder.gate.thaw()
+	eventually(t, "the thawed holder to drop its jobs", func() bool { return holder.placer.taken() == 0 })
+	now := f.row(id)
+	assert.Equal(t, now.Holder(), adopted.Holder())
+	assert.Equal(t, now.Epoch(), adopted.Epoch())
+	assert.Equal(t, f.runs(id), 1)
+}
+
 func TestAllEntriesAreReplaced(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2, 8, nil)
