--- a/io/duty/onepool_test.go
+++ b/io/duty/onepool_test.go
@@ -9,6 +9,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/forms"
+	"bramleyrock/core/record"
 	"bramleyrock/io/duty"
 	"bramleyrock/io/fakes/depot"
 
@@ -198,7 +199,7 @@
 	f, _ := s.book.Fleet()
 	moved := map[string]uint64{}
 	for _, r := range f.Records(rock.KindMove) {
-		if m, err := forms.DecodeMove(r); err == nil && m.State == forms.MoveDone {
+		if m, err := forms.DecodeMove(r); err == nil && m.State == record.MoveDone {
 			moved[m.Host]++
 		}
 	}
@@ -232,7 +233,7 @@
 		for step := 1; step <= moveSteps; step++ {
 			t.Run(fmt.Sprintf("%s of step %d", name, step), func(t *testing.T) {
 				s := moveSite(siteOptions{records: []rock.Record{newHost("h0", "a", "a1", "tins"), newMove("m1", "h0", "tins", "lids")}})
-				s.killAt = &killing{step, kill}
+				s.killAt = &killing{step: step, kill: kill}
 				for i := 0; i < healTicks && len(s.moving()) > 0; i++ {
 					s.beat()
 				}
--- a/io/route/engine.go
+++ b/io/route/engine.go
@@ -21,9 +21,11 @@
 	ledger   *ledger
 	closings *closings
 	tasks    atomic.Uint64
+	placing  atomic.Bool
 
 	mu      sync.Mutex
 	sched   *sched.Scheduler
+	handed  sched.Handed
 	waiters map[sched.Ticket]chan sched.Grant
 	active  int
 	leaving bool
@@ -40,13 +42,17 @@
 		ledger:   newLedger(s.Claims),
 		closings: newClosings(s.Objects),
 		sched: sched.New(sched.Settings{
-			Place: place.Settings{Zone: s.Member.Zone(), Random: s.Random},
-			Queue: queue.Settings{Limit: s.Limits.Queue},
+			Place:    place.Settings{Zone: s.Member.Zone(), Random: s.Random},
+			Queue:    queue.Settings{Limit: s.Limits.Queue},
+			Attempts: s.Limits.Attempts,
 		}),
 		waiters: map[sched.Ticket]chan sched.Grant{},
 		idle:    make(chan struct{}),
 	}
 	s.Group.Go("route", e.tick)
+	if s.HostList != nil {
+		s.Group.Go("host list", e.followHostList)
+	}
 	return e
 }
 
@@ -74,10 +80,21 @@
 	if !ok {
 		return rock.Fail("route", "", rock.Unavailable, rock.NotRun).RetryIn(time.Second).Becausef("no configuration is known yet")
 	}
-	e.sched.Update(now, fleet)
+	if e.mayPlace() {
+		e.sched.Update(now, fleet)
+	}
 	return nil
 }
 
+// mayPlace reports whether the entry may place on the hosts of its zone. Until
+// it may, the scheduler knows no host.
+func (e *Engine) mayPlace() bool {
+	if !e.placing.Load() && e.settings.MayPlace() {
+		e.placing.Store(true)
+	}
+	return e.placing.Load()
+}
+
 // dispatch grants free hosts to the waiting requests of the pool. The lock is
 // held.
 func (e *Engine) dispatch(pool string) {
