--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -18,6 +18,7 @@
 	"bramleyrock/io/door"
 	"bramleyrock/io/duty"
 	"bramleyrock/io/front"
+	"bramleyrock/io/jobs"
 	"bramleyrock/io/link"
 	"bramleyrock/io/logs"
 	"bramleyrock/io/meter"
@@ -46,7 +47,13 @@
 	peer     *door.Door
 	handlers handlers
 	leaving  atomic.Bool
-	placing  atomic.Bool
+	jobs     *jobs.Jobs
+	// left ends when the entry begins to leave, and leave ends it; jobsEnded is
+	// closed once jobs are handed over.
+	left      context.Context
+	leave     context.CancelFunc
+	jobsEnded chan struct{}
+	placing   atomic.Bool
 }
 
 // handlers are the handlers of the doors, which listen before all parts exist.
@@ -59,6 +66,7 @@
 // New returns an entry whose doors are listening. It answers once it runs.
 func New(s Settings) (*Entry, error) {
 	e := &Entry{settings: s, duties: group.New(context.Background())}
+	e.left, e.leave = context.WithCancel(context.Background())
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -141,6 +149,7 @@
 	})
 	e.buildEngine()
 	e.buildDuties(platform, reviewer)
+	e.buildJobs()
 	e.buildHandlers()
 	return nil
 }
@@ -211,6 +220,8 @@
 	s := e.settings
 	callers := http.NewServeMux()
 	e.addProbes(callers)
+	callers.Handle("/v1/jobs/", e.jobs.Handler())
+	callers.Handle("POST /v1/pools/{pool}/jobs", e.jobs.Handler())
 	callers.Handle("/v1/", front.New(front.Settings{
 		Runner: e.engine,
 		Keys:   e.engine,
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -23,6 +23,7 @@
 	e.duties.Go("roster", e.roster.Run)
 	e.duties.Go("duties", e.runner.Run)
 	e.duties.Go("register", e.register)
+	e.duties.Go("jobs", e.runJobs)
 	select {
 	case <-ctx.Done():
 	case <-e.duties.Context().Done():
@@ -58,6 +59,7 @@
 	if err := e.roster.Announce(ctx, rock.EntryLeaving); err != nil {
 		log.WithError(err).Warn("The status row could not be marked as leaving.")
 	}
+	e.handOverJobs(ctx)
 	wait(ctx, e.settings.BalancerDelay)
 	left := e.engine.Drain(ctx)
 	err := e.closeDoors(ctx)
