--- a/cmd/bramleyrock/requests_test.go
+++ b/cmd/bramleyrock/requests_test.go
@@ -41,7 +41,7 @@
 	return keys.Keys[0]
 }
 
-// check sends a seam check, which is not idempotent, through the entry.
+// check sends a request that is not idempotent, through the entry.
 func (d *deployment) check(through, key, label string, workMS int) (client.Answer, error) {
 	return d.callerOf(through, callerToken).Call(context.Background(), "tins", client.Request{
 		Payload:        fmt.Appendf(nil, `{"work_ms":%d,"key":%q,"echo":%q}`, workMS, label, label),
@@ -116,9 +116,9 @@
 	}
 }
 
-// TestSeamChecksAreServedWithoutPlatform takes the platform away and sends
+// TestRequestsAreServedWithoutPlatform takes the platform away and sends
 // keyed requests through both entries.
-func TestSeamChecksAreServedWithoutPlatform(t *testing.T) {
+func TestRequestsAreServedWithoutPlatform(t *testing.T) {
 	d := deploy(t)
 	d.linked("b1", "a1")
 	d.linked("a1", "b1")
