--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -185,7 +185,6 @@
 		HostList: e.platform,
 		Objects:  e.platform,
 		Table:    e.platform,
-		HostList: e.platform,
 		Random:   rand.New(rand.NewPCG(s.Seed, uint64(time.Now().UnixNano()))),
 		Log:      s.Log.WithField(logs.PartField, "route"),
 		Scope:    e.meter.Scope().SubScope("route"),
