--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -210,7 +210,7 @@
 		Changer:  e.books,
 		Fleet:    e.books,
 		HostList: platform,
-		Roster:   lastRows{e.roster},
+		Roster:   freshRows{e.roster},
 		Budgets:  reviewer,
 		Duties:   []duty.Duty{e.books.Compaction()},
 		Log:      s.Log.WithField(logs.PartField, "duty"),
