--- a/io/books/burst_test.go
+++ b/io/books/burst_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	rock "bramleyrock"
 	"bramleyrock/core/group"
 	"bramleyrock/io/fakes/depot"
 
@@ -45,6 +46,8 @@
 		assert.Check(t, after.Throttled == 0, "the platform's rates are exceeded")
 		time.Sleep(10 * time.Second)
 		w.sameEverywhere()
+		assert.Check(t, len(entries[0].books.Config().Records(rock.KindOrganisation)) == 100)
+		assert.Check(t, entries[0].books.Revision() == 100)
 		assert.Check(t, len(w.judge()) == 0)
 		assert.Check(t, time.Since(begin) < 14*time.Second)
 	})
--- a/io/books/change_test.go
+++ b/io/books/change_test.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"testing"
 	"time"
 
 	rock "bramleyrock"
-	"bramleyrock/core/group"
 	"bramleyrock/io/books"
 	"bramleyrock/io/fakes/depot"
 
@@ -161,25 +159,3 @@
 	assert.Equal(t, rock.ReasonOf(err), rock.BudgetExceeded)
 	change(t, b, "c2", organisation("alpha", 0, 10))
 }
-
-// TestBurst makes 100 changes at once through two entries and wants each
-// accepted once and in force at both.
-func TestBurst(t *testing.T) {
-	d := depot.New(depot.Settings{})
-	entries := []*books.Books{entry(t, settings(d)), entry(t, settings(d))}
-	g := group.New(context.Background())
-	for i := range 100 {
-		g.Go("change", func(ctx context.Context) error {
-			p := proposal(fmt.Sprintf("c%d", i), organisation(fmt.Sprintf("o%d", i), 0, i))
-			_, err := entries[i%2].Change(ctx, time.Now(), p)
-			return err
-		})
-	}
-	assert.NilError(t, g.Wait())
-	for _, e := range entries {
-		reaches(t, e, 100)
-		assert.Equal(t, e.Revision(), rock.Revision(100))
-		assert.Equal(t, len(e.Config().Records(rock.KindOrganisation)), 100)
-	}
-	t.Logf("commits %d, writes %d, reads %d, conflicts %d", d.Stats().Commits, d.Stats().Writes, d.Stats().Reads, d.Stats().Conflicts)
-}
--- a/io/books/follow.go
+++ b/io/books/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	rock "bramleyrock"
@@ -150,11 +151,11 @@
 		}
 		changes, err := b.peerChanges(ctx, h.peer, s)
 		if err != nil || len(changes) == 0 {
-			return b.fetchSnapshot(ctx, h.peer)
+			return b.fetchSnapshot(ctx, h)
 		}
 		next, err := s.config.Apply(changes...)
 		if err != nil {
-			return b.fetchSnapshot(ctx, h.peer)
+			return b.fetchSnapshot(ctx, h)
 		}
 		b.putInForce(next, changes)
 	}
@@ -170,14 +171,18 @@
 	return p.Changes(ctx, s.config.Revision(), pageSize)
 }
 
-// fetchSnapshot puts all of the peer's records in force, if they are newer.
-func (b *Books) fetchSnapshot(ctx context.Context, p rock.Peer) error {
+// fetchSnapshot puts all of the peer's records in force, if they are newer. It
+// fails if the peer no longer has the revision that it had told.
+func (b *Books) fetchSnapshot(ctx context.Context, h hint) error {
 	ctx, cancel := b.call(ctx)
 	defer cancel()
-	revision, records, err := p.Snapshot(ctx)
+	revision, records, err := h.peer.Snapshot(ctx)
 	if err != nil {
 		return err
 	}
+	if revision < h.revision {
+		return fmt.Errorf("peer has revision %d and no longer %d", revision, h.revision)
+	}
 	config, err := b.feed.Build(revision, records)
 	if err != nil {
 		return err
--- a/io/books/older_test.go
+++ b/io/books/older_test.go
@@ -76,6 +76,33 @@
 	time.Sleep(10 * time.Second)
 }
 
+// TestPeerThatLostItsRevision tells a new entry of a peer that no longer has
+// what it had. The entry must turn to the next best.
+func TestPeerThatLostItsRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.stop()
+		a := w.start("a0", "a")
+		time.Sleep(time.Second)
+		w.mustChange(a, "first")
+		w.platformDown(true)
+		empty := w.start("b0", "b")
+		empty.stop()
+		w.split("a", "c", true)
+		c := w.start("c0", "c")
+		c.books.Hint(9, forgetful{link{from: c, to: empty}})
+		time.Sleep(5 * time.Second)
+		w.split("a", "c", false)
+		time.Sleep(5 * time.Second)
+		assert.Check(t, c.books.Revision() == 1)
+	})
+}
+
+// forgetful is a peer whose process knows nothing any more.
+type forgetful struct{ link }
+
+func (forgetful) Snapshot(context.Context) (rock.Revision, []rock.Record, error) { return 0, nil, nil }
+
 // mustChange makes a change that must be accepted.
 func (w *world) mustChange(n *node, id string) {
 	w.t.Helper()
