--- a/io/books/books.go
+++ b/io/books/books.go
@@ -133,10 +133,10 @@
 func (b *Books) note(next *feed.Config, changes []rock.Change) {
 	now := b.settings.Now()
 	for _, c := range changes {
-		b.settings.Scope.Timer("books_force_delay").Record(now.Sub(c.At()))
+		b.settings.Scope.Timer("force_delay").Record(now.Sub(c.At()))
 	}
-	b.settings.Scope.Counter("books_changes").Inc(int64(len(changes)))
-	b.settings.Scope.Gauge("books_revision").Update(float64(next.Revision()))
+	b.settings.Scope.Counter("changes").Inc(int64(len(changes)))
+	b.settings.Scope.Gauge("revision").Update(float64(next.Revision()))
 	log := b.settings.Log.WithField("revision", next.Revision())
 	if n := len(next.Unread()); n > 0 {
 		log.WithField("records", n).Warn("Some records cannot be read by this program.")
--- a/io/books/change.go
+++ b/io/books/change.go
@@ -65,6 +65,9 @@
 		b.waiting = slices.Delete(b.waiting, i, i+1)
 	}
 	b.mu.Unlock()
+	if w.ended() {
+		return w.change, w.err
+	}
 	if i >= 0 {
 		return rock.Change{}, rock.Fail("change", w.proposal.ID, rock.Cancelled, rock.NotRun).Because(cause)
 	}
--- a/io/books/commit.go
+++ b/io/books/commit.go
@@ -58,7 +58,7 @@
 // settle finds out whether the transaction whose answer was lost took effect.
 // Until that is known, nothing of it is written again.
 func (b *Books) settle(ctx context.Context, t *transaction, batch []*pending, lost error) ([]*pending, error) {
-	b.settings.Scope.Counter("books_lost_answers").Inc(1)
+	b.settings.Scope.Counter("lost_answers").Inc(1)
 	id := t.changes[0].ID()
 	ctx, cancel := context.WithTimeout(ctx, b.settings.SettleTimeout)
 	defer cancel()
--- a/io/books/follow.go
+++ b/io/books/follow.go
@@ -43,7 +43,7 @@
 		return b.settings.Poll
 	}
 	f.failures++
-	b.settings.Scope.Counter("books_poll_failures").Inc(1)
+	b.settings.Scope.Counter("poll_failures").Inc(1)
 	if f.failures == 1 {
 		b.settings.Log.WithError(err).Warn("The platform does not answer. Peers are asked instead.")
 	}
--- a/io/books/settings.go
+++ b/io/books/settings.go
@@ -35,7 +35,8 @@
 	Now func() time.Time
 	// Log is where messages go; nil drops them.
 	Log logrus.FieldLogger
-	// Scope takes the metrics; nil drops them.
+	// Scope takes the metrics force_delay, changes, revision, poll_failures and
+	// lost_answers; nil drops them.
 	Scope tally.Scope
 	// BootstrapDigest is the digest of the token of the operator of the whole
 	// system; "" for none.
