--- a/core/place/node.go
+++ b/core/place/node.go
@@ -33,8 +33,13 @@
 	return n.inFlight < limit
 }
 
-// load returns the share of the host's slots that is taken, and more if its
-// work fails, since a host that fails fast always looks idle.
+// usualRate is the share of failures that does not speak against a host. A
+// single failure must not keep work away from a host of an idle pool, since
+// only work can show that the host is well.
+const usualRate = 0.2
+
+// load returns the share of the host's slots that is taken, and more if much
+// of its work fails, since a host that fails fast always looks idle.
 func (n *node) load() float64 {
-	return float64(n.inFlight)/float64(n.host.Slots()) + n.health.Rate()
+	return float64(n.inFlight)/float64(n.host.Slots()) + max(0, n.health.Rate()-usualRate)
 }
--- a/io/route/once.go
+++ b/io/route/once.go
@@ -101,13 +101,13 @@
 
 // forwardHome forwards the request to the home of its key, once.
 func (e *Engine) forwardHome(ctx context.Context, r rock.Request, home string) (rock.Answer, error) {
-	unknown := rock.Fail("forward", "entry "+home, rock.Unavailable, rock.NotRun)
+	unreached := rock.Fail("forward", "entry "+home, rock.Unavailable, rock.NotRun)
 	if r.Hops() > 0 || e.settings.Peers == nil {
-		return rock.Answer{}, unknown.Becausef("it is not this entry")
+		return rock.Answer{}, unreached.Becausef("it is not this entry")
 	}
 	v, ok := e.settings.Peers.Find(home)
 	if !ok {
-		return rock.Answer{}, unknown.Becausef("it is not known here")
+		return rock.Answer{}, unreached.Becausef("it is not known here")
 	}
 	return v.Peer().Forward(ctx, r)
 }
