--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -108,6 +108,24 @@
 	return l.queue.Remove(t.number)
 }
 
+// Strand takes all requests out of the queue of a pool that has no open host
+// left in the zone, and returns their tickets.
+func (s *Scheduler) Strand(pool string) []Ticket {
+	if slots, _ := s.placer.Slots(pool); slots > 0 {
+		return nil
+	}
+	l := s.lane(pool)
+	var stranded []Ticket
+	for {
+		_, t, ok := l.queue.Pop()
+		if !ok {
+			return stranded
+		}
+		delete(l.avoid, t)
+		stranded = append(stranded, Ticket{pool, t})
+	}
+}
+
 // Next grants a host to the next request of the pool. It returns false if
 // none waits or no host is free.
 func (s *Scheduler) Next(now time.Time, pool string) (Grant, bool) {
--- a/io/route/elsewhere_test.go
+++ b/io/route/elsewhere_test.go
@@ -78,3 +78,30 @@
 	assert.Equal(t, s.startsOf("lost"), 1)
 	assert.NilError(t, g.Wait())
 }
+
+// TestQueuedRequestLeavesClosedZone closes the hosts of a zone while a request
+// waits for one of them, behind long work.
+func TestQueuedRequestLeavesClosedZone(t *testing.T) {
+	s := newSite(t)
+	g := s.fill(2 * time.Second)
+	s.lose(lossRequest)
+	answered := make(chan string, 1)
+	s.group.Go("wait", func(ctx context.Context) error {
+		a, err := s.engine("e1").Do(ctx, request("queued", false, 20*time.Second, 1))
+		answered <- a.Host()
+		return err
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := s.engine("e1").Loads(time.Now())[0].Queued(); n == 0 {
+			return poll.Continue("nothing is queued")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	s.lose(lossNone)
+	fleet, _ := s.source.Fleet()
+	s.source.Set(config.New(2, []rock.Pool{rock.NewPool("tins", "alpha", false)}, fleet.PoolHosts("tins", "b")))
+	host := <-answered
+	assert.Assert(t, strings.HasPrefix(host, "b"), host)
+	assert.NilError(t, g.Wait())
+	assert.Equal(t, s.startsOf("queued"), 1)
+}
--- a/io/route/engine.go
+++ b/io/route/engine.go
@@ -103,13 +103,18 @@
 	return e.placing.Load()
 }
 
-// dispatch grants free hosts to the waiting requests of the pool. The lock is
+// dispatch grants free hosts to the waiting requests of the pool. If the pool
+// has no open host left, it sends them away to be run elsewhere. The lock is
 // held.
 func (e *Engine) dispatch(pool string) {
 	now := e.settings.Now()
 	if e.refresh(now) != nil {
 		return
 	}
+	for _, t := range e.sched.Strand(pool) {
+		close(e.waiters[t])
+		delete(e.waiters, t)
+	}
 	for {
 		g, ok := e.sched.Next(now, pool)
 		if !ok {
--- a/io/route/serve.go
+++ b/io/route/serve.go
@@ -37,11 +37,21 @@
 }
 
 // try runs a request at the peers that are expected to run it sooner, or in
-// the entry's own zone.
+// the entry's own zone. If the zone loses the pool's last open host while the
+// request waits, the peers are looked at once more.
 func (e *Engine) try(ctx context.Context, r rock.Request) (rock.Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline())
 	defer cancel()
 	h := retry.NewHistory(r)
+	answer, err := e.anywhere(ctx, r, h)
+	if rock.ReasonOf(err) == rock.NoHost && rock.VerdictOf(err).Retryable(r.Idempotent()) && ctx.Err() == nil {
+		answer, err = e.anywhere(ctx, r, h)
+	}
+	return answer, err
+}
+
+// anywhere runs a request at peers or in the own zone.
+func (e *Engine) anywhere(ctx context.Context, r rock.Request, h *retry.History) (rock.Answer, error) {
 	var asked []string
 	for range maxForwards {
 		peer := e.elsewhere(r, asked)
--- a/io/route/wait.go
+++ b/io/route/wait.go
@@ -34,7 +34,10 @@
 		return sched.Grant{}, err
 	}
 	select {
-	case g := <-granted:
+	case g, ok := <-granted:
+		if !ok {
+			return sched.Grant{}, stranded(r)
+		}
 		e.noteWait(r.Pool(), e.settings.Now().Sub(begin))
 		return g, nil
 	case <-ctx.Done():
@@ -46,8 +49,10 @@
 		delete(e.waiters, ticket)
 		return sched.Grant{}, end
 	}
-	e.sched.Finish(e.settings.Now(), <-granted, 0, end)
-	e.dispatch(r.Pool())
+	if g, ok := <-granted; ok {
+		e.sched.Finish(e.settings.Now(), g, 0, end)
+		e.dispatch(r.Pool())
+	}
 	return sched.Grant{}, end
 }
 
@@ -86,6 +91,12 @@
 	return rock.NewAnswer(r.ID(), host.Name(), answer.Payload()), nil
 }
 
+// stranded returns the failure of a waiting request whose pool has no open host
+// left in the zone.
+func stranded(r rock.Request) error {
+	return rock.Fail("wait", "pool "+r.Pool(), rock.NoHost, rock.NotRun).Becausef("the pool's last open host in the zone was closed")
+}
+
 // endOf returns the failure of a waiting request whose context ended.
 func endOf(ctx context.Context, r rock.Request) *rock.Failure {
 	reason := rock.Cancelled
