--- a/io/route/cancel_test.go
+++ b/io/route/cancel_test.go
@@ -35,6 +35,7 @@
 // TestCancellationsLeaveNoSlotTaken has 10,000 callers leave, in waves of 500,
 // while they wait or while their work of a minute runs.
 func TestCancellationsLeaveNoSlotTaken(t *testing.T) {
+	t.Parallel()
 	const waves, size = 20, 500
 	target := &lateTarget{}
 	b := newBench(t, 2, func(s *route.Settings) { s.Target = target })
--- a/io/route/elsewhere_test.go
+++ b/io/route/elsewhere_test.go
@@ -35,6 +35,7 @@
 }
 
 func TestCrowdedZoneForwards(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		loss loss
 		zone string
@@ -56,6 +57,7 @@
 }
 
 func TestZoneWithoutOpenHostsForwards(t *testing.T) {
+	t.Parallel()
 	s := newSite(t)
 	fleet, _ := s.source.Fleet()
 	s.source.Set(config.New(2, []rock.Pool{rock.NewPool("tins", "alpha", false)}, fleet.PoolHosts("tins", "b")))
@@ -70,6 +72,7 @@
 }
 
 func TestLostForwardMayHaveRun(t *testing.T) {
+	t.Parallel()
 	s := newSite(t)
 	g := s.fill(300 * time.Millisecond)
 	s.lose(lossAnswer)
@@ -82,6 +85,7 @@
 // TestQueuedRequestLeavesClosedZone closes the hosts of a zone while a request
 // waits for one of them, behind long work.
 func TestQueuedRequestLeavesClosedZone(t *testing.T) {
+	t.Parallel()
 	s := newSite(t)
 	g := s.fill(2 * time.Second)
 	s.lose(lossRequest)
--- a/io/route/engine_test.go
+++ b/io/route/engine_test.go
@@ -99,6 +99,7 @@
 }
 
 func TestDoUnderFaults(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		faults     work.Faults
 		idempotent bool
@@ -156,6 +157,7 @@
 }
 
 func TestQueuedPastDeadlineIsNotRun(t *testing.T) {
+	t.Parallel()
 	b := newBench(t, 1, nil)
 	done := make(chan error, 4)
 	for i := range 4 {
@@ -177,6 +179,7 @@
 }
 
 func TestDrainWaitsAndRefuses(t *testing.T) {
+	t.Parallel()
 	b := newBench(t, 2, nil)
 	done := make(chan error, 1)
 	b.group.Go("call", func(ctx context.Context) error {
--- a/io/route/fault_test.go
+++ b/io/route/fault_test.go
@@ -15,6 +15,7 @@
 // TestFailFastWorkerCostsLittle sends idempotent requests to ten hosts of which
 // one begins to fail all at once.
 func TestFailFastWorkerCostsLittle(t *testing.T) {
+	t.Parallel()
 	const requests = 3000
 	b := newBench(t, 10, nil)
 	for i := range 200 {
@@ -40,6 +41,7 @@
 // TestWorkThatNeverRunsIsQuarantined sends the same failing work again and
 // again between requests that succeed.
 func TestWorkThatNeverRunsIsQuarantined(t *testing.T) {
+	t.Parallel()
 	b := newBench(t, 4, nil)
 	bad := func(id string) error {
 		_, err := b.engine.Do(context.Background(), rock.NewRequest(rock.RequestSpec{
