--- a/io/duty/doc.go
+++ b/io/duty/doc.go
@@ -1,6 +1,6 @@
 // Package duty runs the duties that must have one holder among all entries:
-// moving hosts between pools, running waves in each availability zone, and the
-// rounds of other parts.
+// moving hosts between pools, running waves in each availability zone, the
+// capacity plan, and the rounds of other parts.
 //
 // Each duty is held through a lease row in the platform's table. The runner
 // takes and renews the leases, runs a round of each duty that it holds, and
--- a/io/duty/runner.go
+++ b/io/duty/runner.go
@@ -27,7 +27,11 @@
 func New(s Settings) *Runner {
 	s = s.withDefaults()
 	r := &Runner{set: s, sight: newSight(s), wavers: map[string]bool{}}
-	for _, d := range append([]Duty{newMover(s, r.sight)}, s.Duties...) {
+	duties := []Duty{newMover(s, r.sight)}
+	if s.Loads != nil {
+		duties = append(duties, newPlanner(s))
+	}
+	for _, d := range append(duties, s.Duties...) {
 		r.holdings = append(r.holdings, &holding{set: s, duty: d})
 	}
 	return r
--- a/io/duty/settings.go
+++ b/io/duty/settings.go
@@ -7,6 +7,7 @@
 	rock "bramleyrock"
 	"bramleyrock/core/budget"
 	"bramleyrock/core/lease"
+	"bramleyrock/core/plan"
 	"bramleyrock/core/wave"
 
 	"github.com/sirupsen/logrus"
@@ -38,6 +39,12 @@
 	// Order is the order in which a wave takes hosts; nil means
 	// [wave.ByDomain].
 	Order wave.Order
+	// Loads gives the load of the pools for the capacity plan; nil for no plan.
+	Loads Loads
+	// Plan are the settings of the capacity plan.
+	Plan plan.Settings
+	// PlanMoves makes the plan ask for its moves instead of only naming them.
+	PlanMoves bool
 	// Duties are further duties.
 	Duties []Duty
 	// Terms are the durations of the leases.
--- a/io/duty/site_test.go
+++ b/io/duty/site_test.go
@@ -59,6 +59,7 @@
 	starts   int
 	steps    int
 	turn     int
+	names    []string // of all hosts
 	killAt   *killing
 	cutTasks int
 	reboots  map[string]int
@@ -69,7 +70,7 @@
 	s.floor, s.rows = crew.NewFloor(), crew.NewRegistry()
 	s.platform = depot.New(depot.Settings{
 		Seed: o.seed, WritesPerSecond: -1, ReadsPerSecond: -1, HostListLag: 2 * time.Second,
-		RebootTime: rebootTime, Leases: s.floor.Leases, Now: func() time.Time { return s.now },
+		RebootTime: rebootTime, Now: func() time.Time { return s.now },
 		OnReboot: func(host, _ string) {
 			s.cutTasks += s.floor.Reboot(host)
 			s.reboots[host]++
@@ -81,6 +82,7 @@
 	f, _ := s.book.Fleet()
 	for _, r := range f.Records(rock.KindHost) {
 		s.platform.AddHost(r.Key().Name(), "127.0.0.1:9000")
+		s.names = append(s.names, r.Key().Name())
 	}
 	for _, name := range []string{"x1", "x2", "x3"} {
 		s.runners = append(s.runners, s.newRunner(name))
@@ -177,6 +179,15 @@
 	}
 	s.now = s.now.Add(tick)
 	s.floor.Tick(s.now)
+	s.tellLeases()
+}
+
+// tellLeases tells the platform at each tick what the targets run, so that its
+// list is true of the time that it names.
+func (s *site) tellLeases() {
+	for _, name := range s.names {
+		s.platform.SetLeases(name, s.floor.Leases(name))
+	}
 }
 
 // swapHolder ends the runner whose turn it is and starts another.
