--- a/io/route/engine.go
+++ b/io/route/engine.go
@@ -20,6 +20,8 @@
 	keyring  *claim.Keyring
 	ledger   *ledger
 	closings *closings
+	rows     *rows
+	waits    sync.Map // of tally.Histogram by pool
 	tasks    atomic.Uint64
 	placing  atomic.Bool
 
@@ -50,6 +52,12 @@
 		idle:    make(chan struct{}),
 	}
 	s.Group.Go("route", e.tick)
+	s.Group.Go("route report", e.report)
+	if s.Table != nil {
+		e.rows = newRows(s.Table, s.Limits.ChosenPerSecond)
+		s.Group.Go("claim rows", e.rows.run)
+		s.Group.Go("claim row sweep", e.sweep)
+	}
 	if s.HostList != nil {
 		s.Group.Go("host list", e.followHostList)
 	}
