--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -41,8 +41,10 @@
 }
 
 func TestSurgesCauseNoMove(t *testing.T) {
+	t.Parallel()
 	for name, d := range deployments {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(3) {
 				assert.Equal(t, d.run(seed, false, plannedPolicy(d.weights)).Moves, 0, "seed %d", seed)
 			}
@@ -54,8 +56,10 @@
 // following every change, on a day with surges, lasting shifts and the failure
 // of a rack.
 func TestLastingShiftMovesFewHosts(t *testing.T) {
+	t.Parallel()
 	for name, d := range deployments {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			stay := d.run(1, true, observed{look: static})
 			follow := d.run(1, true, observed{look: greedy})
 			got := d.run(1, true, plannedPolicy(d.weights))
--- a/io/duty/wave_test.go
+++ b/io/duty/wave_test.go
@@ -9,6 +9,7 @@
 	rock "bramleyrock"
 	"bramleyrock/core/forms"
 	"bramleyrock/core/record"
+	"bramleyrock/core/trace"
 	"bramleyrock/core/wave"
 
 	"gotest.tools/v3/assert"
@@ -25,9 +26,16 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newWaveSite(d, siteOptions{seed: 1, records: d.records(fleetHosts)})
+			log := s.record()
 			took := s.run(record.WaveDone, waveLimit, nil)
 			assert.Equal(t, s.state(), record.WaveDone)
 			assert.Equal(t, s.check(), "")
+			assert.Assert(t, len(log.Events()) > 2*fleetHosts)
+			outcomes, err := trace.Select("budget_holds")
+			assert.NilError(t, err)
+			assert.Equal(t, fmt.Sprint(trace.Check(log.Events(), outcomes)), "[]")
+			writeTrace(t, log, trace.Header{Name: "wave of " + name, Seed: 1, Outcomes: []string{"budget_holds"},
+				Command: "go test ./io/duty -run TestWaveOverEveryHost -record DIR"}, "wave-"+name)
 			assert.Assert(t, took.Seconds() <= maxRollOut*s.bound().Seconds(), "took %v, bound %v", took, s.bound())
 		})
 	}
