--- a/io/jobs/claim.go
+++ b/io/jobs/claim.go
@@ -26,7 +26,7 @@
 	full := s.refusing()
 	var claimed []*item
 	for _, w := range s.waiting {
-		if len(claimed) >= maxClaims || ctx.Err() != nil {
+		if len(claimed) >= maxClaims || s.stopping() {
 			break
 		}
 		if cancels[w.id] {
--- /dev/null
+++ b/io/jobs/cost_test.go
@@ -0,0 +1,96 @@
+package jobs_test
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/job"
+	"bramleyrock/core/lease"
+	"bramleyrock/io/jobs"
+
+	"gotest.tools/v3/assert"
+)
+
+// BenchmarkHoldJobs measures what three entries with default settings cost the
+// platform and themselves while they hold many jobs, with the given payload of
+// work. Run it with -benchtime 1x.
+func BenchmarkHoldJobs(b *testing.B) {
+	const entries, window = 3, 10 * time.Second
+	for _, count := range []int{50, 500, 2000} {
+		b.Run(fmt.Sprintf("jobs=%d", count), func(b *testing.B) {
+			f := newFleet(b, 50, 48, func(s *jobs.Settings) {
+				*s = jobs.Settings{Member: s.Member, Table: s.Table, Target: s.Target, Fleet: s.Fleet, Placer: s.Placer}
+			})
+			f.submitDirectly(b, count)
+			for n := range entries {
+				f.start(fmt.Sprintf("e%d", n+1))
+			}
+			begin := time.Now()
+			eventually(b, "all jobs", func() bool { return f.running() == count })
+			b.ReportMetric(time.Since(begin).Seconds(), "s-to-start-all")
+			time.Sleep(window) // to the steady state
+			before, cpu := f.depot.Stats(), processorTime(b)
+			time.Sleep(window)
+			after := f.depot.Stats()
+			perSecond := func(n uint64) float64 { return float64(n) / window.Seconds() }
+			b.ReportMetric(perSecond(after.Writes-before.Writes), "writes/s")
+			b.ReportMetric(perSecond(after.Reads-before.Reads), "reads/s")
+			b.ReportMetric(100*(processorTime(b)-cpu).Seconds()/window.Seconds()/entries, "%core/entry")
+			b.ReportMetric(renewalsOfJobLeases(count), "writes/s-lease-per-job")
+			assert.Equal(b, f.running(), count)
+		})
+	}
+}
+
+// submitDirectly writes the rows of waiting jobs.
+func (f *fleet) submitDirectly(tb testing.TB, count int) {
+	tb.Helper()
+	e := f.start("submitter")
+	for range count {
+		e.submit(fmt.Sprintf(long, false, longMS))
+	}
+	e.stop()
+}
+
+// renewalsOfJobLeases returns the renewals a second if each job had a lease of
+// its own, on the same terms.
+func renewalsOfJobLeases(count int) float64 {
+	const span = 60 * time.Second
+	now := time.Unix(0, 0)
+	var terms lease.Terms
+	free, err := lease.Parse("job", rock.Row{})
+	if err != nil {
+		return 0
+	}
+	writes := 0
+	held, _ := terms.Next(now, "e1", free)
+	for at := now; at.Before(now.Add(span)); at = at.Add(500 * time.Millisecond) {
+		next, action := terms.Next(at, "e1", held)
+		if action == lease.Renew {
+			writes++
+			held = next
+		}
+	}
+	return float64(writes*count) / span.Seconds()
+}
+
+func processorTime(tb testing.TB) time.Duration {
+	tb.Helper()
+	var u syscall.Rusage
+	assert.NilError(tb, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkJudge measures the decision on one running job.
+func BenchmarkJudge(b *testing.B) {
+	now := time.Unix(0, 0)
+	j := job.New(job.Spec{ID: "j1", Pool: "tins"}, now).Claim(now, "e1", "h1")
+	s := job.Sight{ReachedAt: now, SavedAt: now}
+	b.ReportAllocs()
+	for range b.N {
+		_ = job.Limits{}.Judge(now, j, s)
+	}
+}
--- a/io/jobs/jobs.go
+++ b/io/jobs/jobs.go
@@ -27,6 +27,7 @@
 	progressAt time.Time
 	reclaimAt  time.Time
 	sweepAt    time.Time
+	stopping   func() bool
 
 	mu      sync.Mutex
 	held    map[string]*item
@@ -51,7 +52,10 @@
 	ticker := time.NewTicker(s.settings.Interval)
 	defer ticker.Stop()
 	for {
-		if err := s.round(ctx); err != nil && ctx.Err() == nil {
+		// A round that has begun is ended, so that no claim is left without its
+		// task; only further claims are not made.
+		s.stopping = func() bool { return ctx.Err() != nil }
+		if err := s.round(context.WithoutCancel(ctx)); err != nil {
 			s.settings.Log.WithError(err).Warn("round failed")
 			s.settings.Scope.Counter("round_failed").Inc(1)
 		}
--- a/io/jobs/jobs_test.go
+++ b/io/jobs/jobs_test.go
@@ -293,3 +293,21 @@
 	assert.Equal(t, got.State, job.Done)
 	assert.Equal(t, f.runs(id), 1)
 }
+
+// TestPlannedStopInTheMiddleOfClaims stops an entry while it claims jobs.
+func TestPlannedStopInTheMiddleOfClaims(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 4, 32, nil)
+	e := f.start("e1")
+	var ids []string
+	for range 100 {
+		ids = append(ids, e.submit(fmt.Sprintf(long, false, 50)))
+	}
+	e.stop()
+	other := f.start("e2")
+	for _, id := range ids {
+		got := other.await(id, job.Done, job.Unsettled)
+		assert.Equal(t, got.State, job.Done, "job %s", id)
+		assert.Equal(t, f.runs(id), 1)
+	}
+}
