--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -182,7 +182,9 @@
 		Target:   targ.New(targ.Settings{}),
 		Peers:    e.links,
 		Secret:   []byte(s.PeerSecret),
+		HostList: e.platform,
 		Objects:  e.platform,
+		Table:    e.platform,
 		Random:   rand.New(rand.NewPCG(s.Seed, uint64(time.Now().UnixNano()))),
 		Log:      s.Log.WithField(logs.PartField, "route"),
 		Scope:    e.meter.Scope().SubScope("route"),
@@ -210,6 +212,7 @@
 		HostList: platform,
 		Roster:   lastRows{e.roster},
 		Budgets:  reviewer,
+		Duties:   []duty.Duty{e.books.Compaction()},
 		Log:      s.Log.WithField(logs.PartField, "duty"),
 		Scope:    e.meter.Scope().SubScope("duty"),
 	})
