--- a/io/route/engine.go
+++ b/io/route/engine.go
@@ -20,11 +20,14 @@
 	keyring  *claim.Keyring
 	ledger   *ledger
 	closings *closings
+	rows     *rows
+	waits    sync.Map // of tally.Histogram by pool
 	tasks    atomic.Uint64
 	placing  atomic.Bool
 
 	mu      sync.Mutex
 	sched   *sched.Scheduler
+	handed  sched.Handed
 	waiters map[sched.Ticket]chan sched.Grant
 	active  int
 	leaving bool
@@ -49,6 +52,12 @@
 		idle:    make(chan struct{}),
 	}
 	s.Group.Go("route", e.tick)
+	s.Group.Go("route report", e.report)
+	if s.Table != nil {
+		e.rows = newRows(s.Table, s.Limits.ChosenPerSecond)
+		s.Group.Go("claim rows", e.rows.run)
+		s.Group.Go("claim row sweep", e.sweep)
+	}
 	if s.HostList != nil {
 		s.Group.Go("host list", e.followHostList)
 	}
@@ -94,13 +103,18 @@
 	return e.placing.Load()
 }
 
-// dispatch grants free hosts to the waiting requests of the pool. The lock is
+// dispatch grants free hosts to the waiting requests of the pool. If the pool
+// has no open host left, it sends them away to be run elsewhere. The lock is
 // held.
 func (e *Engine) dispatch(pool string) {
 	now := e.settings.Now()
 	if e.refresh(now) != nil {
 		return
 	}
+	for _, t := range e.sched.Strand(pool) {
+		close(e.waiters[t])
+		delete(e.waiters, t)
+	}
 	for {
 		g, ok := e.sched.Next(now, pool)
 		if !ok {
