--- a/io/books/force_test.go
+++ b/io/books/force_test.go
@@ -21,23 +21,25 @@
 )
 
 // TestForceWithinTenSeconds replays half an hour at 17,000 changes a day, with
-// one zone cut from the platform for the middle third, and then a burst of 100
+// one zone cut from the platform for the middle third, where calls fail at once or hang, and then a burst of 100
 // changes in a second. Without the word of peers, the zone that is cut off
 // stays behind.
 func TestForceWithinTenSeconds(t *testing.T) {
 	cases := map[string]struct {
 		hints  bool
+		hang   bool
 		length time.Duration
 		holds  bool
 	}{
-		"with hints":    {true, 30 * time.Minute, true},
-		"without hints": {false, 6 * time.Minute, false},
+		"with hints":    {true, false, 30 * time.Minute, true},
+		"calls hang":    {true, true, 6 * time.Minute, true},
+		"without hints": {false, false, 6 * time.Minute, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t)
-				w.hints = c.hints
+				w.hints, w.hang = c.hints, c.hang
 				replayPlannedRates(w, c.length)
 				broken := w.judge()
 				t.Logf("broken outcomes: %d; %v", len(broken), w.forceDelays())
--- a/io/books/world_test.go
+++ b/io/books/world_test.go
@@ -25,6 +25,8 @@
 	depot *depot.Depot
 	log   trace.Log
 	tune  func(s *books.Settings)
+	// hang makes calls through a cut hang instead of failing at once.
+	hang bool
 	// hints is false to switch off what peers tell each other.
 	hints bool
 
@@ -282,18 +284,21 @@
 }
 
 // reach counts a call of the platform and fails if the zone is cut from it.
-func (n *node) reach() error {
+func (n *node) reach(ctx context.Context) error {
 	n.world.mu.Lock()
 	n.world.calls[time.Now().Unix()]++
 	n.world.mu.Unlock()
 	if n.world.apart(n.zone, platform) {
+		if n.world.hang {
+			<-ctx.Done()
+		}
 		return rock.Fail("call", "platform", rock.Unavailable, rock.NotRun)
 	}
 	return nil
 }
 
 func (g gate) Read(ctx context.Context, keys ...string) ([]rock.Row, error) {
-	if err := g.node.reach(); err != nil {
+	if err := g.node.reach(ctx); err != nil {
 		return nil, err
 	}
 	rows, err := g.Table.Read(ctx, keys...)
@@ -302,7 +307,7 @@
 }
 
 func (g gate) Scan(ctx context.Context, prefix, after string, limit int) ([]rock.Row, error) {
-	if err := g.node.reach(); err != nil {
+	if err := g.node.reach(ctx); err != nil {
 		return nil, err
 	}
 	rows, err := g.Table.Scan(ctx, prefix, after, limit)
@@ -318,7 +323,7 @@
 }
 
 func (g gate) Commit(ctx context.Context, t rock.Transaction) error {
-	if err := g.node.reach(); err != nil {
+	if err := g.node.reach(ctx); err != nil {
 		return err
 	}
 	return g.Table.Commit(ctx, t)
@@ -331,14 +336,14 @@
 }
 
 func (g objectGate) Get(ctx context.Context, name string) ([]byte, error) {
-	if err := g.node.reach(); err != nil {
+	if err := g.node.reach(ctx); err != nil {
 		return nil, err
 	}
 	return g.Objects.Get(ctx, name)
 }
 
 func (g objectGate) Put(ctx context.Context, name string, data []byte) error {
-	if err := g.node.reach(); err != nil {
+	if err := g.node.reach(ctx); err != nil {
 		return err
 	}
 	return g.Objects.Put(ctx, name, data)
