--- a/core/queue/item.go
+++ b/core/queue/item.go
@@ -1,11 +1,16 @@
 package queue
 
-import rock "bramleyrock"
+import (
+	"time"
+
+	rock "bramleyrock"
+)
 
 // item is a waiting request.
 type item struct {
 	request rock.Request
 	ticket  Ticket
+	since   time.Time
 	index   int
 }
 
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -149,7 +149,7 @@
 		q.drain.begin(now, q.expected())
 	}
 	q.arrivals++
-	it := &item{request: r, ticket: q.arrivals}
+	it := &item{request: r, ticket: q.arrivals, since: now}
 	q.tickets[it.ticket] = it
 	heap.Push(&q.waiting, it)
 	if it.request.Class() == rock.Urgent {
@@ -176,6 +176,25 @@
 	return it.request, it.ticket, true
 }
 
+// Late takes out the requests that go next, have waited, and have too little
+// time left to be run, and returns their tickets.
+func (q *Queue) Late(now time.Time) []Ticket {
+	if q.settings.AdmitAll {
+		return nil
+	}
+	least := max(q.runTime-q.deviation, q.runTime/2)
+	var late []Ticket
+	for q.Len() > 0 {
+		it := q.waiting.list[0]
+		if !now.After(it.since) || it.request.Deadline().Sub(now) >= least {
+			break
+		}
+		q.Remove(it.ticket)
+		late = append(late, it.ticket)
+	}
+	return late
+}
+
 // Remove takes the request with that ticket out and reports whether it waited.
 func (q *Queue) Remove(t Ticket) bool {
 	it, ok := q.tickets[t]
--- a/core/sched/drive_test.go
+++ b/core/sched/drive_test.go
@@ -365,6 +365,13 @@
 
 // dispatch starts what an entry grants.
 func (d *drive) dispatch(e int, pool string) {
+	for _, ticket := range d.entries[e].Late(d.clock(), pool) {
+		v := d.visits[e][ticket]
+		delete(d.visits[e], ticket)
+		v.ended = true
+		d.tallies[v.label].expired++
+		d.note(v, trace.Event{Kind: trace.Refused, Verdict: rock.NotRun, Reason: rock.Overloaded})
+	}
 	for !d.crowded(e, pool) {
 		g, ok := d.entries[e].Next(d.clock(), pool)
 		if !ok {
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -126,6 +126,18 @@
 	}
 }
 
+// Late takes the requests out of the pool's queue that have too little time
+// left to be run, and returns their tickets.
+func (s *Scheduler) Late(now time.Time, pool string) []Ticket {
+	l := s.lane(pool)
+	var late []Ticket
+	for _, t := range l.queue.Late(now) {
+		delete(l.avoid, t)
+		late = append(late, Ticket{pool, t})
+	}
+	return late
+}
+
 // Next grants a host to the next request of the pool. It returns false if
 // none waits or no host is free.
 func (s *Scheduler) Next(now time.Time, pool string) (Grant, bool) {
--- a/io/route/engine.go
+++ b/io/route/engine.go
@@ -28,7 +28,7 @@
 	mu      sync.Mutex
 	sched   *sched.Scheduler
 	handed  sched.Handed
-	waiters map[sched.Ticket]chan sched.Grant
+	waiters map[sched.Ticket]chan turn
 	active  int
 	leaving bool
 	// idle is closed when the engine is leaving and the last request ended.
@@ -48,7 +48,7 @@
 			Queue:    queue.Settings{Limit: s.Limits.Queue},
 			Attempts: s.Limits.Attempts,
 		}),
-		waiters: map[sched.Ticket]chan sched.Grant{},
+		waiters: map[sched.Ticket]chan turn{},
 		idle:    make(chan struct{}),
 	}
 	s.Group.Go("route", e.tick)
@@ -104,27 +104,34 @@
 }
 
 // dispatch grants free hosts to the waiting requests of the pool. If the pool
-// has no open host left, it sends them away to be run elsewhere. The lock is
-// held.
+// has no open host left, it sends them away to be run elsewhere; those that have
+// no time left to be run are refused. The lock is held.
 func (e *Engine) dispatch(pool string) {
 	now := e.settings.Now()
 	if e.refresh(now) != nil {
 		return
 	}
 	for _, t := range e.sched.Strand(pool) {
-		close(e.waiters[t])
-		delete(e.waiters, t)
+		e.call(t, turn{err: stranded(pool)})
+	}
+	for _, t := range e.sched.Late(now, pool) {
+		e.call(t, turn{err: late(pool)})
 	}
 	for {
 		g, ok := e.sched.Next(now, pool)
 		if !ok {
 			return
 		}
-		e.waiters[g.Ticket()] <- g
-		delete(e.waiters, g.Ticket())
+		e.call(g.Ticket(), turn{grant: g})
 	}
 }
 
+// call ends the wait of a request. The lock is held.
+func (e *Engine) call(t sched.Ticket, now turn) {
+	e.waiters[t] <- now
+	delete(e.waiters, t)
+}
+
 // enter counts a request in, unless the engine is leaving.
 func (e *Engine) enter() error {
 	e.mu.Lock()
--- a/io/route/wait.go
+++ b/io/route/wait.go
@@ -13,6 +13,9 @@
 // target stops it.
 const leaseMargin = time.Second
 
+// lateRetry is the wait that is suggested after a wait that was too long.
+const lateRetry = time.Second
+
 // admit queues a new request and waits until it is granted a host.
 func (e *Engine) admit(ctx context.Context, r rock.Request) (sched.Grant, error) {
 	return e.wait(ctx, r, func(now time.Time) (sched.Ticket, error) { return e.sched.Submit(now, r) })
@@ -27,19 +30,16 @@
 // context ends is taken out of the queue; if it has just been granted a host,
 // the host is given back.
 func (e *Engine) wait(ctx context.Context, r rock.Request, enqueue func(now time.Time) (sched.Ticket, error)) (sched.Grant, error) {
-	granted := make(chan sched.Grant, 1)
+	called := make(chan turn, 1)
 	begin := e.settings.Now()
-	ticket, err := e.enqueue(r, granted, enqueue)
+	ticket, err := e.enqueue(r, called, enqueue)
 	if err != nil {
 		return sched.Grant{}, err
 	}
 	select {
-	case g, ok := <-granted:
-		if !ok {
-			return sched.Grant{}, stranded(r)
-		}
+	case t := <-called:
 		e.noteWait(r.Pool(), e.settings.Now().Sub(begin))
-		return g, nil
+		return t.grant, t.err
 	case <-ctx.Done():
 	}
 	e.mu.Lock()
@@ -49,15 +49,15 @@
 		delete(e.waiters, ticket)
 		return sched.Grant{}, end
 	}
-	if g, ok := <-granted; ok {
-		e.sched.Finish(e.settings.Now(), g, 0, end)
+	if t := <-called; t.err == nil {
+		e.sched.Finish(e.settings.Now(), t.grant, 0, end)
 		e.dispatch(r.Pool())
 	}
 	return sched.Grant{}, end
 }
 
-// enqueue queues a request whose grant goes to the channel.
-func (e *Engine) enqueue(r rock.Request, granted chan sched.Grant, enqueue func(now time.Time) (sched.Ticket, error)) (sched.Ticket, error) {
+// enqueue queues a request that is called over the channel.
+func (e *Engine) enqueue(r rock.Request, called chan turn, enqueue func(now time.Time) (sched.Ticket, error)) (sched.Ticket, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.settings.Now()
@@ -68,7 +68,7 @@
 	if err != nil {
 		return sched.Ticket{}, err
 	}
-	e.waiters[ticket] = granted
+	e.waiters[ticket] = called
 	e.dispatch(r.Pool())
 	return ticket, nil
 }
@@ -93,8 +93,13 @@
 
 // stranded returns the failure of a waiting request whose pool has no open host
 // left in the zone.
-func stranded(r rock.Request) error {
-	return rock.Fail("wait", "pool "+r.Pool(), rock.NoHost, rock.NotRun).Becausef("the pool's last open host in the zone was closed")
+func stranded(pool string) error {
+	return rock.Fail("wait", "pool "+pool, rock.NoHost, rock.NotRun).Becausef("the pool's last open host in the zone was closed")
+}
+
+// late returns the failure of a waiting request that has too little time left.
+func late(pool string) error {
+	return rock.Fail("wait", "pool "+pool, rock.Overloaded, rock.NotRun).RetryIn(lateRetry).Becausef("the wait was longer than predicted, and the time left is too short to run")
 }
 
 // endOf returns the failure of a waiting request whose context ended.
