--- a/core/budget/reviewer.go
+++ b/core/budget/reviewer.go
@@ -49,6 +49,20 @@
 	r.seenAt, r.states = now, states
 }
 
+// Age returns how long ago the list was read.
+func (r *Reviewer) Age(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.seenAt)
+}
+
+// Takes reports whether the edits take a host away from a pool, as far as can
+// be said without the list.
+func (r *Reviewer) Takes(before rock.Fleet, edits []rock.Edit) bool {
+	l := ledger{before: before, after: map[string]*forms.Host{}}
+	return l.take(edits) == nil && len(l.takenFrom()) > 0
+}
+
 // decode returns the body of a budget that is in force. The caller holds the
 // lock.
 func (r *Reviewer) decode(rec rock.Record) (record.Budget, error) {
--- a/io/duty/holding.go
+++ b/io/duty/holding.go
@@ -9,6 +9,10 @@
 	"bramleyrock/core/lease"
 )
 
+// maxWait is the longest time between two looks at a lease that another entry
+// holds.
+const maxWait = 10 * time.Second
+
 // holding takes and renews the lease of one duty and runs its rounds.
 type holding struct {
 	set  Settings
@@ -47,7 +51,7 @@
 	}
 	if action == lease.Wait {
 		h.held = lease.Lease{}
-		return max(h.set.Interval, min(l.Expiry().Sub(now), h.set.ListInterval)), nil
+		return max(h.set.Interval, min(l.Expiry().Sub(now), maxWait)), nil
 	}
 	h.held = l
 	err = h.duty.Round(ctx, now, Turn{Holder: h.set.Name, Fleet: fleet, Guard: l.Guard()})
--- a/io/duty/race_test.go
+++ b/io/duty/race_test.go
@@ -33,11 +33,11 @@
 	reviewer := budget.New(budget.Settings{})
 	b := books.New(books.Settings{
 		Table: d, Objects: d, Now: time.Now, Poll: 20 * time.Millisecond,
-		Reviewer: rock.Reviewers{move.Reviewer{}, wave.Reviewer{}, reviewer},
+		Reviewer: rock.Reviewers{move.Reviewer{}, wave.Reviewer{}, duty.NewFresh(reviewer, d)},
 	})
 	return racer{b, duty.New(duty.Settings{
 		Name: name, Table: d, Changer: b, Fleet: b, HostList: d, Roster: crew.NewRegistry(), Budgets: reviewer,
-		Interval: 20 * time.Millisecond, ListInterval: 20 * time.Millisecond,
+		Interval: 20 * time.Millisecond,
 	})}
 }
 
--- a/io/duty/runner.go
+++ b/io/duty/runner.go
@@ -43,7 +43,6 @@
 	for _, h := range r.holdings {
 		g.Go(h.duty.Name(), h.run)
 	}
-	g.Go("host list", r.watchHosts)
 	g.Go("zones", func(ctx context.Context) error {
 		for {
 			for _, h := range r.newZones() {
@@ -85,9 +84,6 @@
 // their own time. It must not be called while the runner runs.
 func (r *Runner) Turn(ctx context.Context) error {
 	r.newZones()
-	if _, err := r.sight.hosts(ctx, r.set.Now(), r.set.ListInterval); err != nil {
-		return err
-	}
 	var errs []error
 	for _, h := range r.holdings {
 		_, err := h.turn(ctx)
@@ -111,18 +107,6 @@
 	return all
 }
 
-// watchHosts keeps the budgets' list of hosts fresh.
-func (r *Runner) watchHosts(ctx context.Context) error {
-	for {
-		if _, err := r.sight.hosts(ctx, r.set.Now(), r.set.ListInterval); err != nil {
-			r.set.Log.WithError(err).Warn("host list not read")
-		}
-		if err := pause(ctx, r.set.ListInterval); err != nil {
-			return err
-		}
-	}
-}
-
 // pause waits for d or until ctx ends.
 func pause(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
--- a/io/duty/runner_test.go
+++ b/io/duty/runner_test.go
@@ -74,7 +74,7 @@
 func newRunner(name string, d *depot.Depot, b *fleet.Book, r *budget.Reviewer) *duty.Runner {
 	return duty.New(duty.Settings{
 		Name: name, Table: d, Changer: b, Fleet: b, HostList: aheadList{d}, Roster: roster{b}, Budgets: r,
-		Interval: 5 * time.Millisecond, ListInterval: 5 * time.Millisecond,
+		Interval: 5 * time.Millisecond,
 	})
 }
 
--- a/io/duty/settings.go
+++ b/io/duty/settings.go
@@ -14,11 +14,8 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// Defaults of [Settings].
-const (
-	defaultInterval     = time.Second
-	defaultListInterval = 10 * time.Second
-)
+// defaultInterval is the default of [Settings.Interval].
+const defaultInterval = time.Second
 
 // Settings are the settings of a [Runner].
 type Settings struct {
@@ -51,9 +48,6 @@
 	Terms lease.Terms
 	// Interval is the time between two rounds; the default is 1 s.
 	Interval time.Duration
-	// ListInterval is the time between two reads of the list of hosts while no
-	// duty needs it; the default is 10 s.
-	ListInterval time.Duration
 	// Now returns the present time; the default is [time.Now].
 	Now func() time.Time
 	// Log takes the log; nil for none.
@@ -66,9 +60,6 @@
 	if s.Interval <= 0 {
 		s.Interval = defaultInterval
 	}
-	if s.ListInterval <= 0 {
-		s.ListInterval = defaultListInterval
-	}
 	if s.Now == nil {
 		s.Now = time.Now
 	}
