--- a/core/move/next.go
+++ b/core/move/next.go
@@ -95,6 +95,10 @@
 	if !p.owned() {
 		return p.step(record.MoveWanted, false)
 	}
+	if p.host.Pool == "" {
+		// Nobody places on a host without a pool, so entries do not report it.
+		return p.step(record.MoveReleased, true)
+	}
 	wait, ok := p.view.Drained(drain.Question{
 		Host:       p.move.Host,
 		Zone:       p.host.Zone,
@@ -118,11 +122,16 @@
 	return p.step(record.MoveJoining, true)
 }
 
-// finish opens the host in its new pool once the platform lists it as live.
+// finish opens the host in its new pool once the platform lists it as live. A
+// host that joins no pool, perhaps because it is broken, stays closed.
 func (p planner) finish() Step {
 	if !p.owned() {
 		return p.end(record.MoveDone, "host %s was opened by another change", p.move.Host)
 	}
+	if p.move.To == "" {
+		p.host.ClosedBy = ""
+		return p.step(record.MoveDone, true)
+	}
 	if s, ok := p.view.Host(p.move.Host); !ok || s.State() != rock.HostLive {
 		return p.wait("host %s to be live in the platform's list", p.move.Host)
 	}
--- a/core/move/next_test.go
+++ b/core/move/next_test.go
@@ -167,3 +167,30 @@
 	assert.Assert(t, hostBody(t, b).Open)
 	assert.Equal(t, hostBody(t, b).Pool, "tins")
 }
+
+func TestHostWithoutPoolNeedsNoDrain(t *testing.T) {
+	b := fleet.NewBook(move.Reviewer{}, hostRecord("h1", ""), moveRecord("m1", "h1", "", "lids"))
+	v := drain.NewView([]rock.EntryStatus{entry("e1", 1, start, nil)}, listed(0, start), nil)
+	for range 4 {
+		step(t, b, start, "m1", v)
+	}
+	assert.Equal(t, state(t, b, "m1"), record.MoveDone)
+	assert.Equal(t, hostBody(t, b).Pool, "lids")
+}
+
+func TestRetiredHostLeavesItsPool(t *testing.T) {
+	b := fleet.NewBook(move.Reviewer{}, hostRecord("h1", "tins"), moveRecord("m1", "h1", "tins", ""))
+	step(t, b, start, "m1", drain.View{})
+	now := start.Add(10 * time.Second)
+	gone := []rock.HostStatus{rock.NewHostStatus("h1", rock.HostGone, 0, 1, now)}
+	v := drain.NewView([]rock.EntryStatus{entry("e1", 2, start.Add(time.Second), map[string]int{"h1": 0})}, gone, nil)
+	for range 3 {
+		step(t, b, now, "m1", v)
+	}
+	assert.Equal(t, state(t, b, "m1"), record.MoveDone)
+	assert.Equal(t, hostBody(t, b).Pool, "")
+	f, _ := b.Fleet()
+	r, _ := f.Record(rock.NewKey(rock.KindHost, "h1"))
+	_, err := b.Change(context.Background(), now, rock.Proposal{ID: "delete", Deletes: []rock.Record{r}})
+	assert.NilError(t, err)
+}
