--- a/io/jobs/fleet_test.go
+++ b/io/jobs/fleet_test.go
@@ -27,7 +27,8 @@
 	"gotest.tools/v3/poll"
 )
 
-// fleet is a platform, targets of pool tins in zone a, and entries.
+// fleet is a platform, targets of pool tins in zone a and one in zone b, and
+// entries.
 type fleet struct {
 	t       testing.TB
 	depot   *depot.Depot
@@ -45,6 +46,9 @@
 		f.hosts = append(f.hosts, rock.NewHost(h))
 		f.targets.Add(work.New(work.Settings{Name: h.Name, Slots: slots, ServiceTime: 10 * time.Millisecond}))
 	}
+	far := rock.HostSpec{Name: "far", Zone: "b", Pool: "tins", Slots: slots, Open: true}
+	f.hosts = append(f.hosts, rock.NewHost(far))
+	f.targets.Add(work.New(work.Settings{Name: far.Name, Slots: slots, ServiceTime: 10 * time.Millisecond}))
 	f.config = config.NewSource(f.configuration(1, f.hosts))
 	return f
 }
@@ -104,12 +108,18 @@
 	s.ZoneGrace = 2 * time.Second
 }
 
+// start starts an entry of zone a.
 func (f *fleet) start(name string) *entry {
+	f.t.Helper()
+	return f.startIn(name, "a")
+}
+
+func (f *fleet) startIn(name, zone string) *entry {
 	f.t.Helper()
 	e := &entry{fleet: f, gate: &gate{Table: f.depot, Target: f.targets}}
-	e.placer = &placer{config: f.config, inner: place.New(place.Settings{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})}
+	e.placer = &placer{config: f.config, inner: place.New(place.Settings{Zone: zone, Random: rand.New(rand.NewPCG(1, 1))})}
 	s := jobs.Settings{
-		Member: rock.NewMember(name, "a", "127.0.0.1:1", "i1"),
+		Member: rock.NewMember(name, zone, "127.0.0.1:1", "i1"),
 		Table:  e.gate, Target: e.gate, Fleet: f.config, Placer: e.placer,
 	}
 	quick(&s)
--- a/io/jobs/jobs_test.go
+++ b/io/jobs/jobs_test.go
@@ -262,7 +262,7 @@
 	var closed []rock.Host
 	for _, h := range f.hosts {
 		open := h.Name() != before[0].Host()
-		closed = append(closed, rock.NewHost(rock.HostSpec{Name: h.Name(), Zone: "a", Pool: "tins", Slots: 2, Open: open}))
+		closed = append(closed, rock.NewHost(rock.HostSpec{Name: h.Name(), Zone: h.Zone(), Pool: "tins", Slots: 2, Open: open}))
 	}
 	f.config.Set(f.configuration(2, closed))
 	eventually(t, "the move", func() bool { return f.runs(moves) == 2 })
@@ -311,3 +311,20 @@
 		assert.Equal(t, f.runs(id), 1)
 	}
 }
+
+// TestZoneWithoutEntries ends all entries of a zone for good.
+func TestZoneWithoutEntries(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 4, func(s *jobs.Settings) { s.Limits.TaskLease = time.Second })
+	e := f.start("a1")
+	again, once := e.submit(fmt.Sprintf(long, true, longMS)), e.submit(fmt.Sprintf(long, false, longMS))
+	eventually(t, "starts", func() bool { return f.runs(again) == 1 && f.runs(once) == 1 })
+	e.kill()
+	other := f.startIn("b1", "b")
+	got := other.await(once, job.Unsettled, job.Done)
+	assert.Equal(t, got.State, job.Unsettled)
+	assert.Equal(t, got.Verdict, rock.MayHaveRun)
+	eventually(t, "second run", func() bool { return f.runs(again) == 2 })
+	assert.Equal(t, f.row(again).Host(), "far")
+	assert.Equal(t, f.runs(once), 1)
+}
