--- a/cmd/bramleyrock/history.go
+++ b/cmd/bramleyrock/history.go
@@ -30,7 +30,7 @@
 				if err != nil {
 					return err
 				}
-				return a.printChanges([]rock.Change{change}, *output)
+				return a.printChanges([]rock.Change{change}, client.Filter{}, *output)
 			}
 			f := client.Filter{Limit: *limit}
 			if len(args) == 1 {
@@ -84,17 +84,21 @@
 	if err != nil {
 		return err
 	}
-	return a.printChanges(changes, output)
+	return a.printChanges(changes, f, output)
 }
 
-// printChanges prints changes, a line for each edit, or as JSON.
-func (a *app) printChanges(changes []rock.Change, output string) error {
+// printChanges prints changes as JSON, or a line for each edit of a record that
+// the filter selects.
+func (a *app) printChanges(changes []rock.Change, f client.Filter, output string) error {
 	if output == "json" {
 		return printJSON(a.out, changes)
 	}
 	rows := [][]string{{"REVISION", "WHEN", "WHO", "WHY", "RECORD", "FROM", "TO"}}
 	for _, c := range changes {
 		for _, e := range c.Edits() {
+			if !selects(f, e.Key()) {
+				continue
+			}
 			rows = append(rows, []string{
 				strconv.FormatUint(uint64(c.Revision()), 10),
 				c.At().UTC().Format(time.RFC3339),
@@ -109,6 +113,11 @@
 	return printTable(a.out, rows)
 }
 
+// selects reports whether the filter selects changes of the record.
+func selects(f client.Filter, key rock.Key) bool {
+	return (f.Kind == "" || f.Kind == string(key.Kind())) && (f.Name == "" || f.Name == key.Name())
+}
+
 // bodyOf returns the body of a record, or "-" for none.
 func bodyOf(r *rock.Record) string {
 	if r == nil {
--- a/cmd/bramleyrock/operator_test.go
+++ b/cmd/bramleyrock/operator_test.go
@@ -36,6 +36,9 @@
 	assert.NilError(t, json.Unmarshal([]byte(out), &changes))
 	assert.Assert(t, len(changes) > 1, out)
 	assert.Equal(t, changes[0].Who+": "+changes[0].Why, "operator: lids needs it")
+	out, errs, status = d.cli("history", "move/m1")
+	assert.Equal(t, status, exitOK, errs)
+	assert.Assert(t, !strings.Contains(out, "host/h2"), "other records of the same changes are shown:\n%s", out)
 	d.checkOnePool()
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -36,6 +36,7 @@
 	duties   *group.Group
 	meter    *meter.Meter
 	platform *plat.Client
+	targets  *targ.Client
 	books    *books.Books
 	engine   *route.Engine
 	links    *link.Set
@@ -132,6 +133,7 @@
 	if err != nil {
 		return err
 	}
+	e.targets = targ.New(targ.Settings{})
 	platform := e.platform
 	e.buildLinks()
 	reviewer := budget.New(budget.Settings{})
@@ -179,7 +181,7 @@
 		Member:   e.member,
 		Fleet:    e.books,
 		MayPlace: e.placing.Load,
-		Target:   targ.New(targ.Settings{}),
+		Target:   e.targets,
 		Peers:    e.links,
 		Secret:   []byte(s.PeerSecret),
 		HostList: e.platform,
--- a/io/entry/jobs.go
+++ b/io/entry/jobs.go
@@ -6,7 +6,6 @@
 
 	"bramleyrock/io/jobs"
 	"bramleyrock/io/logs"
-	"bramleyrock/io/targ"
 )
 
 // buildJobs makes the part that runs long-running jobs.
@@ -15,7 +14,7 @@
 	e.jobs = jobs.New(jobs.Settings{
 		Member: e.member,
 		Table:  e.platform,
-		Target: targ.New(targ.Settings{}),
+		Target: e.targets,
 		Fleet:  e.books,
 		Placer: e.engine,
 		Now:    time.Now,
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -30,7 +30,9 @@
 	}
 	err := e.stop(hard)
 	e.duties.Stop()
-	return errors.Join(err, e.duties.Wait(), e.meter.Close())
+	err = errors.Join(err, e.duties.Wait(), e.meter.Close())
+	e.targets.Close()
+	return err
 }
 
 // fenced ends the entry because a newer process has taken over its name.
