--- a/core/eject/quarantine.go
+++ b/core/eject/quarantine.go
@@ -1,7 +1,6 @@
 package eject
 
 import (
-	"crypto/sha256"
 	"slices"
 	"time"
 
@@ -17,21 +16,10 @@
 	order []workID
 }
 
-// workID tells a piece of work from others: the digest of its organisation,
-// pool and payload.
-type workID [sha256.Size]byte
-
 // probeInterval is the time between tries of quarantined work, which end the
 // quarantine if they succeed.
 const probeInterval = time.Second
 
-// failing is what is known of work that failed.
-type failing struct {
-	hosts []string
-	until time.Time
-	probe time.Time
-}
-
 // NewQuarantine returns an empty quarantine.
 func NewQuarantine(s Settings) *Quarantine {
 	return &Quarantine{settings: s.withDefaults(), works: map[workID]*failing{}}
@@ -101,13 +89,3 @@
 		q.order = q.order[1:]
 	}
 }
-
-func idOf(r rock.Request) workID {
-	h := sha256.New()
-	h.Write([]byte(r.Organisation()))
-	h.Write([]byte{0})
-	h.Write([]byte(r.Pool()))
-	h.Write([]byte{0})
-	h.Write(r.Payload())
-	return workID(h.Sum(nil))
-}
--- a/core/place/group.go
+++ b/core/place/group.go
@@ -1,19 +1,9 @@
 package place
 
 import (
-	"math/rand/v2"
 	"time"
-
-	"bramleyrock/core/eject"
 )
 
-// memory is what is kept of a pool over configurations. Each pool has a random
-// source of its own, so that no pool's choices depend on another's load.
-type memory struct {
-	watch  *eject.Watch
-	random *rand.Rand
-}
-
 // group is the hosts of one pool in the zone.
 type group struct {
 	memory
@@ -71,15 +61,3 @@
 		g.settle(now, n)
 	}
 }
-
-// releaseAt returns the time at which the node is to be looked at again, or
-// zero if it is not held back.
-func (n *node) releaseAt(now time.Time) time.Time {
-	if n.health.State(now) == eject.Ejected {
-		return n.health.Until()
-	}
-	if now.Before(n.heldUntil) {
-		return n.heldUntil
-	}
-	return time.Time{}
-}
--- a/core/place/node.go
+++ b/core/place/node.go
@@ -43,3 +43,15 @@
 func (n *node) load() float64 {
 	return float64(n.inFlight)/float64(n.host.Slots()) + max(0, n.health.Rate()-usualRate)
 }
+
+// releaseAt returns the time at which the node is to be looked at again, or
+// zero if it is not held back.
+func (n *node) releaseAt(now time.Time) time.Time {
+	if n.health.State(now) == eject.Ejected {
+		return n.health.Until()
+	}
+	if now.Before(n.heldUntil) {
+		return n.heldUntil
+	}
+	return time.Time{}
+}
--- a/core/sched/handed.go
+++ b/core/sched/handed.go
@@ -13,18 +13,6 @@
 	counts map[handedKey]handedCount
 }
 
-// handedKey names a pool at a peer.
-type handedKey struct {
-	peer string
-	pool string
-}
-
-// handedCount is the requests handed since the peer told its load.
-type handedCount struct {
-	told  time.Time
-	count int
-}
-
 // Wait returns the predicted wait at a peer that told its load of a pool at
 // that time: the wait that it told, and that for the requests handed to it
 // since then which its free slots do not hold. Runs take runTime on average.
--- a/core/trace/outcome.go
+++ b/core/trace/outcome.go
@@ -72,14 +72,3 @@
 	slices.SortStableFunc(found, func(a, b Violation) int { return cmp.Compare(a.line, b.line) })
 	return found
 }
-
-// report collects the violations of one outcome.
-type report struct {
-	outcome    string
-	violations []Violation
-}
-
-// add reports that an event broke the outcome.
-func (r *report) add(e Event, format string, args ...any) {
-	r.violations = append(r.violations, Violation{r.outcome, e.line, fmt.Sprintf(format, args...)})
-}
--- /dev/null
+++ b/core/trace/report.go
@@ -0,0 +1,14 @@
+package trace
+
+import "fmt"
+
+// report collects the violations of one outcome.
+type report struct {
+	outcome    string
+	violations []Violation
+}
+
+// add reports that an event broke the outcome.
+func (r *report) add(e Event, format string, args ...any) {
+	r.violations = append(r.violations, Violation{r.outcome, e.line, fmt.Sprintf(format, args...)})
+}
