--- a/core/record/fields.go
+++ b/core/record/fields.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	rock "bramleyrock"
 )
@@ -34,6 +35,7 @@
 	return f, nil
 }
 
+// where returns the place of an object, as the beginning of an error.
 func where(prefix string) string {
 	if prefix == "" {
 		return ""
@@ -41,6 +43,7 @@
 	return "field " + strings.TrimSuffix(prefix, ".") + ": "
 }
 
+// quote returns a wrong value as an error shows it, cut if it is long.
 func quote(data []byte) string {
 	if len(data) > maxQuote {
 		data = append(bytes.Clone(data[:maxQuote]), "..."...)
@@ -125,6 +128,19 @@
 	return n
 }
 
+// time takes an optional time.
+func (f *fields) time(name string) time.Time {
+	s := f.text(name)
+	if s == "" {
+		return time.Time{}
+	}
+	t, err := time.Parse(time.RFC3339Nano, s)
+	if err != nil {
+		f.wrong(name, []byte(strconv.Quote(s)), "a time such as 2026-01-31T08:15:00Z")
+	}
+	return t
+}
+
 // list takes an optional array.
 func (f *fields) list(name string) []json.RawMessage {
 	data := f.take(name)
--- a/core/record/limit.go
+++ b/core/record/limit.go
@@ -47,3 +47,34 @@
 // shareSlack keeps a share such as 0.7 of 10 from being rounded up to 8 by the
 // error of binary fractions.
 const shareSlack = 1e-9
+
+// decodeLimit takes the required limit of a budget of schema version 2.
+func decodeLimit(f *fields) Limit {
+	const want = `{"count": number of hosts} or {"share": 0 to 1}`
+	raw := f.raw["min_available"]
+	if raw == nil {
+		f.missing("min_available", want)
+		return Limit{}
+	}
+	sub := f.object("min_available")
+	if sub == nil {
+		return Limit{}
+	}
+	share := sub.take("share")
+	if (share == nil) == (sub.raw["count"] == nil) {
+		f.wrong("min_available", raw, want)
+		return Limit{}
+	}
+	l := Limit{}
+	if share == nil {
+		l.count = int(sub.count("count", 0, maxHosts, true))
+	} else {
+		l.share = json.Number(share)
+		if s, ok := l.Share(); !ok || s < 0 || s > 1 {
+			sub.wrong("share", share, "a number from 0 to 1")
+		}
+	}
+	f.join(sub)
+	l.extra = sub.extra()
+	return l
+}
--- a/core/record/move.go
+++ b/core/record/move.go
@@ -45,12 +45,6 @@
 // Extra returns the fields that this program does not know.
 func (m Move) Extra() Extra { return m.extra }
 
-// WithExtra returns a copy of m with these further fields.
-func (m Move) WithExtra(e Extra) Move {
-	m.extra = e
-	return m
-}
-
 // Kind implements [Body].
 func (m Move) Kind() rock.Kind { return rock.KindMove }
 
@@ -83,16 +77,3 @@
 	s.Since = f.time("since")
 	return Move{spec: s, extra: f.extra()}
 }
-
-// time takes an optional time.
-func (f *fields) time(name string) time.Time {
-	s := f.text(name)
-	if s == "" {
-		return time.Time{}
-	}
-	t, err := time.Parse(time.RFC3339Nano, s)
-	if err != nil {
-		f.wrong(name, []byte(strconv.Quote(s)), "a time such as 2026-01-31T08:15:00Z")
-	}
-	return t
-}
--- a/core/record/pool.go
+++ b/core/record/pool.go
@@ -43,12 +43,6 @@
 // Extra returns the fields that this program does not know.
 func (p Pool) Extra() Extra { return p.extra }
 
-// WithMaxSlots returns a copy of p with that limit on its slots.
-func (p Pool) WithMaxSlots(n int) Pool {
-	p.maxSlots = n
-	return p
-}
-
 // Kind implements [Body].
 func (p Pool) Kind() rock.Kind { return rock.KindPool }
 
--- a/core/record/wave.go
+++ b/core/record/wave.go
@@ -47,12 +47,6 @@
 // Extra returns the fields that this program does not know.
 func (w Wave) Extra() Extra { return w.extra }
 
-// WithExtra returns a copy of w with these further fields.
-func (w Wave) WithExtra(e Extra) Wave {
-	w.extra = e
-	return w
-}
-
 // Kind implements [Body].
 func (w Wave) Kind() rock.Kind { return rock.KindWave }
 
