--- a/io/books/batch.go
+++ b/io/books/batch.go
@@ -71,6 +71,7 @@
 	}
 }
 
+// named returns err as a failure of the proposal's change.
 func named(w *pending, err error) error {
 	f := rock.Fail("change", w.proposal.ID, rock.ReasonOf(err), rock.VerdictOf(err)).Because(err)
 	var cause *rock.Failure
--- a/io/books/change.go
+++ b/io/books/change.go
@@ -74,6 +74,8 @@
 	return rock.Change{}, unsettled(w.proposal.ID, cause)
 }
 
+// unsettled returns the failure of a change of which nobody knows whether it
+// was made.
 func unsettled(id string, cause error) error {
 	return rock.Fail("change", id, rock.Unsettled, rock.MayHaveRun).Because(cause)
 }
--- a/io/books/snapshot.go
+++ b/io/books/snapshot.go
@@ -22,6 +22,7 @@
 	Records  json.RawMessage `json:"records"`
 }
 
+// digest returns the digest of data as a snapshot states it.
 func digest(data []byte) string {
 	sum := sha256.Sum256(data)
 	return "sha256:" + hex.EncodeToString(sum[:])
--- a/io/oper/access.go
+++ b/io/oper/access.go
@@ -102,6 +102,8 @@
 	return checkByHand(a.config, a.codec, f.Records)
 }
 
+// mayChange reports whether the identity may replace or delete the record that
+// is in force by this one.
 func (a access) mayChange(r rock.Record) bool {
 	if current, ok := a.config.Record(r.Key()); ok && !a.mayWrite(current) {
 		return false
@@ -109,6 +111,8 @@
 	return len(r.Body()) == 0 || a.mayWrite(r)
 }
 
+// mayWrite reports whether the pools of the record are of the identity's
+// organisation, for the kinds that an organisation may write.
 func (a access) mayWrite(r rock.Record) bool {
 	b, err := a.codec.Decode(r)
 	if err != nil {
--- a/io/oper/answers.go
+++ b/io/oper/answer.go
@@ -9,26 +9,6 @@
 	"bramleyrock/io/probl"
 )
 
-// recordsAnswer answers the reading of a kind.
-type recordsAnswer struct {
-	Revision  rock.Revision `json:"revision"`
-	Confirmed bool          `json:"confirmed"`
-	Records   []rock.Record `json:"records"`
-}
-
-// changeAnswer answers a change.
-type changeAnswer struct {
-	Change rock.Change `json:"change"`
-	DryRun bool        `json:"dry_run"`
-}
-
-// changesAnswer answers a question about history. ReadTo is the revision at
-// which the search ended.
-type changesAnswer struct {
-	Changes []rock.Change `json:"changes"`
-	ReadTo  rock.Revision `json:"read_to"`
-}
-
 // answer writes v as JSON.
 func answer(w http.ResponseWriter, v any) {
 	body, err := json.Marshal(v)
--- a/io/oper/guard.go
+++ b/io/oper/guard.go
@@ -25,10 +25,13 @@
 	return nil
 }
 
+// refuse returns the refusal of a record of a change.
 func refuse(r rock.Record, format string, args ...any) error {
 	return rock.Fail("change", r.Key().String(), rock.BadInput, rock.NotRun).Becausef(format, args...)
 }
 
+// checkHostByHand refuses to take a host out of its pool, or to set its
+// generation, other than by a move.
 func checkHostByHand(codec record.Codec, r, current rock.Record, exists bool) error {
 	next, err := record.AsKnown[record.Host](codec, r)
 	if err != nil || !exists {
