--- a/cmd/bramleyrock/app.go
+++ b/cmd/bramleyrock/app.go
@@ -20,15 +20,6 @@
 	sets    []commandSet
 }
 
-// commandSet is a command with its settings.
-type commandSet struct {
-	command *cobra.Command
-	set     *conf.Set
-}
-
-// action is what a command does once its settings are read.
-type action func(ctx context.Context, args []string) error
-
 // run runs the command line and returns the exit status.
 func (a *app) run(ctx context.Context, args []string) int {
 	root := a.root()
--- /dev/null
+++ b/io/client/change.go
@@ -0,0 +1,19 @@
+package client
+
+import (
+	rock "bramleyrock"
+)
+
+// Change is a change of records, as an operator sends it.
+type Change struct {
+	// ChangeID settles a lost answer.
+	ChangeID string `json:"change_id"`
+	// Why is the operator's reason.
+	Why string `json:"why,omitempty"`
+	// Records are the records to write, with the versions that they replace.
+	Records []rock.Record `json:"records,omitempty"`
+	// Deletes are the records to delete, with their current versions.
+	Deletes []rock.Record `json:"deletes,omitempty"`
+	// DryRun checks the change without making it.
+	DryRun bool `json:"dry_run,omitempty"`
+}
--- a/io/client/records.go
+++ b/io/client/records.go
@@ -8,36 +8,6 @@
 	rock "bramleyrock"
 )
 
-// Change is a change of records, as an operator sends it.
-type Change struct {
-	// ChangeID settles a lost answer.
-	ChangeID string `json:"change_id"`
-	// Why is the operator's reason.
-	Why string `json:"why,omitempty"`
-	// Records are the records to write, with the versions that they replace.
-	Records []rock.Record `json:"records,omitempty"`
-	// Deletes are the records to delete, with their current versions.
-	Deletes []rock.Record `json:"deletes,omitempty"`
-	// DryRun checks the change without making it.
-	DryRun bool `json:"dry_run,omitempty"`
-}
-
-// Filter selects changes of the audit trail. The zero value selects all.
-type Filter struct {
-	// After leaves out changes up to this revision.
-	After rock.Revision `url:"after,omitempty"`
-	// Limit is the greatest number of changes.
-	Limit int `url:"limit,omitempty"`
-	// Kind selects changes of records of a kind.
-	Kind string `url:"kind,omitempty"`
-	// Name selects changes of the records of that name.
-	Name string `url:"name,omitempty"`
-	// Who selects changes by an author.
-	Who string `url:"who,omitempty"`
-	// Since leaves out changes before this RFC 3339 time.
-	Since string `url:"since,omitempty"`
-}
-
 // schemaQuery asks for records in one schema version.
 type schemaQuery struct {
 	SchemaVersion int `url:"schema_version,omitempty"`
--- a/io/client/request.go
+++ b/io/client/request.go
@@ -22,33 +22,9 @@
 	IdempotencyKey string `json:"idempotency_key,omitempty"`
 }
 
-// Answer is the whole answer to a request.
-type Answer struct {
-	// RequestID is the id that the entry gave to the request.
-	RequestID string `json:"request_id"`
-	// Verdict is always "ran".
-	Verdict rock.Verdict `json:"verdict"`
-	// Host is the host that ran the request.
-	Host string `json:"host"`
-	// Payload is the target's JSON value.
-	Payload json.RawMessage `json:"payload"`
-}
-
 // Call sends a request to the pool and returns its whole answer.
 func (c *Client) Call(ctx context.Context, pool string, r Request) (Answer, error) {
 	var a Answer
 	err := c.post(ctx, "/v1/pools/"+url.PathEscape(pool)+"/requests", r, &a)
 	return a, err
 }
-
-// Keys returns fresh idempotency keys.
-func (c *Client) Keys(ctx context.Context, count int) ([]string, error) {
-	var a struct {
-		Keys []string `json:"keys"`
-	}
-	body := struct {
-		Count int `json:"count"`
-	}{count}
-	err := c.post(ctx, "/v1/keys", body, &a)
-	return a.Keys, err
-}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -97,14 +97,6 @@
 	})
 }
 
-// reply is the JSON form of an answer.
-type reply struct {
-	RequestID string          `json:"request_id"`
-	Verdict   rock.Verdict    `json:"verdict"`
-	Host      string          `json:"host"`
-	Payload   json.RawMessage `json:"payload"`
-}
-
 // write answers with the whole answer of a target.
 func (d *door) write(w http.ResponseWriter, a rock.Answer) error {
 	if n := len(a.Payload()); n > d.settings.Limits.AnswerBytes {
--- a/io/route/closings.go
+++ b/io/route/closings.go
@@ -23,12 +23,7 @@
 	read map[string]closingRead
 }
 
-// closingRead is a statement as read at a time.
-type closingRead struct {
-	at      time.Time
-	closing claim.Closing
-}
-
+// newClosings returns the statements kept in objects; nil means none.
 func newClosings(objects rock.Objects) *closings {
 	return &closings{objects: objects, read: map[string]closingRead{}}
 }
--- a/io/trial/deployment.go
+++ b/io/trial/deployment.go
@@ -16,14 +16,6 @@
 // Deployments returns the names of all deployments.
 func Deployments() []string { return []string{string(Zarqa), string(Blespind)} }
 
-// shape is the size of a deployment.
-type shape struct {
-	zones        []string
-	pools        []string
-	hostsPerZone int
-	slots        int
-}
-
 // operatorPool is the shared spare pool.
 const operatorPool = "spare"
 
@@ -47,9 +39,3 @@
 	}
 	return shape{}, fmt.Errorf("deployment %q is not known: want one of %v", d, Deployments())
 }
-
-// hosts returns the number of hosts of one pool.
-func (s shape) hosts() int { return s.hostsPerZone * len(s.zones) }
-
-// budget returns the least number of available hosts of one pool.
-func (s shape) budget() int { return s.hosts() - 2 }
--- a/io/trial/load.go
+++ b/io/trial/load.go
@@ -29,14 +29,6 @@
 	samples  []sample
 }
 
-// sample is what became of one request.
-type sample struct {
-	pool    string
-	verdict rock.Verdict
-	reason  rock.Reason
-	delay   time.Duration
-}
-
 // newLoad returns a load on the site's entries.
 func newLoad(t *site, log *trace.Log) *load {
 	return &load{
@@ -87,7 +79,7 @@
 		l.call(ctx, first, a, a.id, "")
 		return
 	}
-	keys, err := first.caller.byPool[a.pool].Keys(ctx, 1)
+	issued, err := first.caller.byPool[a.pool].IssueKeys(ctx, 1)
 	if err != nil {
 		l.call(ctx, first, a, a.id, "")
 		return
@@ -95,7 +87,7 @@
 	g := group.New(ctx)
 	for i, s := range []*station{first, l.pick(first)} {
 		g.Go("send", func(ctx context.Context) error {
-			l.call(ctx, s, a, a.send(i+1), keys[0])
+			l.call(ctx, s, a, a.send(i+1), issued.Keys[0])
 			return nil
 		})
 	}
@@ -124,13 +116,6 @@
 	}
 }
 
-// payload is what a target is asked to do.
-type payload struct {
-	WorkMS int64  `json:"work_ms"`
-	Echo   string `json:"echo"`
-	Key    string `json:"key"`
-}
-
 // answerDigest returns the digest of the right answer to the arrival.
 func answerDigest(id string) string {
 	body, err := json.Marshal(struct {
--- a/io/trial/site.go
+++ b/io/trial/site.go
@@ -37,24 +37,6 @@
 	entries  []*station
 }
 
-// station is an entry of a site.
-type station struct {
-	entry    *entry.Entry
-	caller   *callers
-	operator *client.Client
-	stop     context.CancelFunc
-	ended    chan error
-}
-
-// hostPlan is a host of the fleet.
-type hostPlan struct {
-	name    string
-	address string
-	zone    string
-	rack    string
-	pool    string
-}
-
 // newSite starts the stand-ins and the entries.
 func newSite(s Settings) (*site, error) {
 	shape, err := s.Deployment.shape()
