--- a/cmd/bramleyrock/entry.go
+++ b/cmd/bramleyrock/entry.go
@@ -120,6 +120,7 @@
 	}
 }
 
+// checkDigest refuses text that is not the digest of a token; "" is none.
 func checkDigest(text string) error {
 	if text == "" || record.CheckDigest(text) {
 		return nil
--- a/cmd/bramleyrock/history.go
+++ b/cmd/bramleyrock/history.go
@@ -67,10 +67,12 @@
 	})
 }
 
+// limitSetting adds the setting of how many changes are shown.
 func limitSetting(s *conf.Set) *int {
 	return s.Int("limit", 100, 1, 10000, "greatest number of changes")
 }
 
+// checkTime refuses text that is not an RFC 3339 time; "" is none.
 func checkTime(text string) error {
 	if text == "" {
 		return nil
@@ -79,6 +81,7 @@
 	return err
 }
 
+// listChanges asks for the changes that the filter selects and prints them.
 func (a *app) listChanges(ctx context.Context, x access, f client.Filter, output string) error {
 	changes, err := x.client().Changes(ctx, f)
 	if err != nil {
--- a/cmd/bramleyrock/recordfile.go
+++ b/cmd/bramleyrock/recordfile.go
@@ -37,6 +37,7 @@
 	return all, nil
 }
 
+// readRecordFile reads the records of a file; "-" is the standard input.
 func (a *app) readRecordFile(file string) ([]rock.Record, error) {
 	in := a.in
 	if file != "-" {
@@ -79,6 +80,7 @@
 	}
 }
 
+// decodeOneOrMany decodes a record or an array of records.
 func decodeOneOrMany(raw json.RawMessage) ([]rock.Record, error) {
 	if raw[0] == '[' {
 		var many []rock.Record
--- a/core/claim/book.go
+++ b/core/claim/book.go
@@ -137,6 +137,7 @@
 	return Claimed{state: Settled, outcome: e.outcome}
 }
 
+// refuse returns the refusal of a key.
 func refuse(reason rock.Reason, verdict rock.Verdict) *rock.Failure {
 	return rock.Fail("claim", "idempotency key", reason, verdict)
 }
--- a/core/feed/check.go
+++ b/core/feed/check.go
@@ -54,6 +54,7 @@
 	digests   map[string]string
 }
 
+// check checks one edit against the configuration after the change.
 func (k *checker) check(e rock.Edit) error {
 	if e.To() == nil {
 		return k.checkDelete(e.Key())
@@ -79,10 +80,12 @@
 	return nil
 }
 
+// wrong returns the refusal of a record of a change.
 func wrong(key rock.Key, format string, args ...any) error {
 	return rock.Fail("check", key.String(), rock.BadInput, rock.NotRun).Becausef(format, args...)
 }
 
+// needPool refuses a field that names a pool which does not exist; "" is none.
 func (k *checker) needPool(key rock.Key, field, pool string) error {
 	if pool == "" {
 		return nil
@@ -96,6 +99,7 @@
 	return wrong(key, "field %s: got %q: want a pool that exists", field, pool)
 }
 
+// checkTokens refuses a token that another organisation has.
 func (k *checker) checkTokens(key rock.Key, o record.Organisation) error {
 	for i, t := range o.Tokens() {
 		owner := k.digests[t.Digest()]
@@ -110,6 +114,8 @@
 	return nil
 }
 
+// checkPool refuses a pool whose organisation does not exist, or whose hosts
+// have more slots than it allows.
 func (k *checker) checkPool(key rock.Key, p record.Pool) error {
 	org := p.Organisation()
 	if _, ok := k.after.Record(rock.NewKey(rock.KindOrganisation, org)); org != "" && !ok {
@@ -118,6 +124,7 @@
 	return k.checkSlots(key, key.Name())
 }
 
+// checkSlots refuses more slots than the pool allows.
 func (k *checker) checkSlots(key rock.Key, pool string) error {
 	p := k.after.pools[pool]
 	if most, sum := p.body.MaxSlots(), p.slots(); p.known && most > 0 && sum > most {
@@ -126,6 +133,8 @@
 	return nil
 }
 
+// checkHost refuses a pool that does not exist, an address that another host
+// has, a generation that falls, and another pool in the same generation.
 func (k *checker) checkHost(e rock.Edit, b record.Host) error {
 	key, h := e.Key(), b.Named(e.Key().Name())
 	if err := k.needPool(key, "pool", h.Pool()); err != nil {
@@ -159,6 +168,7 @@
 	return other, ok && o.Address() == h.Address()
 }
 
+// checkMove refuses a host or pools that do not exist, unless the move ended.
 func (k *checker) checkMove(key rock.Key, m record.MoveSpec) error {
 	if m.State.Ended() {
 		return nil
@@ -172,6 +182,7 @@
 	return k.needPool(key, "to", m.To)
 }
 
+// checkWave refuses pools that do not exist, unless the wave ended.
 func (k *checker) checkWave(key rock.Key, w record.WaveSpec) error {
 	if w.State.Ended() {
 		return nil
--- a/core/feed/checkdelete.go
+++ b/core/feed/checkdelete.go
@@ -27,6 +27,7 @@
 	return nil
 }
 
+// refusePools fails if the organisation of key has pools.
 func (k *checker) refusePools(key rock.Key) error {
 	return k.refuse(key, func(b record.Body) bool {
 		p, ok := b.(record.Pool)
@@ -48,8 +49,11 @@
 	return nil
 }
 
+// inUse returns the refusal to delete a record that another one refers to.
 func inUse(key, by rock.Key) error { return wrong(key, "the record is in use by %v", by) }
 
+// refersToPool reports whether a budget, or a move or wave that has not ended,
+// names the pool.
 func refersToPool(b record.Body, pool string) bool {
 	switch b := b.(type) {
 	case record.Budget:
@@ -64,6 +68,7 @@
 	return false
 }
 
+// refersToHost reports whether a move that has not ended names the host.
 func refersToHost(b record.Body, host string) bool {
 	m, ok := b.(record.Move)
 	return ok && !m.Spec().State.Ended() && m.Spec().Host == host
--- a/core/feed/config.go
+++ b/core/feed/config.go
@@ -74,6 +74,7 @@
 		Becausef("the bearer token is missing or unknown")
 }
 
+// same compares digests in constant time.
 func same(a, b string) bool { return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1 }
 
 // Record implements [rock.Fleet].
@@ -129,6 +130,7 @@
 	return next, nil
 }
 
+// clone returns a copy that may be changed.
 func (c *Config) clone() *Config {
 	next := *c
 	next.lists = maps.Clone(c.lists)
@@ -178,6 +180,7 @@
 	}
 }
 
+// unindex takes what a record says out of the indexes.
 func (c *Config) unindex(r rock.Record) {
 	c.unread = c.unread.without(r.Key().String())
 	name := r.Key().Name()
@@ -207,6 +210,7 @@
 	}
 }
 
+// index puts what a record says into the indexes.
 func (c *Config) index(r rock.Record) {
 	name := r.Key().Name()
 	b, err := c.settings.Codec.Decode(r)
--- a/core/feed/poolindex.go
+++ b/core/feed/poolindex.go
@@ -36,6 +36,7 @@
 	return p
 }
 
+// cloneZones returns a copy that may be written to.
 func cloneZones(zones map[string][]rock.Host) map[string][]rock.Host {
 	if zones == nil {
 		return map[string][]rock.Host{}
@@ -52,12 +53,15 @@
 	return sum
 }
 
+// search returns the place of a name among hosts sorted by name, and whether it
+// is there.
 func search(hosts []rock.Host, name string) (int, bool) {
 	return slices.BinarySearchFunc(hosts, name, func(h rock.Host, name string) int {
 		return cmp.Compare(h.Name(), name)
 	})
 }
 
+// insert returns a copy of the sorted hosts with h.
 func insert(hosts []rock.Host, h rock.Host) []rock.Host {
 	i, _ := search(hosts, h.Name())
 	next := make([]rock.Host, 0, len(hosts)+1)
@@ -66,6 +70,7 @@
 	return append(next, hosts[i:]...)
 }
 
+// remove returns the sorted hosts without the named one; hosts stays as it is.
 func remove(hosts []rock.Host, name string) []rock.Host {
 	i, ok := search(hosts, name)
 	if !ok {
--- a/core/feed/propose.go
+++ b/core/feed/propose.go
@@ -53,6 +53,7 @@
 	return edits, nil
 }
 
+// checkProposal refuses a proposal that is malformed, whatever is in force.
 func checkProposal(p rock.Proposal) error {
 	bad := rock.Fail("check", "change "+p.ID, rock.BadInput, rock.NotRun)
 	n := len(p.Records) + len(p.Deletes)
@@ -88,6 +89,7 @@
 		Because(errors.New(strings.Join(text, "; ")))
 }
 
+// proposeWrite returns the edit that writes a proposed record.
 func (c *Config) proposeWrite(r rock.Record) (rock.Edit, error) {
 	codec := c.settings.Codec
 	current, ok := c.Record(r.Key())
--- a/core/feed/shards.go
+++ b/core/feed/shards.go
@@ -17,6 +17,7 @@
 	size  int
 }
 
+// shardOf returns the index of the part that holds the key.
 func shardOf(key string) int { return int(maphash.String(shardSeed, key) % shardCount) }
 
 // get returns the value of key.
@@ -42,6 +43,7 @@
 	return s.edit(key, func(part map[string]V) { delete(part, key) })
 }
 
+// edit returns a copy in which the part that holds the key is changed.
 func (s shards[V]) edit(key string, change func(part map[string]V)) shards[V] {
 	next := shards[V]{parts: &[shardCount]map[string]V{}}
 	if s.parts != nil {
--- a/core/record/codec.go
+++ b/core/record/codec.go
@@ -49,6 +49,7 @@
 	return b, nil
 }
 
+// checkForm checks all of a record but its body.
 func (c Codec) checkForm(r rock.Record) error {
 	if err := r.Key().Check(); err != nil {
 		return badInput(r, err)
@@ -69,10 +70,12 @@
 	return nil
 }
 
+// badInput returns the failure of a record that is wrong.
 func badInput(r rock.Record, cause error) error {
 	return rock.Fail("decode", r.Key().String(), rock.BadInput, rock.NotRun).Because(cause)
 }
 
+// decodeKind reads the body of a kind; f collects what is wrong with it.
 func decodeKind(kind rock.Kind, schema int, f *fields) Body {
 	switch kind {
 	case rock.KindOrganisation:
@@ -157,6 +160,8 @@
 	return rock.Record{}, failed
 }
 
+// encode encodes a body. It fails with SchemaUnsupported if the schema version
+// cannot express it.
 func encode(b Body, subject string, schema int) (json.RawMessage, error) {
 	data, err := b.Encode(schema)
 	if err == nil {
--- a/core/record/pool.go
+++ b/core/record/pool.go
@@ -98,6 +98,7 @@
 	return p
 }
 
+// decodeOwner reads the owner of schema version 2.
 func (p *Pool) decodeOwner(f *fields) {
 	const want = `{"organisation": name} or {"shared": true}`
 	if f.raw["owner"] == nil {
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -51,6 +51,7 @@
 // successes of one window pay for, and one at least.
 func (b *Budget) most() float64 { return max(1, b.share()*b.rate) }
 
+// share returns how many retries each success earns.
 func (b *Budget) share() float64 {
 	if b.Share > 0 {
 		return b.Share
--- a/core/trace/isolation.go
+++ b/core/trace/isolation.go
@@ -44,6 +44,7 @@
 	}
 }
 
+// sortedByPool returns the events in order of pool.
 func sortedByPool(baselines map[string]Event) []Event {
 	var all []Event
 	for _, b := range baselines {
--- a/io/books/settings.go
+++ b/io/books/settings.go
@@ -62,6 +62,7 @@
 	SnapshotEvery int
 }
 
+// withDefaults returns s with the defaults in place of what is not set.
 func (s Settings) withDefaults() Settings {
 	if s.Log == nil {
 		l := logrus.New()
--- a/io/front/limits.go
+++ b/io/front/limits.go
@@ -14,6 +14,7 @@
 	MaxTimeout time.Duration
 }
 
+// withDefaults returns l with the defaults in place of zero values.
 func (l Limits) withDefaults() Limits {
 	if l.BodyBytes <= 0 {
 		l.BodyBytes = 1 << 20
--- a/io/front/settings.go
+++ b/io/front/settings.go
@@ -30,6 +30,7 @@
 	Scope tally.Scope
 }
 
+// withDefaults returns s with the defaults in place of what is not set.
 func (s Settings) withDefaults() Settings {
 	if s.Now == nil {
 		s.Now = time.Now
--- a/io/route/ledger.go
+++ b/io/route/ledger.go
@@ -20,6 +20,7 @@
 	free map[string]time.Time
 }
 
+// newLedger returns a ledger without keys.
 func newLedger(l claim.Limits) *ledger {
 	return &ledger{book: claim.NewBook(l), runs: map[string]*run{}, free: map[string]time.Time{}}
 }
--- a/io/route/limits.go
+++ b/io/route/limits.go
@@ -25,6 +25,7 @@
 	Tick time.Duration
 }
 
+// withDefaults returns l with the defaults in place of zero values.
 func (l Limits) withDefaults() Limits {
 	if l.Queue <= 0 {
 		l.Queue = 512
--- a/io/route/rows.go
+++ b/io/route/rows.go
@@ -34,6 +34,8 @@
 	limit *rate.Limiter
 }
 
+// newRows returns the rows of a table, of which perSecond are claimed in a
+// second at most, but for bursts.
 func newRows(table rock.Table, perSecond int) *rows {
 	return &rows{table: table, queue: ring.New[*rowClaim](rowQueue), limit: rate.NewLimiter(rate.Limit(perSecond), rowBurst*perSecond)}
 }
--- a/io/targ/answer.go
+++ b/io/targ/answer.go
@@ -63,6 +63,7 @@
 	return body, probl.Read(resp)
 }
 
+// fail returns a failure after which the task may have run.
 func (a answerReader) fail(reason rock.Reason) *rock.Failure {
 	return rock.Fail(a.op, "host "+a.host, reason, rock.MayHaveRun)
 }
--- a/io/targ/client.go
+++ b/io/targ/client.go
@@ -128,6 +128,7 @@
 	return c.askStatus(ctx, a)
 }
 
+// askStatus makes a call that is answered with the status of a task.
 func (c *Client) askStatus(ctx context.Context, a call) (rock.TaskStatus, error) {
 	var f StatusForm
 	if err := c.ask(ctx, a, &f); err != nil {
--- a/io/targ/run.go
+++ b/io/targ/run.go
@@ -178,6 +178,7 @@
 	}
 }
 
+// answered returns the outcome of a task that the target answered.
 func (r *run) answered(body []byte) *outcome {
 	return &outcome{answer: rock.NewAnswer(r.task.ID(), r.host.Name(), body)}
 }
--- a/io/targ/runs.go
+++ b/io/targ/runs.go
@@ -16,6 +16,7 @@
 	all map[*run]bool
 }
 
+// add adds a run.
 func (s *runs) add(r *run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -25,6 +26,7 @@
 	s.all[r] = true
 }
 
+// remove removes a run, if it is there.
 func (s *runs) remove(r *run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/targ/settings.go
+++ b/io/targ/settings.go
@@ -47,6 +47,7 @@
 	Fresh http.RoundTripper
 }
 
+// withDefaults returns s with the defaults in place of what is not set.
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.Probe, defaultProbe)
 	setDefault(&s.Probes, defaultProbes)
