--- a/core/place/placer.go
+++ b/core/place/placer.go
@@ -151,54 +151,6 @@
 	return n.host, nil
 }
 
-// pick returns a node of the free list that is not avoided, or nil.
-func (p *Placer) pick(g *group, avoid []string) *node {
-	if len(g.ready) == 0 {
-		return nil
-	}
-	switch p.settings.Policy {
-	case RoundRobin:
-		g.turn++
-		return scan(g.ready, g.turn%len(g.ready), avoid)
-	case LeastInFlight:
-		return least(g.ready, avoid)
-	case Random:
-		return scan(g.ready, g.random.IntN(len(g.ready)), avoid)
-	}
-	first := scan(g.ready, g.random.IntN(len(g.ready)), avoid)
-	second := scan(g.ready, g.random.IntN(len(g.ready)), avoid)
-	if first != nil && second.load() < first.load() {
-		return second
-	}
-	return first
-}
-
-// scan returns the first node at or after start that is not avoided, or nil.
-// It looks at no more than one node beyond the length of avoid.
-func scan(ready []*node, start int, avoid []string) *node {
-	for i := range ready {
-		n := ready[(start+i)%len(ready)]
-		if !slices.Contains(avoid, n.host.Name()) {
-			return n
-		}
-	}
-	return nil
-}
-
-// least returns the least loaded node that is not avoided, or nil.
-func least(ready []*node, avoid []string) *node {
-	var best *node
-	for _, n := range ready {
-		if slices.Contains(avoid, n.host.Name()) {
-			continue
-		}
-		if best == nil || n.load() < best.load() {
-			best = n
-		}
-	}
-	return best
-}
-
 // Done implements [rock.Placer]. An outcome that says nothing about the host,
 // such as a cancelled request, is not held against it.
 func (p *Placer) Done(now time.Time, host string, _ time.Duration, err error) {
@@ -227,7 +179,7 @@
 		p.holdBack(now, g, n, rock.ReasonOf(err))
 		return
 	}
-	failed, known := Failed(err)
+	failed, known := hostFailed(err)
 	if p.settings.NoEjection || !known {
 		return
 	}
@@ -246,33 +198,6 @@
 	g.hold(n, n.heldUntil)
 }
 
-// Refused reports whether err is the refusal of a target that takes no work at
-// the moment, which says nothing about the request.
-func Refused(err error) bool {
-	if rock.VerdictOf(err) != rock.NotRun {
-		return false
-	}
-	switch rock.ReasonOf(err) {
-	case rock.Overloaded, rock.Leaving, rock.Fenced:
-		return true
-	}
-	return false
-}
-
-// Failed reports whether the outcome of a task is a failure of its host, and
-// whether it says anything about the host at all.
-func Failed(err error) (failed, known bool) {
-	switch rock.ReasonOf(err) {
-	case "":
-		return false, true
-	case rock.WorkFailed, rock.Truncated, rock.Internal, rock.Unsettled, rock.Unavailable:
-		return true, true
-	case rock.DeadlineExceeded:
-		return true, rock.VerdictOf(err) == rock.MayHaveRun
-	}
-	return false, false
-}
-
 // Ejected returns the names of the pool's hosts that are ejected at that time.
 func (p *Placer) Ejected(now time.Time, pool string) []string {
 	var names []string
