--- a/core/claim/doc.go
+++ b/core/claim/doc.go
@@ -27,6 +27,6 @@
 //	case claimed.State() == claim.Running:
 //		// Wait for the outcome of the first send.
 //	case claimed.State() == claim.Settled:
-//		return claimed.Outcome()
+//		return claimed.Outcome().Result()
 //	}
 package claim
--- a/core/retry/doc.go
+++ b/core/retry/doc.go
@@ -8,10 +8,14 @@
 // # Usage
 //
 //	h := retry.NewHistory(request)
-//	...
+//	h.Try(host.Name())
+//	answer, err := target.Run(ctx, host, task)
+//	if err == nil {
+//		return answer, nil
+//	}
 //	h.Add(err)
 //	if h.Safe(err) && budget.Take(now) {
 //		// Try again, on another host than h.Tried().
 //	}
-//	return h.Failure(err)
+//	return rock.Answer{}, h.Failure(err)
 package retry
--- a/core/sched/doc.go
+++ b/core/sched/doc.go
@@ -11,6 +11,7 @@
 //		return err // refused, not_run
 //	}
 //	grant, ok := s.Next(now, r.Pool())
+//	history.Try(grant.Host().Name())
 //	// Run the request on grant.Host() and then:
 //	s.Finish(now, grant, took, err)
 //	if err != nil {
--- a/io/probl/doc.go
+++ b/io/probl/doc.go
@@ -25,7 +25,7 @@
 // status below 300 gives nil:
 //
 //	if err := probl.Read(response); err != nil {
-//		return rock.VerdictOf(err)
+//		return err // rock.VerdictOf tells whether the request may have run
 //	}
 //
 // A response that is no problem body, such as one of a balancer on the way, is
--- a/io/targ/doc.go
+++ b/io/targ/doc.go
@@ -16,9 +16,10 @@
 // another connection. It refuses a task whose deadline has passed. A refusal
 // is a problem body, see [bramleyrock/io/probl], whose verdict tells whether
 // the task was started; a task that was refused as not_run is never started
-// later, so that a late copy of the call changes nothing. Revoking a task that was not started makes sure that it
-// never will be, and answers the state unknown; a task that was started goes on.
-// Deleting a task stops it, or revokes it if it was not started.
+// later, so that a late copy of the call changes nothing. Revoking a task that
+// was not started makes sure that it never will be, and answers the state
+// unknown; a task that was started goes on. Deleting a task stops it, or revokes
+// it if it was not started.
 //
 // A call carries an id in the header Bramleyrock-Call. Its answer, or refusal,
 // carries this id, the task id in the header Bramleyrock-Task and a digest in
