--- a/io/trial/load.go
+++ b/io/trial/load.go
@@ -23,19 +23,19 @@
 	site  *site
 	trace *trace.Log
 
-	mu       sync.Mutex
-	random   *rand.Rand
-	stations []*station
-	samples  []sample
+	mu      sync.Mutex
+	random  *rand.Rand
+	entries []*runningEntry
+	samples []sample
 }
 
 // newLoad returns a load on the site's entries.
 func newLoad(t *site, log *trace.Log) *load {
 	return &load{
-		site:     t,
-		trace:    log,
-		random:   rand.New(rand.NewPCG(t.settings.Seed, 2)),
-		stations: slices.Clone(t.entries),
+		site:    t,
+		trace:   log,
+		random:  rand.New(rand.NewPCG(t.settings.Seed, 2)),
+		entries: slices.Clone(t.entries),
 	}
 }
 
@@ -85,7 +85,7 @@
 		return
 	}
 	g := group.New(ctx)
-	for i, s := range []*station{first, l.pick(first)} {
+	for i, s := range []*runningEntry{first, l.pick(first)} {
 		g.Go("send", func(ctx context.Context) error {
 			l.call(ctx, s, a, a.send(i+1), issued.Keys[0])
 			return nil
@@ -96,23 +96,23 @@
 
 // pick returns an entry that is not stopping, other than one unless it is the
 // last.
-func (l *load) pick(other *station) *station {
+func (l *load) pick(other *runningEntry) *runningEntry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.stations[l.random.IntN(len(l.stations))]
-	for s == other && len(l.stations) > 1 {
-		s = l.stations[l.random.IntN(len(l.stations))]
+	s := l.entries[l.random.IntN(len(l.entries))]
+	for s == other && len(l.entries) > 1 {
+		s = l.entries[l.random.IntN(len(l.entries))]
 	}
 	return s
 }
 
 // leave takes an entry out of those that get requests, as a balancer does. The
 // last one stays.
-func (l *load) leave(s *station) {
+func (l *load) leave(s *runningEntry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.stations) > 1 {
-		l.stations = slices.DeleteFunc(l.stations, func(o *station) bool { return o == s })
+	if len(l.entries) > 1 {
+		l.entries = slices.DeleteFunc(l.entries, func(o *runningEntry) bool { return o == s })
 	}
 }
 
@@ -128,7 +128,7 @@
 }
 
 // call sends a request to an entry and notes the outcome.
-func (l *load) call(ctx context.Context, s *station, a arrival, id, key string) {
+func (l *load) call(ctx context.Context, s *runningEntry, a arrival, id, key string) {
 	body, err := json.Marshal(payload{a.work.Milliseconds(), a.id, id})
 	if err != nil {
 		panic(err)
--- a/io/trial/runningentry.go
+++ b/io/trial/runningentry.go
@@ -7,8 +7,8 @@
 	"bramleyrock/io/entry"
 )
 
-// station is an entry of a site.
-type station struct {
+// runningEntry is an entry of a site, with the clients that call it.
+type runningEntry struct {
 	entry    *entry.Entry
 	caller   *callers
 	operator *client.Client
--- a/io/trial/script.go
+++ b/io/trial/script.go
@@ -73,7 +73,7 @@
 }
 
 // watch notes each revision that an entry puts in force.
-func (s *script) watch(ctx context.Context, e *station) error {
+func (s *script) watch(ctx context.Context, e *runningEntry) error {
 	for {
 		changed := e.entry.Watch()
 		s.trace.Add(trace.Event{At: time.Now(), Kind: trace.ChangeInForce, Entry: e.entry.Member().Name(), Revision: e.entry.Revision()})
@@ -87,7 +87,7 @@
 
 // waitInForce waits until the entry is ready with the revision in force and
 // returns when it was seen.
-func waitInForce(ctx context.Context, e *station, revision rock.Revision) (time.Time, error) {
+func waitInForce(ctx context.Context, e *runningEntry, revision rock.Revision) (time.Time, error) {
 	for {
 		if ready := e.entry.Readiness(); ready.Ready && len(ready.Warnings) == 0 && e.entry.Revision() >= revision {
 			return time.Now(), nil
--- a/io/trial/site.go
+++ b/io/trial/site.go
@@ -34,7 +34,7 @@
 	workers  map[string]*work.Worker
 	doors    []*door.Door
 	fleet    []hostPlan
-	entries  []*station
+	entries  []*runningEntry
 }
 
 // newSite starts the stand-ins and the entries.
@@ -140,7 +140,7 @@
 		return err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	s := &station{
+	s := &runningEntry{
 		entry:    e,
 		caller:   newCallers(e.CallerAddress(), t.shape.pools),
 		operator: client.New(client.Settings{Base: "http://" + e.OperatorAddress(), Token: operatorToken}),
--- a/io/trial/stop.go
+++ b/io/trial/stop.go
@@ -53,7 +53,7 @@
 }
 
 // stop stops an entry with requests in flight and waits for its end.
-func (l *load) stop(s *station) error {
+func (l *load) stop(s *runningEntry) error {
 	name := s.entry.Member().Name()
 	l.trace.Add(trace.Event{At: time.Now(), Kind: trace.EntryLeaving, Entry: name})
 	l.leave(s)
