--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -212,6 +212,7 @@
 		HostList: platform,
 		Roster:   freshRows{e.roster},
 		Budgets:  reviewer,
+		Loads:    loads{own: e.engine.Loads, peers: e.links, fleet: e.books},
 		Duties:   []duty.Duty{e.books.Compaction()},
 		Log:      s.Log.WithField(logs.PartField, "duty"),
 		Scope:    e.meter.Scope().SubScope("duty"),
