--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -108,6 +108,36 @@
 	return l.queue.Remove(t.number)
 }
 
+// Strand takes all requests out of the queue of a pool that has no open host
+// left in the zone, and returns their tickets.
+func (s *Scheduler) Strand(pool string) []Ticket {
+	if slots, _ := s.placer.Slots(pool); slots > 0 {
+		return nil
+	}
+	l := s.lane(pool)
+	var stranded []Ticket
+	for {
+		_, t, ok := l.queue.Pop()
+		if !ok {
+			return stranded
+		}
+		delete(l.avoid, t)
+		stranded = append(stranded, Ticket{pool, t})
+	}
+}
+
+// Late takes the requests out of the pool's queue that have too little time
+// left to be run, and returns their tickets.
+func (s *Scheduler) Late(now time.Time, pool string) []Ticket {
+	l := s.lane(pool)
+	var late []Ticket
+	for _, t := range l.queue.Late(now) {
+		delete(l.avoid, t)
+		late = append(late, Ticket{pool, t})
+	}
+	return late
+}
+
 // Next grants a host to the next request of the pool. It returns false if
 // none waits or no host is free.
 func (s *Scheduler) Next(now time.Time, pool string) (Grant, bool) {
--- a/io/duty/settings.go
+++ b/io/duty/settings.go
@@ -7,17 +7,15 @@
 	rock "bramleyrock"
 	"bramleyrock/core/budget"
 	"bramleyrock/core/lease"
+	"bramleyrock/core/plan"
 	"bramleyrock/core/wave"
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 )
 
-// Defaults of [Settings].
-const (
-	defaultInterval     = time.Second
-	defaultListInterval = 10 * time.Second
-)
+// defaultInterval is the default of [Settings.Interval].
+const defaultInterval = time.Second
 
 // Settings are the settings of a [Runner].
 type Settings struct {
@@ -38,15 +36,18 @@
 	// Order is the order in which a wave takes hosts; nil means
 	// [wave.ByDomain].
 	Order wave.Order
+	// Loads gives the load of the pools for the capacity plan; nil for no plan.
+	Loads Loads
+	// Plan are the settings of the capacity plan.
+	Plan plan.Settings
+	// PlanMoves makes the plan ask for its moves instead of only naming them.
+	PlanMoves bool
 	// Duties are further duties.
 	Duties []Duty
 	// Terms are the durations of the leases.
 	Terms lease.Terms
 	// Interval is the time between two rounds; the default is 1 s.
 	Interval time.Duration
-	// ListInterval is the time between two reads of the list of hosts while no
-	// duty needs it; the default is 10 s.
-	ListInterval time.Duration
 	// Now returns the present time; the default is [time.Now].
 	Now func() time.Time
 	// Log takes the log; nil for none.
@@ -59,9 +60,6 @@
 	if s.Interval <= 0 {
 		s.Interval = defaultInterval
 	}
-	if s.ListInterval <= 0 {
-		s.ListInterval = defaultListInterval
-	}
 	if s.Now == nil {
 		s.Now = time.Now
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -138,7 +138,7 @@
 	e.books = books.New(books.Settings{
 		Table:           platform,
 		Objects:         platform,
-		Reviewer:        rock.Reviewers{move.Reviewer{}, wave.Reviewer{}, reviewer},
+		Reviewer:        rock.Reviewers{move.Reviewer{}, wave.Reviewer{}, duty.NewFresh(reviewer, platform)},
 		Peers:           e.links,
 		Now:             time.Now,
 		Log:             s.Log,
@@ -210,7 +210,7 @@
 		Changer:  e.books,
 		Fleet:    e.books,
 		HostList: platform,
-		Roster:   lastRows{e.roster},
+		Roster:   freshRows{e.roster},
 		Budgets:  reviewer,
 		Duties:   []duty.Duty{e.books.Compaction()},
 		Log:      s.Log.WithField(logs.PartField, "duty"),
--- a/io/route/elsewhere_test.go
+++ b/io/route/elsewhere_test.go
@@ -35,6 +35,7 @@
 }
 
 func TestCrowdedZoneForwards(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		loss loss
 		zone string
@@ -56,6 +57,7 @@
 }
 
 func TestZoneWithoutOpenHostsForwards(t *testing.T) {
+	t.Parallel()
 	s := newSite(t)
 	fleet, _ := s.source.Fleet()
 	s.source.Set(config.New(2, []rock.Pool{rock.NewPool("tins", "alpha", false)}, fleet.PoolHosts("tins", "b")))
@@ -70,6 +72,7 @@
 }
 
 func TestLostForwardMayHaveRun(t *testing.T) {
+	t.Parallel()
 	s := newSite(t)
 	g := s.fill(300 * time.Millisecond)
 	s.lose(lossAnswer)
@@ -78,3 +81,31 @@
 	assert.Equal(t, s.startsOf("lost"), 1)
 	assert.NilError(t, g.Wait())
 }
+
+// TestQueuedRequestLeavesClosedZone closes the hosts of a zone while a request
+// waits for one of them, behind long work.
+func TestQueuedRequestLeavesClosedZone(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	g := s.fill(2 * time.Second)
+	s.lose(lossRequest)
+	answered := make(chan string, 1)
+	s.group.Go("wait", func(ctx context.Context) error {
+		a, err := s.engine("e1").Do(ctx, request("queued", false, 20*time.Second, 1))
+		answered <- a.Host()
+		return err
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := s.engine("e1").Loads(time.Now())[0].Queued(); n == 0 {
+			return poll.Continue("nothing is queued")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	s.lose(lossNone)
+	fleet, _ := s.source.Fleet()
+	s.source.Set(config.New(2, []rock.Pool{rock.NewPool("tins", "alpha", false)}, fleet.PoolHosts("tins", "b")))
+	host := <-answered
+	assert.Assert(t, strings.HasPrefix(host, "b"), host)
+	assert.NilError(t, g.Wait())
+	assert.Equal(t, s.startsOf("queued"), 1)
+}
