--- a/cmd/bramleyrock/commands.go
+++ b/cmd/bramleyrock/commands.go
@@ -18,6 +18,7 @@
 		a.call(),
 		a.job(),
 		a.replay(),
+		a.chart(),
 		a.settings(),
 		a.standIn(),
 	}
--- a/cmd/bramleyrock/status.go
+++ b/cmd/bramleyrock/status.go
@@ -24,22 +24,31 @@
 		x := operatorAccess(s)
 		output := outputSetting(s)
 		return func(ctx context.Context, _ []string) error {
-			raw, err := x.client().Status(ctx)
+			status, err := getStatus(ctx, x)
 			if err != nil {
 				return err
 			}
 			if *output == "json" {
-				return printJSON(a.out, raw)
-			}
-			var status entry.Status
-			if err := json.Unmarshal(raw, &status); err != nil {
-				return fmt.Errorf("decode status: %w", err)
+				return printJSON(a.out, status)
 			}
 			return a.printStatus(status)
 		}
 	})
 }
 
+// getStatus returns the status page of the entry.
+func getStatus(ctx context.Context, x access) (entry.Status, error) {
+	var status entry.Status
+	raw, err := x.client().Status(ctx)
+	if err != nil {
+		return status, err
+	}
+	if err := json.Unmarshal(raw, &status); err != nil {
+		return status, fmt.Errorf("decode status: %w", err)
+	}
+	return status, nil
+}
+
 // printStatus prints a status page as text.
 func (a *app) printStatus(s entry.Status) error {
 	state := "ready"
--- a/cmd/bramleyrock/wave.go
+++ b/cmd/bramleyrock/wave.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
-	"strings"
+	"strconv"
 
 	rock "bramleyrock"
 	"bramleyrock/core/record"
 	"bramleyrock/io/client"
 	"bramleyrock/io/conf"
+	"bramleyrock/io/entry"
 
 	"github.com/spf13/cobra"
 )
@@ -82,49 +82,35 @@
 }
 
 func (a *app) waveStatus() *cobra.Command {
-	c := &cobra.Command{Use: "status [NAME]", Short: "Show how far waves are and what they wait for", Args: cobra.MaximumNArgs(1)}
+	c := &cobra.Command{Use: "status [NAME]", Short: "Show how far waves are", Args: cobra.MaximumNArgs(1)}
 	return a.command(c, func(s *conf.Set) action {
 		x := operatorAccess(s)
 		output := outputSetting(s)
 		return func(ctx context.Context, args []string) error {
-			arg := string(rock.KindWave)
-			if len(args) == 1 {
-				arg += "/" + args[0]
-			}
-			records, err := getRecords(ctx, x, arg, 0)
+			status, err := getStatus(ctx, x)
 			if err != nil {
 				return err
 			}
+			waves := status.Waves
+			if len(args) == 1 {
+				waves = slices.DeleteFunc(waves, func(w entry.WaveStatus) bool { return w.Wave != args[0] })
+				if len(waves) == 0 {
+					return rock.Fail("show", "wave/"+args[0], rock.NotFound, rock.NotRun)
+				}
+			}
 			if *output == "json" {
-				return printJSON(a.out, records)
+				return printJSON(a.out, waves)
 			}
-			return a.printWaves(records)
+			return a.printWaves(waves)
 		}
 	})
 }
 
 // printWaves prints a line for each wave.
-func (a *app) printWaves(records []rock.Record) error {
-	rows := [][]string{{"WAVE", "STATE", "ACTION", "POOLS", "PROGRESS"}}
-	for _, r := range records {
-		w, err := record.As[record.Wave](r)
-		if err != nil {
-			return err
-		}
-		s := w.Spec()
-		rows = append(rows, []string{r.Key().Name(), string(s.State), string(s.Action), strings.Join(s.Pools, ","), progress(w.Extra())})
+func (a *app) printWaves(waves []entry.WaveStatus) error {
+	rows := [][]string{{"WAVE", "STATE", "HOSTS", "DONE", "AWAY"}}
+	for _, w := range waves {
+		rows = append(rows, []string{w.Wave, string(w.State), strconv.Itoa(w.Hosts), strconv.Itoa(w.Done), strconv.Itoa(w.Away)})
 	}
 	return printTable(a.out, rows)
 }
-
-// progress returns the fields that say how far a wave is, in one cell.
-func progress(e record.Extra) string {
-	var cells []string
-	for _, name := range e.Names() {
-		cells = append(cells, fmt.Sprintf("%s=%s", name, e.Get(name)))
-	}
-	if len(cells) == 0 {
-		return "-"
-	}
-	return strings.Join(cells, " ")
-}
--- a/cmd/bramleyrock/wave_test.go
+++ b/cmd/bramleyrock/wave_test.go
@@ -22,6 +22,8 @@
 	for _, args := range [][]string{
 		{"wave", "plan", "w1", "tins", "--max-parallel", "3", "--why", "test"},
 		{"wave", "start", "w1", "--why", "test"},
+		{"wave", "pause", "w1", "--why", "test"},
+		{"wave", "resume", "w1", "--why", "test"},
 	} {
 		_, errs, status := d.cli(args...)
 		assert.Equal(t, status, exitOK, errs)
@@ -46,6 +48,12 @@
 	}, poll.WithTimeout(90*time.Second))
 	g.Stop()
 	assert.NilError(t, g.Wait())
+	out, errs, status := d.cli("wave", "status", "w1", "--output", "json")
+	assert.Equal(t, status, exitOK, errs)
+	assert.Equal(t, strings.Join(strings.Fields(out), ""), `[{"wave":"w1","state":"done","hosts":3,"done":3,"away":0}]`)
+	_, errs, status = d.cli("wave", "resume", "w1")
+	assert.Equal(t, status, exitFailed, "a wave that is done was resumed")
+	assert.Assert(t, strings.Contains(errs, "conflict"), errs)
 	p, err := plat.New(plat.Settings{Base: "http://" + d.platform})
 	assert.NilError(t, err)
 	hosts, err := p.List(context.Background())
--- a/io/entry/status.go
+++ b/io/entry/status.go
@@ -27,6 +27,8 @@
 	Peers []PeerStatus `json:"peers"`
 	// Waiting are the moves and waves that cannot go on yet.
 	Waiting []WaitingStatus `json:"waiting"`
+	// Waves are the waves and how far they are.
+	Waves []WaveStatus `json:"waves"`
 }
 
 // PoolStatus is the load of one pool in the entry's availability zone.
@@ -93,6 +95,7 @@
 		Pools:       e.poolStatus(now, id),
 		Peers:       e.peerStatus(now),
 		Waiting:     e.waitingStatus(now, id),
+		Waves:       e.waveStatus(id),
 	}
 }
 
