--- /dev/null
+++ b/io/plat/hostlist_bench_test.go
@@ -0,0 +1,59 @@
+package plat_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"bramleyrock/io/fakes/depot"
+	"bramleyrock/io/plat"
+
+	"gotest.tools/v3/assert"
+)
+
+// counter counts the bytes of the bodies of answers.
+type counter struct {
+	http.ResponseWriter
+	bytes *atomic.Int64
+}
+
+func (c counter) Write(p []byte) (int, error) {
+	c.bytes.Add(int64(len(p)))
+	return c.ResponseWriter.Write(p)
+}
+
+// metered returns a client of a stand-in with hosts, and the count of the
+// bytes that its answers took.
+func metered(tb testing.TB, hosts int) (*plat.Client, *depot.Depot, *atomic.Int64) {
+	tb.Helper()
+	d := depot.New(depot.Settings{ReadsPerSecond: -1, WritesPerSecond: -1})
+	for i := range hosts {
+		d.AddHost(fmt.Sprintf("h%04d", i), "127.0.0.1:1")
+	}
+	sent := new(atomic.Int64)
+	handler := d.Handler()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handler.ServeHTTP(counter{w, sent}, r)
+	}))
+	tb.Cleanup(s.Close)
+	c, err := plat.New(plat.Settings{Base: s.URL})
+	assert.NilError(tb, err)
+	return c, d, sent
+}
+
+func BenchmarkHostList(b *testing.B) {
+	for _, hosts := range []int{50, 500, 5500} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			c, _, sent := metered(b, hosts)
+			for b.Loop() {
+				list, err := c.List(context.Background())
+				assert.NilError(b, err)
+				assert.Equal(b, len(list), hosts)
+			}
+			b.ReportMetric(float64(sent.Load())/float64(b.N), "B/read")
+		})
+	}
+}
