--- a/io/fakes/depot/depot.go
+++ b/io/fakes/depot/depot.go
@@ -9,6 +9,7 @@
 
 	rock "bramleyrock"
 
+	"github.com/google/uuid"
 	"golang.org/x/time/rate"
 )
 
@@ -26,6 +27,9 @@
 	versions map[string]uint64
 	objects  map[string][]byte
 	hosts    map[string]*host
+	// instance tells the cursors of this stand-in from those of others.
+	instance string
+	change   uint64
 }
 
 // New returns an empty platform.
@@ -40,6 +44,7 @@
 		versions: map[string]uint64{},
 		objects:  map[string][]byte{},
 		hosts:    map[string]*host{},
+		instance: uuid.NewString(),
 	}
 }
 
--- a/io/fakes/depot/handler.go
+++ b/io/fakes/depot/handler.go
@@ -115,10 +115,15 @@
 }
 
 func (d *Depot) addHostCalls(m *http.ServeMux) {
-	m.HandleFunc("GET /hosts", serve(func(ctx context.Context, _ none) (any, error) {
-		list, err := d.List(ctx)
-		return plat.FromHosts(list), err
-	}))
+	m.HandleFunc("GET /hosts", func(w http.ResponseWriter, r *http.Request) {
+		if q := r.URL.Query(); q.Has("since") {
+			u, err := d.Changed(r.Context(), rock.HostCursor(q.Get("since")))
+			reply(w, plat.FromUpdate(u), err)
+			return
+		}
+		list, err := d.List(r.Context())
+		reply(w, plat.FromHosts(list), err)
+	})
 	m.HandleFunc("POST /hosts", serve(func(_ context.Context, c HostCall) (any, error) {
 		return nil, d.tell(c)
 	}))
--- a/io/fakes/depot/host.go
+++ b/io/fakes/depot/host.go
@@ -17,6 +17,11 @@
 	boots    uint64
 	leases   int
 	lines    []rock.HostStatus
+	// seen tells that told holds the line that was told last, as the change
+	// with the number changed.
+	seen    bool
+	told    rock.HostStatus
+	changed uint64
 }
 
 // settle ends a reboot whose time is over.
--- a/io/fakes/depot/hosts.go
+++ b/io/fakes/depot/hosts.go
@@ -63,10 +63,15 @@
 	if err := d.enterHosts(ctx, "list hosts", ""); err != nil {
 		return nil, err
 	}
-	now := d.settings.Now()
 	d.readLeases()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.lines(), nil
+}
+
+// lines returns the list as it is seen now. The lock is held.
+func (d *Depot) lines() []rock.HostStatus {
+	now := d.settings.Now()
 	d.stats.Lists++
 	list := make([]rock.HostStatus, 0, len(d.hosts))
 	for _, name := range slices.Sorted(maps.Keys(d.hosts)) {
@@ -74,7 +79,7 @@
 		h.settle(now)
 		list = append(list, h.line(now.Add(-d.settings.HostListLag)))
 	}
-	return list, nil
+	return list
 }
 
 // readLeases asks the settings' source for the leases of all hosts.
--- /dev/null
+++ b/io/plat/hostchanges_test.go
@@ -0,0 +1,89 @@
+package plat_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/io/fakes/depot"
+	"bramleyrock/io/plat"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	_ rock.HostChanges = (*plat.Client)(nil)
+	_ rock.HostChanges = (*depot.Depot)(nil)
+)
+
+// changed asks for the changes and wants a number of hosts.
+func changed(t *testing.T, c *plat.Client, since rock.HostCursor, hosts int, whole bool) rock.HostUpdate {
+	t.Helper()
+	u, err := c.Changed(context.Background(), since)
+	assert.NilError(t, err)
+	assert.Equal(t, len(u.Hosts()), hosts)
+	assert.Equal(t, u.Whole(), whole)
+	return u
+}
+
+func TestHostChangesAreToldOnce(t *testing.T) {
+	ctx := context.Background()
+	now := time.Unix(100, 0)
+	d := depot.New(depot.Settings{HostListLag: time.Second, Now: func() time.Time { return now }})
+	c := dial(t, d)
+	d.AddHost("h1", "127.0.0.1:1")
+	d.AddHost("h2", "127.0.0.1:2")
+	u := changed(t, c, "", 2, true)
+	assert.NilError(t, d.Drain(ctx, "h2"))
+	u = changed(t, c, u.Next(), 0, false)
+	now = now.Add(time.Second)
+	before := u.Next()
+	u = changed(t, c, before, 1, false)
+	assert.Equal(t, u.Hosts()[0].Name(), "h2")
+	assert.Equal(t, u.Hosts()[0].State(), rock.HostLeaving)
+	changed(t, c, u.Next(), 0, false)
+	changed(t, c, before, 1, false)
+	for leases, told := range []int{0, 1, 0} {
+		d.SetLeases("h1", leases)
+		now = now.Add(time.Second)
+		u = changed(t, c, u.Next(), told, false)
+	}
+	changed(t, c, "unknown", 2, true)
+	changed(t, c, u.Next()+"9", 2, true)
+}
+
+func TestHostChangesOutliveFaults(t *testing.T) {
+	var lose atomic.Bool
+	var served atomic.Pointer[depot.Depot]
+	first := depot.New(depot.Settings{})
+	first.AddHost("h1", "127.0.0.1:1")
+	served.Store(first)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if lose.Load() {
+			served.Load().Handler().ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}
+		served.Load().Handler().ServeHTTP(w, r)
+	}))
+	t.Cleanup(s.Close)
+	c, err := plat.New(plat.Settings{Base: s.URL})
+	assert.NilError(t, err)
+	u := changed(t, c, "", 1, true)
+	assert.NilError(t, first.Drain(context.Background(), "h1"))
+	lose.Store(true)
+	_, err = c.Changed(context.Background(), u.Next())
+	assert.Equal(t, rock.VerdictOf(err), rock.NotRun)
+	lose.Store(false)
+	u = changed(t, c, u.Next(), 1, false)
+	assert.Equal(t, u.Hosts()[0].State(), rock.HostLeaving)
+
+	restarted := depot.New(depot.Settings{})
+	restarted.AddHost("h2", "127.0.0.1:2")
+	served.Store(restarted)
+	u = changed(t, c, u.Next(), 1, true)
+	assert.Equal(t, u.Hosts()[0].Name(), "h2")
+}
--- a/io/plat/hosts.go
+++ b/io/plat/hosts.go
@@ -16,6 +16,16 @@
 	return lines.List(), nil
 }
 
+// Changed implements [rock.HostChanges].
+func (c *Client) Changed(ctx context.Context, since rock.HostCursor) (rock.HostUpdate, error) {
+	var form HostUpdateForm
+	s := c.base.New().Get("hosts?since=" + url.QueryEscape(string(since)))
+	if err := c.get(ctx, call{"list host changes", "", false, s}, &form); err != nil {
+		return rock.HostUpdate{}, err
+	}
+	return form.Update(), nil
+}
+
 // Drain implements [rock.HostList].
 func (c *Client) Drain(ctx context.Context, host string) error {
 	return c.post(ctx, "drain", host, nil)
