--- a/io/route/hostlist.go
+++ b/io/route/hostlist.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	rock "bramleyrock"
 )
 
 // followHostList looks at the platform's host list now and then, and keeps new
@@ -13,8 +11,9 @@
 func (e *Engine) followHostList(ctx context.Context) error {
 	t := time.NewTicker(e.settings.Limits.ListInterval)
 	defer t.Stop()
+	view := newHostView(e.settings.HostList)
 	for {
-		e.readHostList(ctx)
+		e.readHostList(ctx, view)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -23,21 +22,15 @@
 	}
 }
 
-// readHostList reads the list once.
-func (e *Engine) readHostList(ctx context.Context) {
+// readHostList looks at the list once.
+func (e *Engine) readHostList(ctx context.Context, view *hostView) {
 	ctx, cancel := context.WithTimeout(ctx, e.settings.Limits.ListInterval)
 	defer cancel()
-	list, err := e.settings.HostList.List(ctx)
+	leaving, err := view.read(ctx)
 	if err != nil {
 		e.settings.Log.WithField("part", "route").WithError(err).Debug("The host list could not be read.")
 		return
 	}
-	var leaving []string
-	for _, h := range list {
-		if h.State() != rock.HostLive {
-			leaving = append(leaving, h.Name())
-		}
-	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sched.SetLeaving(e.settings.Now(), leaving)
--- /dev/null
+++ b/io/route/hostview_test.go
@@ -0,0 +1,76 @@
+package route_test
+
+import (
+	"context"
+	"testing"
+
+	rock "bramleyrock"
+	"bramleyrock/io/fakes/depot"
+	"bramleyrock/io/route"
+
+	"gotest.tools/v3/assert"
+)
+
+// losingList is a host list that tells its changes, and loses answers.
+type losingList struct {
+	*depot.Depot
+	lose bool
+	told int
+}
+
+func (l *losingList) Changed(ctx context.Context, since rock.HostCursor) (rock.HostUpdate, error) {
+	u, err := l.Depot.Changed(ctx, since)
+	if l.lose {
+		return rock.HostUpdate{}, rock.Fail("list host changes", "", rock.Unavailable, rock.NotRun)
+	}
+	l.told += len(u.Hosts())
+	return u, err
+}
+
+// plainList is a host list that cannot tell its changes.
+type plainList struct{ rock.HostList }
+
+// threeHosts returns a platform with three hosts.
+func threeHosts() *depot.Depot {
+	d := depot.New(depot.Settings{})
+	for _, name := range []string{"h0", "h1", "h2"} {
+		d.AddHost(name, "127.0.0.1:1")
+	}
+	return d
+}
+
+func TestLeavingHostsAreFollowed(t *testing.T) {
+	ctx := context.Background()
+	l := &losingList{Depot: threeHosts()}
+	followed, listed := route.LeavingOf(l), route.LeavingOf(plainList{l.Depot})
+	check := func(want ...string) {
+		t.Helper()
+		for _, read := range []func(context.Context) ([]string, error){followed, listed} {
+			got, err := read(ctx)
+			assert.NilError(t, err)
+			assert.Equal(t, len(got), len(want))
+			for i := range want {
+				assert.Equal(t, got[i], want[i])
+			}
+		}
+	}
+	check()
+	assert.NilError(t, l.Drain(ctx, "h1"))
+	check("h1")
+	check("h1")
+	assert.Equal(t, l.told, 4)
+	l.SetGone("h0", true)
+	l.lose = true
+	_, err := followed(ctx)
+	assert.Equal(t, rock.VerdictOf(err), rock.NotRun)
+	l.lose = false
+	check("h0", "h1")
+	assert.NilError(t, l.Undrain(ctx, "h1"))
+	check("h0")
+	assert.Equal(t, l.told, 6)
+	// The platform's restart forgets the hosts that it was not told of again.
+	*l = losingList{Depot: threeHosts()}
+	assert.NilError(t, l.Drain(ctx, "h2"))
+	listed = route.LeavingOf(plainList{l.Depot})
+	check("h2")
+}
