--- /dev/null
+++ b/hostaspect.go
@@ -0,0 +1,14 @@
+package rock
+
+// HostAspect is the part of a host's line whose changes a reader of the host
+// list wants to be told.
+type HostAspect string
+
+// The aspects of a host's line.
+const (
+	// HostStates are changes of the state and the boots.
+	HostStates HostAspect = "states"
+	// HostLeases are these, and changes between no lease and some. A fleet at
+	// work has many of them.
+	HostLeases HostAspect = "leases"
+)
--- a/io/fakes/depot/changes.go
+++ b/io/fakes/depot/changes.go
@@ -11,7 +11,11 @@
 
 // Changed implements [rock.HostChanges], with the same lag as [Depot.List]. A
 // cursor of another stand-in, such as one before a restart, is not known.
-func (d *Depot) Changed(ctx context.Context, since rock.HostCursor) (rock.HostUpdate, error) {
+func (d *Depot) Changed(ctx context.Context, of rock.HostAspect, since rock.HostCursor) (rock.HostUpdate, error) {
+	if of != rock.HostStates && of != rock.HostLeases {
+		return rock.HostUpdate{}, rock.Fail("list host changes", string(of), rock.BadInput, rock.NotRun).
+			Becausef("aspect is %q, want %q or %q", of, rock.HostStates, rock.HostLeases)
+	}
 	if err := d.enterHosts(ctx, "list host changes", ""); err != nil {
 		return rock.HostUpdate{}, err
 	}
@@ -22,13 +26,12 @@
 	var changed []rock.HostStatus
 	for _, s := range d.lines() {
 		h := d.hosts[s.Name()]
-		if !h.seen || differs(h.told, s) {
-			d.change++
-			h.seen = true
-			h.told = s
-			h.changed = d.change
+		d.noteChange(h, s)
+		at := h.leased
+		if of == rock.HostStates {
+			at = h.states
 		}
-		if !known || h.changed > from {
+		if !known || at > from {
 			changed = append(changed, s)
 		}
 	}
@@ -51,7 +54,18 @@
 	return at, err == nil && at <= d.change
 }
 
-// differs reports whether a line changed in what [rock.HostChanges] tells.
-func differs(a, b rock.HostStatus) bool {
-	return a.State() != b.State() || a.Boots() != b.Boots() || (a.Leases() == 0) != (b.Leases() == 0)
+// noteChange numbers a change of the host's line, if there is one. The lock is
+// held.
+func (d *Depot) noteChange(h *host, s rock.HostStatus) {
+	states := !h.seen || h.told.State() != s.State() || h.told.Boots() != s.Boots()
+	if !states && (h.told.Leases() == 0) == (s.Leases() == 0) {
+		return
+	}
+	d.change++
+	h.seen = true
+	h.told = s
+	h.leased = d.change
+	if states {
+		h.states = d.change
+	}
 }
--- a/io/fakes/depot/host.go
+++ b/io/fakes/depot/host.go
@@ -17,11 +17,12 @@
 	boots    uint64
 	leases   int
 	lines    []rock.HostStatus
-	// seen tells that told holds the line that was told last, as the change
-	// with the number changed.
-	seen    bool
-	told    rock.HostStatus
-	changed uint64
+	// seen tells that told holds the line that was told last. The numbers are
+	// of the last change of each aspect.
+	seen   bool
+	told   rock.HostStatus
+	states uint64
+	leased uint64
 }
 
 // settle ends a reboot whose time is over.
--- a/io/plat/doc.go
+++ b/io/plat/doc.go
@@ -10,7 +10,7 @@
 //	PUT    /objects/{name}         the object -> no content
 //	DELETE /objects/{name}                    -> no content
 //	GET    /hosts                             -> HostLines
-//	GET    /hosts?since=CURSOR                -> HostUpdateForm
+//	GET    /hosts?of=ASPECT&since=CURSOR      -> HostUpdateForm
 //	POST   /hosts/{name}/drain                -> no content
 //	POST   /hosts/{name}/undrain              -> no content
 //	POST   /hosts/{name}/reboot    RebootCall -> no content
--- a/io/plat/hostchanges_test.go
+++ b/io/plat/hostchanges_test.go
@@ -21,9 +21,9 @@
 )
 
 // changed asks for the changes and wants a number of hosts.
-func changed(t *testing.T, c *plat.Client, since rock.HostCursor, hosts int, whole bool) rock.HostUpdate {
+func changed(t *testing.T, c *plat.Client, of rock.HostAspect, since rock.HostCursor, hosts int, whole bool) rock.HostUpdate {
 	t.Helper()
-	u, err := c.Changed(context.Background(), since)
+	u, err := c.Changed(context.Background(), of, since)
 	assert.NilError(t, err)
 	assert.Equal(t, len(u.Hosts()), hosts)
 	assert.Equal(t, u.Whole(), whole)
@@ -37,23 +37,26 @@
 	c := dial(t, d)
 	d.AddHost("h1", "127.0.0.1:1")
 	d.AddHost("h2", "127.0.0.1:2")
-	u := changed(t, c, "", 2, true)
+	u := changed(t, c, rock.HostLeases, "", 2, true)
 	assert.NilError(t, d.Drain(ctx, "h2"))
-	u = changed(t, c, u.Next(), 0, false)
+	u = changed(t, c, rock.HostLeases, u.Next(), 0, false)
 	now = now.Add(time.Second)
 	before := u.Next()
-	u = changed(t, c, before, 1, false)
+	u = changed(t, c, rock.HostLeases, before, 1, false)
 	assert.Equal(t, u.Hosts()[0].Name(), "h2")
 	assert.Equal(t, u.Hosts()[0].State(), rock.HostLeaving)
-	changed(t, c, u.Next(), 0, false)
-	changed(t, c, before, 1, false)
+	changed(t, c, rock.HostLeases, u.Next(), 0, false)
+	changed(t, c, rock.HostLeases, before, 1, false)
 	for leases, told := range []int{0, 1, 0} {
 		d.SetLeases("h1", leases)
 		now = now.Add(time.Second)
-		u = changed(t, c, u.Next(), told, false)
+		changed(t, c, rock.HostStates, u.Next(), 0, false)
+		u = changed(t, c, rock.HostLeases, u.Next(), told, false)
 	}
-	changed(t, c, "unknown", 2, true)
-	changed(t, c, u.Next()+"9", 2, true)
+	changed(t, c, rock.HostLeases, "unknown", 2, true)
+	_, err := c.Changed(ctx, "racks", u.Next())
+	assert.Equal(t, rock.ReasonOf(err), rock.BadInput)
+	changed(t, c, rock.HostLeases, u.Next()+"9", 2, true)
 }
 
 func TestHostChangesOutliveFaults(t *testing.T) {
@@ -72,18 +75,18 @@
 	t.Cleanup(s.Close)
 	c, err := plat.New(plat.Settings{Base: s.URL})
 	assert.NilError(t, err)
-	u := changed(t, c, "", 1, true)
+	u := changed(t, c, rock.HostLeases, "", 1, true)
 	assert.NilError(t, first.Drain(context.Background(), "h1"))
 	lose.Store(true)
-	_, err = c.Changed(context.Background(), u.Next())
+	_, err = c.Changed(context.Background(), rock.HostLeases, u.Next())
 	assert.Equal(t, rock.VerdictOf(err), rock.NotRun)
 	lose.Store(false)
-	u = changed(t, c, u.Next(), 1, false)
+	u = changed(t, c, rock.HostLeases, u.Next(), 1, false)
 	assert.Equal(t, u.Hosts()[0].State(), rock.HostLeaving)
 
 	restarted := depot.New(depot.Settings{})
 	restarted.AddHost("h2", "127.0.0.1:2")
 	served.Store(restarted)
-	u = changed(t, c, u.Next(), 1, true)
+	u = changed(t, c, rock.HostLeases, u.Next(), 1, true)
 	assert.Equal(t, u.Hosts()[0].Name(), "h2")
 }
--- a/io/plat/hostlist_bench_test.go
+++ b/io/plat/hostlist_bench_test.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"testing"
 
+	rock "bramleyrock"
 	"bramleyrock/io/fakes/depot"
 	"bramleyrock/io/plat"
 
@@ -61,21 +62,29 @@
 // BenchmarkHostChanges reads the changes of 5,500 hosts, of which some change
 // between no lease and some before each reading.
 func BenchmarkHostChanges(b *testing.B) {
-	for _, flips := range []int{0, 1, 55, 550} {
-		b.Run(fmt.Sprint(flips), func(b *testing.B) {
-			c, d, sent := metered(b, 5500)
-			u, err := c.Changed(context.Background(), "")
-			assert.NilError(b, err)
-			sent.Store(0)
-			for i := 0; b.Loop(); i++ {
-				for h := range flips {
-					d.SetLeases(fmt.Sprintf("h%04d", h), (i+1)%2)
-				}
-				u, err = c.Changed(context.Background(), u.Next())
-				assert.NilError(b, err)
-				assert.Equal(b, len(u.Hosts()), flips)
-			}
-			b.ReportMetric(float64(sent.Load())/float64(b.N), "B/read")
-		})
+	for _, of := range []rock.HostAspect{rock.HostLeases, rock.HostStates} {
+		for _, flips := range []int{0, 1, 55, 550} {
+			b.Run(fmt.Sprintf("%s/%d", of, flips), func(b *testing.B) { benchChanges(b, of, flips) })
+		}
+	}
+}
+
+func benchChanges(b *testing.B, of rock.HostAspect, flips int) {
+	c, d, sent := metered(b, 5500)
+	u, err := c.Changed(context.Background(), of, "")
+	assert.NilError(b, err)
+	sent.Store(0)
+	want := flips
+	if of == rock.HostStates {
+		want = 0
+	}
+	for i := 0; b.Loop(); i++ {
+		for h := range flips {
+			d.SetLeases(fmt.Sprintf("h%04d", h), (i+1)%2)
+		}
+		u, err = c.Changed(context.Background(), of, u.Next())
+		assert.NilError(b, err)
+		assert.Equal(b, len(u.Hosts()), want)
 	}
+	b.ReportMetric(float64(sent.Load())/float64(b.N), "B/read")
 }
--- a/io/plat/hosts.go
+++ b/io/plat/hosts.go
@@ -17,9 +17,9 @@
 }
 
 // Changed implements [rock.HostChanges].
-func (c *Client) Changed(ctx context.Context, since rock.HostCursor) (rock.HostUpdate, error) {
+func (c *Client) Changed(ctx context.Context, of rock.HostAspect, since rock.HostCursor) (rock.HostUpdate, error) {
 	var form HostUpdateForm
-	s := c.base.New().Get("hosts?since=" + url.QueryEscape(string(since)))
+	s := c.base.New().Get("hosts?of=" + url.QueryEscape(string(of)) + "&since=" + url.QueryEscape(string(since)))
 	if err := c.get(ctx, call{"list host changes", "", false, s}, &form); err != nil {
 		return rock.HostUpdate{}, err
 	}
--- a/io/route/hostview_test.go
+++ b/io/route/hostview_test.go
@@ -18,8 +18,8 @@
 	told int
 }
 
-func (l *losingList) Changed(ctx context.Context, since rock.HostCursor) (rock.HostUpdate, error) {
-	u, err := l.Depot.Changed(ctx, since)
+func (l *losingList) Changed(ctx context.Context, of rock.HostAspect, since rock.HostCursor) (rock.HostUpdate, error) {
+	u, err := l.Depot.Changed(ctx, of, since)
 	if l.lose {
 		return rock.HostUpdate{}, rock.Fail("list host changes", "", rock.Unavailable, rock.NotRun)
 	}
@@ -57,6 +57,7 @@
 	check()
 	assert.NilError(t, l.Drain(ctx, "h1"))
 	check("h1")
+	l.SetLeases("h2", 1)
 	check("h1")
 	assert.Equal(t, l.told, 4)
 	l.SetGone("h0", true)
