--- a/io/route/hostview_test.go
+++ b/io/route/hostview_test.go
@@ -30,10 +30,10 @@
 // plainList is a host list that cannot tell its changes.
 type plainList struct{ rock.HostList }
 
-// threeHosts returns a platform with three hosts.
-func threeHosts() *depot.Depot {
+// platformOf returns a platform that knows the hosts.
+func platformOf(hosts ...string) *depot.Depot {
 	d := depot.New(depot.Settings{})
-	for _, name := range []string{"h0", "h1", "h2"} {
+	for _, name := range hosts {
 		d.AddHost(name, "127.0.0.1:1")
 	}
 	return d
@@ -41,7 +41,7 @@
 
 func TestLeavingHostsAreFollowed(t *testing.T) {
 	ctx := context.Background()
-	l := &losingList{Depot: threeHosts()}
+	l := &losingList{Depot: platformOf("h0", "h1", "h2")}
 	followed, listed := route.LeavingOf(l), route.LeavingOf(plainList{l.Depot})
 	check := func(want ...string) {
 		t.Helper()
@@ -69,8 +69,8 @@
 	assert.NilError(t, l.Undrain(ctx, "h1"))
 	check("h0")
 	assert.Equal(t, l.told, 6)
-	// The platform's restart forgets the hosts that it was not told of again.
-	*l = losingList{Depot: threeHosts()}
+	// The restarted platform was not told of h0, which was listed as gone.
+	*l = losingList{Depot: platformOf("h1", "h2")}
 	assert.NilError(t, l.Drain(ctx, "h2"))
 	listed = route.LeavingOf(plainList{l.Depot})
 	check("h2")
