--- a/cmd/bramleyrock/process_test.go
+++ b/cmd/bramleyrock/process_test.go
@@ -23,31 +23,42 @@
 // startTimeout bounds the start of a process.
 const startTimeout = 30 * time.Second
 
-// buildOnce builds the program under test, with the race detector, once.
-var buildOnce = sync.OnceValues(func() (string, error) {
+// buildRace and buildPlain build the program under test once, with and without
+// the race detector.
+var (
+	buildRace  = sync.OnceValues(func() (string, error) { return build("-race") })
+	buildPlain = sync.OnceValues(func() (string, error) { return build("-race=false") })
+)
+
+// build builds the program under test.
+func build(flag string) (string, error) {
 	dir, err := os.MkdirTemp("", "bramleyrock-test")
 	if err != nil {
 		return "", err
 	}
+	binaryDirs = append(binaryDirs, dir)
 	binary := filepath.Join(dir, "bramleyrock")
-	out, err := exec.Command("go", "build", "-race", "-o", binary, ".").CombinedOutput()
+	out, err := exec.Command("go", "build", flag, "-o", binary, ".").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("build: %w\n%s", err, out)
 	}
 	return binary, nil
-})
+}
+
+// binaryDirs are the directories to remove after the tests.
+var binaryDirs []string
 
 func TestMain(m *testing.M) {
 	status := m.Run()
-	if binary, err := buildOnce(); err == nil {
-		_ = os.RemoveAll(filepath.Dir(binary))
+	for _, dir := range binaryDirs {
+		_ = os.RemoveAll(dir)
 	}
 	os.Exit(status)
 }
 
 // process is a child process of a test.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	name    string
 	command *exec.Cmd
 	doors   chan [2]string
@@ -61,10 +72,16 @@
 
 // start starts the program with these arguments and, if the test ends first,
 // kills it.
-func start(t *testing.T, name string, args ...string) *process {
+func start(t testing.TB, name string, args ...string) *process {
 	t.Helper()
-	binary, err := buildOnce()
+	binary, err := buildRace()
 	assert.NilError(t, err)
+	return startBinary(t, binary, name, args...)
+}
+
+// startBinary is start for a program that was built before.
+func startBinary(t testing.TB, binary, name string, args ...string) *process {
+	t.Helper()
 	p := &process{t: t, name: name, command: exec.Command(binary, args...), doors: make(chan [2]string, 8), exited: make(chan error, 1)}
 	p.command.Env = append(os.Environ(), "GORACE=halt_on_error=1 exitcode=66")
 	stderr, err := p.command.StderrPipe()
--- a/io/jobs/settings.go
+++ b/io/jobs/settings.go
@@ -30,7 +30,7 @@
 	Limits job.Limits
 	// Terms are the durations of a session's lease.
 	Terms lease.Terms
-	// Interval is the time between rounds; 500 ms by default.
+	// Interval is the time between rounds; 1 s by default.
 	Interval time.Duration
 	// StatusInterval is the longest time between two looks at a task; 5 s by
 	// default. A young task is looked at more often.
@@ -38,7 +38,7 @@
 	// ProgressInterval is the time between writes of the progress of all held
 	// jobs; 10 s by default.
 	ProgressInterval time.Duration
-	// ReclaimInterval is the time between looks at other sessions; 2 s by
+	// ReclaimInterval is the time between looks at other sessions; 5 s by
 	// default.
 	ReclaimInterval time.Duration
 	// ZoneGrace is for how long a lapsed session is left to the entries of its
@@ -67,10 +67,10 @@
 
 func (s Settings) withDefaults() Settings {
 	s.Limits = s.Limits.WithDefaults()
-	orDefault(&s.Interval, 500*time.Millisecond)
+	orDefault(&s.Interval, time.Second)
 	orDefault(&s.StatusInterval, 5*time.Second)
 	orDefault(&s.ProgressInterval, 10*time.Second)
-	orDefault(&s.ReclaimInterval, 2*time.Second)
+	orDefault(&s.ReclaimInterval, 5*time.Second)
 	orDefault(&s.ZoneGrace, time.Minute)
 	orDefault(&s.SweepInterval, time.Minute)
 	orDefault(&s.KeepEnded, 24*time.Hour)
--- a/io/roster/settings.go
+++ b/io/roster/settings.go
@@ -12,7 +12,7 @@
 
 // The defaults of [Settings].
 const (
-	defaultReadInterval  = 2 * time.Second
+	defaultReadInterval  = 8 * time.Second
 	defaultCheckInterval = 250 * time.Millisecond
 	defaultWriteInterval = 10 * time.Second
 	defaultKeepGone      = time.Hour
@@ -32,7 +32,7 @@
 	// Fenced, if not nil, is told once that the entry's row was taken over by
 	// a newer incarnation, or that the entry was declared gone.
 	Fenced func(by rock.EntryStatus)
-	// ReadInterval is the time between readings of all rows; 2 s by default.
+	// ReadInterval is the time between readings of all rows; 8 s by default.
 	ReadInterval time.Duration
 	// CheckInterval is the time between looks at the report, which is written
 	// if it changed; 250 ms by default.
