--- a/core/budget/ledger.go
+++ b/core/budget/ledger.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	rock "bramleyrock"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/record"
 )
 
@@ -15,7 +14,7 @@
 	states map[string]rock.HostState
 	// after holds the edited hosts as they are after the change; nil means
 	// deleted.
-	after map[string]*forms.Host
+	after map[string]*record.HostSpec
 }
 
 // take notes the edits of hosts.
@@ -28,7 +27,7 @@
 		if e.To() == nil {
 			continue
 		}
-		h, err := forms.DecodeHost(*e.To())
+		h, err := record.HostSpecOf(*e.To())
 		if err != nil {
 			return rock.Fail("review", e.Key().String(), rock.BadInput, rock.NotRun).Because(err)
 		}
--- a/core/budget/reviewer.go
+++ b/core/budget/reviewer.go
@@ -7,7 +7,6 @@
 	"time"
 
 	rock "bramleyrock"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/record"
 )
 
@@ -59,7 +58,7 @@
 // Takes reports whether the edits take a host away from a pool, as far as can
 // be said without the list.
 func (r *Reviewer) Takes(before rock.Fleet, edits []rock.Edit) bool {
-	l := ledger{before: before, after: map[string]*forms.Host{}}
+	l := ledger{before: before, after: map[string]*record.HostSpec{}}
 	return l.take(edits) == nil && len(l.takenFrom()) > 0
 }
 
@@ -84,7 +83,7 @@
 	r.mu.Lock()
 	seenAt, states := r.seenAt, r.states
 	r.mu.Unlock()
-	b := ledger{before: before, states: states, after: map[string]*forms.Host{}}
+	b := ledger{before: before, states: states, after: map[string]*record.HostSpec{}}
 	if err := b.take(edits); err != nil {
 		return err
 	}
--- a/core/move/next.go
+++ b/core/move/next.go
@@ -7,24 +7,23 @@
 	rock "bramleyrock"
 	"bramleyrock/core/budget"
 	"bramleyrock/core/drain"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/record"
 )
 
-// Next returns the next step of the move in the record, in the configuration
+// Next returns the next step of the move in the record r, in the configuration
 // fleet.
-func Next(now time.Time, fleet rock.Fleet, record rock.Record, view drain.View) Step {
-	m, err := forms.DecodeMove(record)
+func Next(now time.Time, fleet rock.Fleet, r rock.Record, view drain.View) Step {
+	m, err := record.MoveSpecOf(r)
 	if err != nil {
-		return waiting(record.Key().Name(), now, "a readable record: %v", err)
+		return waiting(r.Key().Name(), now, "a readable record: %v", err)
 	}
-	p := planner{now: now, fleet: fleet, view: view, record: record, move: m}
+	p := planner{now: now, fleet: fleet, view: view, record: r, move: m}
 	hostRecord, ok := fleet.Record(rock.NewKey(rock.KindHost, m.Host))
 	if !ok {
 		return p.withoutHost()
 	}
 	p.hostRecord = hostRecord
-	if p.host, err = forms.DecodeHost(hostRecord); err != nil {
+	if p.host, err = record.HostSpecOf(hostRecord); err != nil {
 		return p.wait("a readable record: %v", err)
 	}
 	return p.next()
@@ -34,7 +33,7 @@
 // pool that it leaves has fallen short of its budget meanwhile and the host
 // would help. The move then waits until the budget allows it again.
 func Undo(now time.Time, fleet rock.Fleet, r rock.Record, room *budget.Room) (Step, bool) {
-	m, err := forms.DecodeMove(r)
+	m, err := record.MoveSpecOf(r)
 	if err != nil || m.State != record.MoveDraining || !room.Short(m.From) {
 		return Step{}, false
 	}
@@ -43,7 +42,7 @@
 		return Step{}, false
 	}
 	p := planner{now: now, fleet: fleet, record: r, move: m, hostRecord: hostRecord}
-	if p.host, err = forms.DecodeHost(hostRecord); err != nil || !p.owned() || !room.Live(m.Host) {
+	if p.host, err = record.HostSpecOf(hostRecord); err != nil || !p.owned() || !room.Live(m.Host) {
 		return Step{}, false
 	}
 	p.host.Open, p.host.ClosedBy = true, ""
@@ -56,9 +55,9 @@
 	fleet      rock.Fleet
 	view       drain.View
 	record     rock.Record
-	move       forms.Move
+	move       record.MoveSpec
 	hostRecord rock.Record
-	host       forms.Host
+	host       record.HostSpec
 }
 
 func (p planner) next() Step {
@@ -180,7 +179,7 @@
 // withHost is true, the host's.
 func (p planner) write(state record.MoveState, withHost bool) Step {
 	p.move.State, p.move.Since = state, p.now.UTC()
-	record, err := forms.Encode(p.record, p.move)
+	next, err := record.Rewrite(p.record, p.move)
 	if err != nil {
 		return p.wait("a readable record: %v", err)
 	}
@@ -191,12 +190,12 @@
 		since: p.move.Since,
 	}
 	if withHost {
-		host, err := forms.Encode(p.hostRecord, p.host)
+		host, err := record.Rewrite(p.hostRecord, p.host)
 		if err != nil {
 			return p.wait("a readable record: %v", err)
 		}
 		s.records = append(s.records, host)
 	}
-	s.records = append(s.records, record)
+	s.records = append(s.records, next)
 	return s
 }
--- a/core/move/next_test.go
+++ b/core/move/next_test.go
@@ -9,7 +9,6 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/drain"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/move"
 	"bramleyrock/core/record"
 	"bramleyrock/io/fakes/fleet"
@@ -60,16 +59,16 @@
 	t.Helper()
 	f, _ := b.Fleet()
 	r, _ := f.Record(rock.NewKey(rock.KindMove, name))
-	m, err := forms.DecodeMove(r)
+	m, err := record.MoveSpecOf(r)
 	assert.NilError(t, err)
 	return m.State
 }
 
-func hostBody(t *testing.T, b *fleet.Book) forms.Host {
+func hostBody(t *testing.T, b *fleet.Book) record.HostSpec {
 	t.Helper()
 	f, _ := b.Fleet()
 	r, _ := f.Record(rock.NewKey(rock.KindHost, "h1"))
-	h, err := forms.DecodeHost(r)
+	h, err := record.HostSpecOf(r)
 	assert.NilError(t, err)
 	return h
 }
@@ -156,10 +155,10 @@
 	step(t, b, start, "m1", drain.View{})
 	f, _ := b.Fleet()
 	r, _ := f.Record(rock.NewKey(rock.KindMove, "m1"))
-	m, err := forms.DecodeMove(r)
+	m, err := record.MoveSpecOf(r)
 	assert.NilError(t, err)
 	m.State = record.MoveCancelled
-	cancelled, err := forms.Encode(r, m)
+	cancelled, err := record.Rewrite(r, m)
 	assert.NilError(t, err)
 	_, err = b.Change(context.Background(), start, rock.Proposal{ID: "stop", Records: []rock.Record{cancelled}})
 	assert.NilError(t, err)
--- a/core/move/reviewer.go
+++ b/core/move/reviewer.go
@@ -5,7 +5,6 @@
 	"time"
 
 	rock "bramleyrock"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/record"
 )
 
@@ -64,7 +63,7 @@
 	if e.From() == nil {
 		return nil
 	}
-	was, err := forms.DecodeHost(*e.From())
+	was, err := record.HostSpecOf(*e.From())
 	if err != nil {
 		return refuse(e, "%w", err)
 	}
@@ -74,7 +73,7 @@
 		}
 		return nil
 	}
-	is, err := forms.DecodeHost(*e.To())
+	is, err := record.HostSpecOf(*e.To())
 	if err != nil {
 		return refuse(e, "%w", err)
 	}
@@ -97,11 +96,11 @@
 		if key.Kind() != rock.KindMove || e.From() == nil || e.To() == nil {
 			continue
 		}
-		was, err := forms.DecodeMove(*e.From())
+		was, err := record.MoveSpecOf(*e.From())
 		if err != nil || was.State != record.MoveReleased {
 			continue
 		}
-		is, err := forms.DecodeMove(*e.To())
+		is, err := record.MoveSpecOf(*e.To())
 		if err == nil && is.State == record.MoveJoining && is.Host == host && is.From == from && is.To == to {
 			return true
 		}
@@ -111,7 +110,7 @@
 
 // holds reports whether the move or wave for which a host was closed still
 // needs it after the change, which leaves the host as in is.
-func (c change) holds(closedBy string, is forms.Host) bool {
+func (c change) holds(closedBy string, is record.HostSpec) bool {
 	key, err := rock.ParseKey(closedBy)
 	if closedBy == "" || err != nil {
 		return false
@@ -122,11 +121,11 @@
 	}
 	switch key.Kind() {
 	case rock.KindMove:
-		m, err := forms.DecodeMove(r)
+		m, err := record.MoveSpecOf(r)
 		return err != nil || !m.State.Ended() && m.State != record.MoveWanted
 	case rock.KindWave:
-		w, err := forms.DecodeWave(r)
-		done := is.Maintenance != nil && is.Maintenance.Wave == key.Name() && is.Maintenance.Step == forms.StepDone
+		w, err := record.WaveSpecOf(r)
+		done := is.Maintenance != nil && is.Maintenance.Wave == key.Name() && is.Maintenance.Step == record.StepDone
 		return err != nil || !w.State.Ended() && !done
 	}
 	return false
@@ -145,10 +144,10 @@
 
 // checkMove checks the edit of a move.
 func (c change) checkMove(e rock.Edit) error {
-	var was, is forms.Move
+	var was, is record.MoveSpec
 	var err error
 	if e.From() != nil {
-		if was, err = forms.DecodeMove(*e.From()); err != nil {
+		if was, err = record.MoveSpecOf(*e.From()); err != nil {
 			return refuse(e, "%w", err)
 		}
 	}
@@ -158,7 +157,7 @@
 		}
 		return nil
 	}
-	if is, err = forms.DecodeMove(*e.To()); err != nil {
+	if is, err = record.MoveSpecOf(*e.To()); err != nil {
 		return refuse(e, "%w", err)
 	}
 	if allowed := nextStates[was.State]; !strings.Contains(" "+allowed+" ", " "+string(is.State)+" ") {
@@ -180,6 +179,6 @@
 	if !ok {
 		return false
 	}
-	h, err := forms.DecodeHost(r)
+	h, err := record.HostSpecOf(r)
 	return err == nil && !h.Open && h.ClosedBy == key.String()
 }
--- a/core/move/reviewer_test.go
+++ b/core/move/reviewer_test.go
@@ -6,7 +6,6 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/drain"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/move"
 	"bramleyrock/core/record"
 	"bramleyrock/io/fakes/fleet"
@@ -15,7 +14,7 @@
 )
 
 // edit returns the record in force, changed by the function.
-func edit[T any](t *testing.T, b *fleet.Book, kind rock.Kind, name string, decode func(rock.Record) (T, error), change func(*T)) rock.Record {
+func edit[T record.HostSpec | record.MoveSpec | record.WaveSpec](t *testing.T, b *fleet.Book, kind rock.Kind, name string, decode func(rock.Record) (T, error), change func(*T)) rock.Record {
 	t.Helper()
 	f, _ := b.Fleet()
 	r, ok := f.Record(rock.NewKey(kind, name))
@@ -23,20 +22,20 @@
 	body, err := decode(r)
 	assert.NilError(t, err)
 	change(&body)
-	r, err = forms.Encode(r, body)
+	r, err = record.Rewrite(r, body)
 	assert.NilError(t, err)
 	return r
 }
 
 func TestReviewerKeepsTheWayOfAMove(t *testing.T) {
-	host := func(change func(*forms.Host)) func(*testing.T, *fleet.Book) rock.Proposal {
+	host := func(change func(*record.HostSpec)) func(*testing.T, *fleet.Book) rock.Proposal {
 		return func(t *testing.T, b *fleet.Book) rock.Proposal {
-			return rock.Proposal{Records: []rock.Record{edit(t, b, rock.KindHost, "h1", forms.DecodeHost, change)}}
+			return rock.Proposal{Records: []rock.Record{edit(t, b, rock.KindHost, "h1", record.HostSpecOf, change)}}
 		}
 	}
-	moving := func(change func(*forms.Move)) func(*testing.T, *fleet.Book) rock.Proposal {
+	moving := func(change func(*record.MoveSpec)) func(*testing.T, *fleet.Book) rock.Proposal {
 		return func(t *testing.T, b *fleet.Book) rock.Proposal {
-			return rock.Proposal{Records: []rock.Record{edit(t, b, rock.KindMove, "m1", forms.DecodeMove, change)}}
+			return rock.Proposal{Records: []rock.Record{edit(t, b, rock.KindMove, "m1", record.MoveSpecOf, change)}}
 		}
 	}
 	deleting := func(kind rock.Kind, name string) func(*testing.T, *fleet.Book) rock.Proposal {
@@ -50,15 +49,15 @@
 		propose func(*testing.T, *fleet.Book) rock.Proposal
 		want    string
 	}{
-		"pool by hand":    {host(func(h *forms.Host) { h.Pool = "lids" }), "want a move of the host"},
-		"address by hand": {host(func(h *forms.Host) { h.Address = "127.0.0.1:9001" }), "before its address or zone changes"},
-		"opened by hand":  {host(func(h *forms.Host) { h.Open, h.ClosedBy = true, "" }), "closed for move/m1"},
-		"slots by hand":   {host(func(h *forms.Host) { h.Slots = 4 }), ""},
+		"pool by hand":    {host(func(h *record.HostSpec) { h.Pool = "lids" }), "want a move of the host"},
+		"address by hand": {host(func(h *record.HostSpec) { h.Address = "127.0.0.1:9001" }), "before its address or zone changes"},
+		"opened by hand":  {host(func(h *record.HostSpec) { h.Open, h.ClosedBy = true, "" }), "closed for move/m1"},
+		"slots by hand":   {host(func(h *record.HostSpec) { h.Slots = 4 }), ""},
 		"host deleted":    {deleting(rock.KindHost, "h1"), "before it is deleted"},
 		"move deleted":    {deleting(rock.KindMove, "m1"), "cancel it before it is deleted"},
-		"state left out":  {moving(func(m *forms.Move) { m.State = record.MoveJoining }), `state "joining" cannot follow "draining"`},
-		"other pool":      {moving(func(m *forms.Move) { m.To = "caps" }), "cannot change"},
-		"cancelled":       {moving(func(m *forms.Move) { m.State = record.MoveCancelled }), ""},
+		"state left out":  {moving(func(m *record.MoveSpec) { m.State = record.MoveJoining }), `state "joining" cannot follow "draining"`},
+		"other pool":      {moving(func(m *record.MoveSpec) { m.To = "caps" }), "cannot change"},
+		"cancelled":       {moving(func(m *record.MoveSpec) { m.State = record.MoveCancelled }), ""},
 		"begun in the middle": {func(*testing.T, *fleet.Book) rock.Proposal {
 			return rock.Proposal{Records: []rock.Record{newRecord(rock.KindMove, "m9", `{"host":"h1","from":"tins","to":"caps","state":"released"}`)}}
 		}, "want one of: wanted"},
--- a/core/record/fields.go
+++ b/core/record/fields.go
@@ -154,6 +154,19 @@
 	return items
 }
 
+// texts takes an optional array of strings.
+func (f *fields) texts(name string) []string {
+	data := f.take(name)
+	if data == nil {
+		return nil
+	}
+	var all []string
+	if err := json.Unmarshal(data, &all); err != nil {
+		f.wrong(name, data, "an array of strings")
+	}
+	return all
+}
+
 // object takes an optional object of its own fields; nil if it is missing or
 // wrong.
 func (f *fields) object(name string) *fields {
--- a/core/record/host.go
+++ b/core/record/host.go
@@ -34,6 +34,9 @@
 	Open bool
 	// ClosedBy is what closed the host, such as "move/m1"; "" if it is open.
 	ClosedBy string
+	// Maintenance is the host's progress in the last wave that took it, or nil.
+	// It must not be changed, but may be replaced.
+	Maintenance *Maintenance
 }
 
 // NewHost returns the host described by s.
@@ -69,7 +72,7 @@
 // Kind implements [Body].
 func (h Host) Kind() rock.Kind { return rock.KindHost }
 
-var hostFields = []string{"address", "zone", "rack", "pool", "generation", "slots", "open", "closed_by"}
+var hostFields = []string{"address", "zone", "rack", "pool", "generation", "slots", "open", "closed_by", "maintenance"}
 
 // Encode implements [Body].
 func (h Host) Encode(int) (json.RawMessage, error) {
@@ -86,6 +89,9 @@
 	if s.ClosedBy != "" {
 		o["closed_by"] = s.ClosedBy
 	}
+	if s.Maintenance != nil {
+		o["maintenance"] = s.Maintenance.form()
+	}
 	return o.encode(h.extra, hostFields)
 }
 
@@ -100,6 +106,10 @@
 		Open:       f.flag("open"),
 		ClosedBy:   f.text("closed_by"),
 	}
+	if part := f.object("maintenance"); part != nil {
+		s.Maintenance = decodeMaintenance(part)
+		f.join(part)
+	}
 	if s.Address == "" {
 		f.missing("address", "an IP address and port such as 10.0.0.7:9000")
 	}
--- /dev/null
+++ b/core/record/maintenance.go
@@ -0,0 +1,49 @@
+package record
+
+import (
+	"math"
+	"time"
+
+	rock "bramleyrock"
+)
+
+// Maintenance is a host's progress in a wave.
+type Maintenance struct {
+	// Wave is the name of the wave.
+	Wave string
+	// Step is what is being done to the host.
+	Step MaintenanceStep
+	// Since is when the step began.
+	Since time.Time
+	// After is the last revision in which the host is known to be open.
+	After rock.Revision
+	// Boots is how often the host had booted before the wave rebooted it.
+	Boots uint64
+
+	extra Extra
+}
+
+// form returns the progress as a JSON object.
+func (m *Maintenance) form() object {
+	o := object{}
+	for _, name := range m.extra.Names() {
+		o[name] = m.extra.Get(name)
+	}
+	o["wave"] = m.Wave
+	o["step"] = m.Step
+	o["since"] = m.Since.UTC()
+	o["after"] = m.After
+	o["boots"] = m.Boots
+	return o
+}
+
+func decodeMaintenance(f *fields) *Maintenance {
+	return &Maintenance{
+		Wave:  f.name("wave", "the name of a wave", true),
+		Step:  oneOf(f, "step", StepDraining, StepRebooting, StepDone),
+		Since: f.time("since"),
+		After: rock.Revision(f.count("after", 0, math.MaxInt64, false)),
+		Boots: f.count("boots", 0, math.MaxInt64, false),
+		extra: f.extra(),
+	}
+}
--- a/core/forms/maintenancestep.go
+++ b/core/record/maintenancestep.go
@@ -1,4 +1,4 @@
-package forms
+package record
 
 // MaintenanceStep is a step of a host's maintenance.
 type MaintenanceStep string
--- a/core/record/move.go
+++ b/core/record/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"strconv"
 	"time"
 
@@ -26,8 +27,13 @@
 	State MoveState
 	// Since is the time at which the state began.
 	Since time.Time
+	// After is the last revision in which the host is known to be open.
+	After rock.Revision
 	// WaitsFor says what the next state waits for.
 	WaitsFor string
+	// CountedOut names silent entries that an operator vouches for, each as
+	// "<name>/<incarnation>", or "zone/<zone>" for a zone without an entry.
+	CountedOut []string
 }
 
 // NewMove returns the move described by s.
@@ -48,7 +54,7 @@
 // Kind implements [Body].
 func (m Move) Kind() rock.Kind { return rock.KindMove }
 
-var moveFields = []string{"host", "from", "to", "state", "since", "waits_for"}
+var moveFields = []string{"host", "from", "to", "state", "since", "after", "waits_for", "counted_out"}
 
 // Encode implements [Body].
 func (m Move) Encode(int) (json.RawMessage, error) {
@@ -60,6 +66,12 @@
 	if s.WaitsFor != "" {
 		o["waits_for"] = s.WaitsFor
 	}
+	if s.After > 0 {
+		o["after"] = s.After
+	}
+	if len(s.CountedOut) > 0 {
+		o["counted_out"] = s.CountedOut
+	}
 	return o.encode(m.extra, moveFields)
 }
 
@@ -75,5 +87,7 @@
 		f.wrong("to", []byte(strconv.Quote(s.To)), "another pool than the one in from")
 	}
 	s.Since = f.time("since")
+	s.After = rock.Revision(f.count("after", 0, math.MaxInt64, false))
+	s.CountedOut = f.texts("counted_out")
 	return Move{spec: s, extra: f.extra()}
 }
--- a/core/record/wave.go
+++ b/core/record/wave.go
@@ -4,12 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"time"
 
 	rock "bramleyrock"
 )
 
 // Wave is the content of the record of a maintenance wave. How far the wave is
-// stands in further fields, which [Wave.Extra] gives.
+// stands in the records of its hosts; see [Maintenance].
 type Wave struct {
 	spec  WaveSpec
 	extra Extra
@@ -25,6 +26,13 @@
 	State WaveState
 	// MaxParallel limits the hosts that are away at the same time.
 	MaxParallel int
+	// Since is when the state was reached.
+	Since time.Time
+	// WaitsFor says why the wave does not go on.
+	WaitsFor string
+	// CountedOut names silent entries that an operator vouches for, each as
+	// "<name>/<incarnation>", or "zone/<zone>" for a zone without an entry.
+	CountedOut []string
 }
 
 // NewWave returns the wave described by s.
@@ -50,11 +58,22 @@
 // Kind implements [Body].
 func (w Wave) Kind() rock.Kind { return rock.KindWave }
 
+var waveFields = []string{"pools", "action", "state", "max_parallel", "since", "waits_for", "counted_out"}
+
 // Encode implements [Body].
 func (w Wave) Encode(int) (json.RawMessage, error) {
 	s := w.spec
 	o := object{"pools": s.Pools, "action": s.Action, "state": s.State, "max_parallel": s.MaxParallel}
-	return o.encode(w.extra, []string{"pools", "action", "state", "max_parallel"})
+	if !s.Since.IsZero() {
+		o["since"] = s.Since.UTC()
+	}
+	if s.WaitsFor != "" {
+		o["waits_for"] = s.WaitsFor
+	}
+	if len(s.CountedOut) > 0 {
+		o["counted_out"] = s.CountedOut
+	}
+	return o.encode(w.extra, waveFields)
 }
 
 func decodeWave(f *fields) Wave {
@@ -62,6 +81,9 @@
 		Action:      oneOf(f, "action", RebootAction, DrainAction),
 		State:       oneOf(f, "state", WavePlanned, WaveRunning, WavePaused, WaveAborted, WaveDone),
 		MaxParallel: int(f.count("max_parallel", 1, maxHosts, true)),
+		Since:       f.time("since"),
+		WaitsFor:    f.text("waits_for"),
+		CountedOut:  f.texts("counted_out"),
 	}
 	for i, data := range f.list("pools") {
 		var name string
--- a/core/wave/member.go
+++ b/core/wave/member.go
@@ -2,14 +2,14 @@
 
 import (
 	rock "bramleyrock"
-	"bramleyrock/core/forms"
+	"bramleyrock/core/record"
 )
 
 // member is a host of a wave's pools.
 type member struct {
 	host   rock.Host
 	record rock.Record
-	body   forms.Host
+	body   record.HostSpec
 }
 
 // owned reports whether the host is closed for the wave.
@@ -19,7 +19,7 @@
 
 // done reports whether the wave has maintained the host.
 func (m member) done(wave string) bool {
-	return m.body.Maintenance != nil && m.body.Maintenance.Wave == wave && m.body.Maintenance.Step == forms.StepDone
+	return m.body.Maintenance != nil && m.body.Maintenance.Wave == wave && m.body.Maintenance.Step == record.StepDone
 }
 
 // owner is the value of closed_by by which a wave owns a host.
@@ -27,7 +27,7 @@
 
 // members returns the hosts of the pools in the zone, or in all zones if zone
 // is "". A host whose record cannot be read is left out.
-func members(fleet rock.Fleet, cache *forms.Cache, pools []string, zone string) []member {
+func members(fleet rock.Fleet, cache *record.HostCache, pools []string, zone string) []member {
 	var found []member
 	for _, pool := range pools {
 		for _, h := range fleet.PoolHosts(pool, zone) {
--- a/core/wave/plan.go
+++ b/core/wave/plan.go
@@ -7,7 +7,6 @@
 	rock "bramleyrock"
 	"bramleyrock/core/budget"
 	"bramleyrock/core/drain"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/record"
 )
 
@@ -27,14 +26,14 @@
 	// that it takes the restart with that id; nil means none.
 	Rebooted func(id string) (time.Time, bool)
 	// Cache keeps decoded hosts between rounds; nil means none.
-	Cache *forms.Cache
+	Cache *record.HostCache
 	// Choose orders the hosts that may be taken next; nil means [ByDomain].
 	Choose Order
 }
 
 // Steps returns the next steps of the wave in the record.
 func (p Plan) Steps(r rock.Record) []Step {
-	w, err := forms.DecodeWave(r)
+	w, err := record.WaveSpecOf(r)
 	if err != nil {
 		return []Step{{wave: r.Key().Name(), since: p.Now, waitsFor: "a readable record: " + err.Error()}}
 	}
@@ -47,7 +46,7 @@
 type stepper struct {
 	Plan
 	record  rock.Record
-	wave    forms.Wave
+	wave    record.WaveSpec
 	name    string
 	members []member
 }
@@ -80,7 +79,7 @@
 	if m.body.Maintenance == nil || m.body.Maintenance.Wave != s.name {
 		return s.reopen(m)
 	}
-	if m.body.Maintenance.Step == forms.StepRebooting {
+	if m.body.Maintenance.Step == record.StepRebooting {
 		return s.check(m)
 	}
 	if s.wave.State == record.WaveAborted || s.Room.Short(m.host.Pool()) && s.wave.State != record.WaveDone {
@@ -109,9 +108,9 @@
 		return s.wait(m, "host %s to be live in the platform's list", m.host.Name())
 	}
 	next := *m.body.Maintenance
-	next.Step, next.Since, next.Boots = forms.StepRebooting, s.Now.UTC(), status.Boots()
+	next.Step, next.Since, next.Boots = record.StepRebooting, s.Now.UTC(), status.Boots()
 	m.body.Maintenance = &next
-	step := s.write(m, string(forms.StepRebooting))
+	step := s.write(m, string(record.StepRebooting))
 	step.rebootID = s.rebootID(m)
 	return step
 }
@@ -155,10 +154,10 @@
 // open opens a host that was maintained.
 func (s stepper) open(m member) Step {
 	next := *m.body.Maintenance
-	next.Step, next.Since = forms.StepDone, s.Now.UTC()
+	next.Step, next.Since = record.StepDone, s.Now.UTC()
 	m.body.Maintenance = &next
 	m.body.Open, m.body.ClosedBy = true, ""
-	return s.write(m, string(forms.StepDone))
+	return s.write(m, string(record.StepDone))
 }
 
 // reopen gives a host back that was not maintained.
@@ -175,7 +174,7 @@
 		return nil
 	}
 	s.wave.State, s.wave.Since, s.wave.WaitsFor = record.WaveDone, s.Now.UTC(), ""
-	r, err := forms.Encode(s.record, s.wave)
+	r, err := record.Rewrite(s.record, s.wave)
 	if err != nil {
 		return nil
 	}
@@ -194,7 +193,7 @@
 
 // write returns the step that writes the host's record.
 func (s stepper) write(m member, what string) Step {
-	r, err := forms.Encode(m.record, m.body)
+	r, err := record.Rewrite(m.record, m.body)
 	if err != nil {
 		return Step{wave: s.name, host: m.host.Name(), since: s.Now, waitsFor: "a readable record: " + err.Error()}
 	}
--- a/core/wave/progress.go
+++ b/core/wave/progress.go
@@ -2,7 +2,7 @@
 
 import (
 	rock "bramleyrock"
-	"bramleyrock/core/forms"
+	"bramleyrock/core/record"
 )
 
 // Progress is how far a wave is.
@@ -12,14 +12,14 @@
 	away  int
 }
 
-// ProgressOf returns how far the wave in the record is. The cache may be nil.
-func ProgressOf(fleet rock.Fleet, cache *forms.Cache, record rock.Record) (Progress, error) {
-	w, err := forms.DecodeWave(record)
+// ProgressOf returns how far the wave in the record r is. The cache may be nil.
+func ProgressOf(fleet rock.Fleet, cache *record.HostCache, r rock.Record) (Progress, error) {
+	w, err := record.WaveSpecOf(r)
 	if err != nil {
 		return Progress{}, err
 	}
 	var p Progress
-	name := record.Key().Name()
+	name := r.Key().Name()
 	for _, m := range members(fleet, cache, w.Pools, "") {
 		p.hosts++
 		switch {
--- a/core/wave/reviewer.go
+++ b/core/wave/reviewer.go
@@ -5,7 +5,6 @@
 	"time"
 
 	rock "bramleyrock"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/record"
 )
 
@@ -48,7 +47,7 @@
 	if was, ok := before.Host(e.Key().Name()); !ok || !was.Open() || e.To() == nil {
 		return ""
 	}
-	is, err := forms.DecodeHost(*e.To())
+	is, err := record.HostSpecOf(*e.To())
 	if err != nil || is.Open {
 		return ""
 	}
@@ -65,7 +64,7 @@
 	if !ok {
 		return refuse(closing[0], "field closed_by: wave %s does not exist", name)
 	}
-	w, err := forms.DecodeWave(r)
+	w, err := record.WaveSpecOf(r)
 	if err != nil {
 		return refuse(closing[0], "%w", err)
 	}
@@ -87,7 +86,7 @@
 				continue
 			}
 			r, _ := fleet.Record(rock.NewKey(rock.KindHost, h.Name()))
-			if body, err := forms.DecodeHost(r); err == nil && body.ClosedBy == owner(name) {
+			if body, err := record.HostSpecOf(r); err == nil && body.ClosedBy == owner(name) {
 				n++
 			}
 		}
@@ -107,10 +106,10 @@
 
 // checkWave checks the edit of a wave.
 func checkWave(before rock.Fleet, e rock.Edit) error {
-	var was, is forms.Wave
+	var was, is record.WaveSpec
 	var err error
 	if e.From() != nil {
-		if was, err = forms.DecodeWave(*e.From()); err != nil {
+		if was, err = record.WaveSpecOf(*e.From()); err != nil {
 			return refuse(e, "%w", err)
 		}
 	}
@@ -121,7 +120,7 @@
 		}
 		return nil
 	}
-	if is, err = forms.DecodeWave(*e.To()); err != nil {
+	if is, err = record.WaveSpecOf(*e.To()); err != nil {
 		return refuse(e, "%w", err)
 	}
 	if allowed := nextStates[was.State]; !strings.Contains(" "+allowed+" ", " "+string(is.State)+" ") {
--- a/core/wave/take.go
+++ b/core/wave/take.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"bramleyrock/core/forms"
+	"bramleyrock/core/record"
 )
 
 // maxTaken is the greatest number of hosts that one round takes in one zone. It
@@ -66,7 +66,7 @@
 	return ""
 }
 
-func reasonClosed(h forms.Host) string {
+func reasonClosed(h record.HostSpec) string {
 	if h.ClosedBy == "" {
 		return "a reason of an operator's"
 	}
@@ -76,13 +76,13 @@
 // close closes a host for the wave.
 func (s stepper) close(m member) Step {
 	m.body.Open, m.body.ClosedBy = false, owner(s.name)
-	m.body.Maintenance = &forms.Maintenance{
+	m.body.Maintenance = &record.Maintenance{
 		Wave:  s.name,
-		Step:  forms.StepDraining,
+		Step:  record.StepDraining,
 		Since: s.Now.UTC(),
 		After: s.Fleet.Revision(),
 	}
-	return s.write(m, string(forms.StepDraining))
+	return s.write(m, string(record.StepDraining))
 }
 
 // candidates returns the pending hosts with what an order looks at.
--- a/io/duty/fresh_test.go
+++ b/io/duty/fresh_test.go
@@ -6,7 +6,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/budget"
-	"bramleyrock/core/forms"
+	"bramleyrock/core/record"
 	"bramleyrock/io/duty"
 	"bramleyrock/io/fakes/depot"
 	"bramleyrock/io/fakes/fleet"
@@ -22,26 +22,26 @@
 		newHost("h0", "a", "a1", "tins"), newHost("h1", "a", "a1", "tins"))
 	f, _ := b.Fleet()
 	from, _ := f.Record(rock.NewKey(rock.KindHost, "h0"))
-	edit := func(change func(h *forms.Host)) []rock.Edit {
-		h, err := forms.DecodeHost(from)
+	edit := func(change func(h *record.HostSpec)) []rock.Edit {
+		h, err := record.HostSpecOf(from)
 		assert.NilError(t, err)
 		change(&h)
-		to, err := forms.Encode(from, h)
+		to, err := record.Rewrite(from, h)
 		assert.NilError(t, err)
 		return []rock.Edit{rock.NewEdit(from.Key(), &from, &to)}
 	}
 	r := duty.NewFresh(budget.New(budget.Settings{}), d)
 	now := time.Now()
-	assert.NilError(t, r.Review(now, f, edit(func(h *forms.Host) { h.Slots = 4 })))
+	assert.NilError(t, r.Review(now, f, edit(func(h *record.HostSpec) { h.Slots = 4 })))
 	assert.Equal(t, d.Stats().Lists, uint64(0))
 	for range 3 {
-		assert.NilError(t, r.Review(now, f, edit(func(h *forms.Host) { h.Open = false })))
+		assert.NilError(t, r.Review(now, f, edit(func(h *record.HostSpec) { h.Open = false })))
 	}
 	assert.Equal(t, d.Stats().Lists, uint64(1))
 	d.SetGone("h1", true)
-	err := r.Review(now.Add(time.Minute), f, edit(func(h *forms.Host) { h.Open = false }))
+	err := r.Review(now.Add(time.Minute), f, edit(func(h *record.HostSpec) { h.Open = false }))
 	assert.Equal(t, rock.ReasonOf(err), rock.BudgetExceeded)
 	d.SetFaults(depot.Faults{HostListDown: true})
-	err = r.Review(now.Add(time.Hour), f, edit(func(h *forms.Host) { h.Open = false }))
+	err = r.Review(now.Add(time.Hour), f, edit(func(h *record.HostSpec) { h.Open = false }))
 	assert.Equal(t, rock.ReasonOf(err), rock.Unavailable)
 }
--- a/io/duty/mover.go
+++ b/io/duty/mover.go
@@ -7,7 +7,6 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/drain"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/move"
 	"bramleyrock/core/record"
 )
@@ -98,7 +97,7 @@
 func pendingMoves(f rock.Fleet) []rock.Record {
 	var pending []rock.Record
 	for _, r := range f.Records(rock.KindMove) {
-		m, err := forms.DecodeMove(r)
+		m, err := record.MoveSpecOf(r)
 		if err != nil || !m.State.Ended() || m.State == record.MoveCancelled && closedFor(f, m.Host, r.Key()) {
 			pending = append(pending, r)
 		}
@@ -112,6 +111,6 @@
 	if !ok {
 		return false
 	}
-	h, err := forms.DecodeHost(r)
+	h, err := record.HostSpecOf(r)
 	return err == nil && h.ClosedBy == key.String()
 }
--- a/io/duty/onepool_test.go
+++ b/io/duty/onepool_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	rock "bramleyrock"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/record"
 	"bramleyrock/core/trace"
 	"bramleyrock/io/duty"
@@ -160,7 +159,7 @@
 	f, _ := s.book.Fleet()
 	var moving []string
 	for _, r := range f.Records(rock.KindMove) {
-		if m, err := forms.DecodeMove(r); err != nil || !m.State.Ended() {
+		if m, err := record.MoveSpecOf(r); err != nil || !m.State.Ended() {
 			moving = append(moving, fmt.Sprintf("%s: %s", r.Key(), m.State))
 		}
 	}
@@ -210,16 +209,16 @@
 	at, name := c.At(), e.Key().Name()
 	switch e.Key().Kind() {
 	case rock.KindMove:
-		if m, err := forms.DecodeMove(*e.To()); err == nil {
+		if m, err := record.MoveSpecOf(*e.To()); err == nil {
 			log.Add(trace.Event{At: at, Kind: trace.MoveState, Move: name, Host: m.Host, Pool: m.From, To: m.To, State: string(m.State)})
 		}
 	case rock.KindWave:
-		if w, err := forms.DecodeWave(*e.To()); err == nil {
+		if w, err := record.WaveSpecOf(*e.To()); err == nil {
 			log.Add(trace.Event{At: at, Kind: trace.WaveState, Wave: name, State: string(w.State)})
 		}
 	case rock.KindHost:
-		was, _ := forms.DecodeHost(*e.From())
-		is, _ := forms.DecodeHost(*e.To())
+		was, _ := record.HostSpecOf(*e.From())
+		is, _ := record.HostSpecOf(*e.To())
 		switch {
 		case was.Open && !is.Open:
 			log.Add(trace.Event{At: at, Kind: trace.HostClosed, Host: name})
@@ -324,7 +323,7 @@
 	f, _ := s.book.Fleet()
 	moved := map[string]uint64{}
 	for _, r := range f.Records(rock.KindMove) {
-		if m, err := forms.DecodeMove(r); err == nil && m.State == record.MoveDone {
+		if m, err := record.MoveSpecOf(r); err == nil && m.State == record.MoveDone {
 			moved[m.Host]++
 		}
 	}
--- a/io/duty/planner.go
+++ b/io/duty/planner.go
@@ -6,7 +6,6 @@
 	"time"
 
 	rock "bramleyrock"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/plan"
 	"bramleyrock/core/record"
 )
@@ -53,9 +52,9 @@
 func (p *planner) ask(ctx context.Context, now time.Time, turn Turn, m plan.Move) error {
 	h, _ := turn.Fleet.Host(m.Host())
 	name := fmt.Sprintf("plan-%s-%d", m.Host(), h.Generation())
-	r, err := forms.Encode(rock.NewRecord(rock.NewKey(rock.KindMove, name), 1, 0, nil), forms.Move{
+	r, err := record.Encode(rock.NewKey(rock.KindMove, name), 0, record.NewMove(record.MoveSpec{
 		Host: m.Host(), From: m.From(), To: m.To(), State: record.MoveWanted, Since: now.UTC(),
-	})
+	}))
 	if err != nil {
 		return err
 	}
--- a/io/duty/planner_test.go
+++ b/io/duty/planner_test.go
@@ -8,8 +8,8 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/budget"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/plan"
+	"bramleyrock/core/record"
 	"bramleyrock/io/duty"
 	"bramleyrock/io/fakes/crew"
 	"bramleyrock/io/fakes/depot"
@@ -57,7 +57,7 @@
 			moves := f.Records(rock.KindMove)
 			assert.Equal(t, len(moves), c.moves)
 			if c.apply {
-				m, err := forms.DecodeMove(moves[0])
+				m, err := record.MoveSpecOf(moves[0])
 				assert.NilError(t, err)
 				assert.Equal(t, m.From+" "+m.To, "tins lids")
 				return
--- a/io/duty/runner_test.go
+++ b/io/duty/runner_test.go
@@ -8,7 +8,6 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/budget"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/group"
 	"bramleyrock/core/record"
 	"bramleyrock/io/duty"
@@ -81,7 +80,7 @@
 func moveState(b *fleet.Book) record.MoveState {
 	f, _ := b.Fleet()
 	r, _ := f.Record(rock.NewKey(rock.KindMove, "m1"))
-	m, _ := forms.DecodeMove(r)
+	m, _ := record.MoveSpecOf(r)
 	return m.State
 }
 
--- a/io/duty/slope_test.go
+++ b/io/duty/slope_test.go
@@ -8,9 +8,9 @@
 	rock "bramleyrock"
 	"bramleyrock/core/budget"
 	"bramleyrock/core/drain"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/move"
 	"bramleyrock/core/plan"
+	"bramleyrock/core/record"
 	"bramleyrock/core/wave"
 	"bramleyrock/io/fakes/fleet"
 
@@ -99,7 +99,7 @@
 	eachSize(b, func(b *testing.B, s *slope, f rock.Fleet) {
 		view := drain.NewView(s.entries, s.hosts, nil)
 		r, _ := f.Record(rock.NewKey(rock.KindWave, "w1"))
-		var cache forms.Cache
+		var cache record.HostCache
 		var steps []wave.Step
 		for b.Loop() {
 			p := wave.Plan{Now: siteStart, Fleet: f, Zone: "z1", View: view, Room: s.reviewer.Room(siteStart, f), Cache: &cache}
@@ -114,10 +114,10 @@
 func BenchmarkReview(b *testing.B) {
 	eachSize(b, func(b *testing.B, s *slope, f rock.Fleet) {
 		from, _ := f.Record(rock.NewKey(rock.KindHost, "h0001"))
-		h, err := forms.DecodeHost(from)
+		h, err := record.HostSpecOf(from)
 		assert.NilError(b, err)
 		h.Open, h.ClosedBy = false, "wave/w1"
-		to, err := forms.Encode(from, h)
+		to, err := record.Rewrite(from, h)
 		assert.NilError(b, err)
 		edits := []rock.Edit{rock.NewEdit(from.Key(), &from, &to)}
 		all := rock.Reviewers{move.Reviewer{}, wave.Reviewer{}, s.reviewer}
--- a/io/duty/wave_test.go
+++ b/io/duty/wave_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	rock "bramleyrock"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/record"
 	"bramleyrock/core/trace"
 	"bramleyrock/core/wave"
@@ -180,10 +179,10 @@
 	t.Helper()
 	f, _ := s.book.Fleet()
 	r, _ := f.Record(rock.NewKey(rock.KindWave, "w1"))
-	w, err := forms.DecodeWave(r)
+	w, err := record.WaveSpecOf(r)
 	assert.NilError(t, err)
 	w.State = state
-	r, err = forms.Encode(r, w)
+	r, err = record.Rewrite(r, w)
 	assert.NilError(t, err)
 	_, err = s.book.Change(context.Background(), s.now, rock.Proposal{ID: fmt.Sprint(state, r.Version()), Records: []rock.Record{r}})
 	assert.NilError(t, err)
@@ -220,7 +219,7 @@
 	taken := 0
 	for _, h := range s.hosts() {
 		r, _ := f.Record(rock.NewKey(rock.KindHost, h.Name()))
-		if b, err := forms.DecodeHost(r); err == nil && concerned[h.Pool()] && b.Maintenance != nil {
+		if b, err := record.HostSpecOf(r); err == nil && concerned[h.Pool()] && b.Maintenance != nil {
 			taken++
 		}
 	}
--- a/io/duty/waver.go
+++ b/io/duty/waver.go
@@ -8,7 +8,6 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/drain"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/record"
 	"bramleyrock/core/wave"
 )
@@ -23,7 +22,7 @@
 	// behind is the revision of the own latest change.
 	behind   rock.Revision
 	memory   drain.Memory
-	cache    forms.Cache
+	cache    record.HostCache
 	rebooted map[string]time.Time
 	// active is the waves that may have a next step at the revision seen.
 	active []rock.Record
@@ -108,7 +107,7 @@
 func activeWaves(f rock.Fleet, zone string) []rock.Record {
 	var active []rock.Record
 	for _, r := range f.Records(rock.KindWave) {
-		w, err := forms.DecodeWave(r)
+		w, err := record.WaveSpecOf(r)
 		if err != nil {
 			continue
 		}
--- a/io/duty/wavesite_test.go
+++ b/io/duty/wavesite_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	rock "bramleyrock"
-	"bramleyrock/core/forms"
 	"bramleyrock/core/record"
 	"bramleyrock/core/wave"
 )
@@ -138,7 +137,7 @@
 func (s *waveSite) state() record.WaveState {
 	f, _ := s.book.Fleet()
 	r, _ := f.Record(rock.NewKey(rock.KindWave, "w1"))
-	w, _ := forms.DecodeWave(r)
+	w, _ := record.WaveSpecOf(r)
 	return w.State
 }
 
