--- a/io/books/settings.go
+++ b/io/books/settings.go
@@ -1,12 +1,13 @@
 package books
 
 import (
-	"io"
 	"time"
 
 	rock "bramleyrock"
 	"bramleyrock/core/record"
 
+	"bramleyrock/io/logs"
+
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 )
@@ -65,9 +66,7 @@
 // withDefaults returns s with the defaults in place of what is not set.
 func (s Settings) withDefaults() Settings {
 	if s.Log == nil {
-		l := logrus.New()
-		l.SetOutput(io.Discard)
-		s.Log = l
+		s.Log = logs.Discard()
 	}
 	s.Log = s.Log.WithField("part", "books")
 	if s.Scope == nil {
--- a/io/duty/settings.go
+++ b/io/duty/settings.go
@@ -1,7 +1,6 @@
 package duty
 
 import (
-	"io"
 	"time"
 
 	rock "bramleyrock"
@@ -10,6 +9,8 @@
 	"bramleyrock/core/plan"
 	"bramleyrock/core/wave"
 
+	"bramleyrock/io/logs"
+
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 )
@@ -70,9 +71,7 @@
 		s.Scope = tally.NoopScope
 	}
 	if s.Log == nil {
-		quiet := logrus.New()
-		quiet.SetOutput(io.Discard)
-		s.Log = quiet
+		s.Log = logs.Discard()
 	}
 	return s
 }
--- a/io/jobs/settings.go
+++ b/io/jobs/settings.go
@@ -1,10 +1,12 @@
 package jobs
 
 import (
-	"io"
 	"time"
 
 	"github.com/google/uuid"
+
+	"bramleyrock/io/logs"
+
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
@@ -86,9 +88,7 @@
 		s.Now = time.Now
 	}
 	if s.Log == nil {
-		silent := logrus.New()
-		silent.SetOutput(io.Discard)
-		s.Log = silent
+		s.Log = logs.Discard()
 	}
 	if s.Scope == nil {
 		s.Scope = tally.NoopScope
--- a/io/oper/handler.go
+++ b/io/oper/handler.go
@@ -1,13 +1,12 @@
 package oper
 
 import (
-	"io"
 	"net/http"
 
 	rock "bramleyrock"
 	"bramleyrock/io/probl"
 
-	"github.com/sirupsen/logrus"
+	"bramleyrock/io/logs"
 )
 
 // handler answers the operator door.
@@ -24,9 +23,7 @@
 		s.ChangeTimeout = defaultChangeTimeout
 	}
 	if s.Log == nil {
-		l := logrus.New()
-		l.SetOutput(io.Discard)
-		s.Log = l
+		s.Log = logs.Discard()
 	}
 	s.Log = s.Log.WithField("part", "oper")
 	h := &handler{settings: s}
--- a/io/roster/settings.go
+++ b/io/roster/settings.go
@@ -1,9 +1,10 @@
 package roster
 
 import (
-	"io"
 	"time"
 
+	"bramleyrock/io/logs"
+
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
@@ -65,9 +66,7 @@
 		s.Now = time.Now
 	}
 	if s.Log == nil {
-		silent := logrus.New()
-		silent.SetOutput(io.Discard)
-		s.Log = silent
+		s.Log = logs.Discard()
 	}
 	if s.Scope == nil {
 		s.Scope = tally.NoopScope
