--- a/io/front/front.go
+++ b/io/front/front.go
@@ -7,6 +7,7 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/io/auth"
 	"bramleyrock/io/probl"
 )
 
@@ -54,7 +55,7 @@
 
 // request runs one request of a caller.
 func (d *door) request(w http.ResponseWriter, r *http.Request) error {
-	fleet, id, err := d.caller(r)
+	fleet, id, err := auth.Caller(d.settings.Fleet, r)
 	if err != nil {
 		return err
 	}
--- a/io/front/keys.go
+++ b/io/front/keys.go
@@ -5,6 +5,7 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/io/auth"
 )
 
 // keysCall is the JSON form of a request for idempotency keys.
@@ -20,7 +21,7 @@
 
 // keys issues idempotency keys to a caller.
 func (d *door) keys(w http.ResponseWriter, r *http.Request) error {
-	_, id, err := d.caller(r)
+	_, id, err := auth.Caller(d.settings.Fleet, r)
 	if err != nil {
 		return err
 	}
--- a/io/jobs/access.go
+++ b/io/jobs/access.go
@@ -3,40 +3,20 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"time"
 
 	rock "bramleyrock"
 	"bramleyrock/core/job"
+	"bramleyrock/io/auth"
 )
 
 // retryQuota is the wait that is suggested to a caller over its quota.
 const retryQuota = 5 * time.Second
 
-// caller returns the configuration in force and who calls.
-func (s *Jobs) caller(r *http.Request) (rock.Fleet, rock.Identity, error) {
-	fleet, ok := s.settings.Fleet.Fleet()
-	if !ok {
-		return nil, rock.Identity{}, rock.Fail("authenticate", "caller", rock.Unavailable, rock.NotRun).RetryIn(time.Second).Becausef("no configuration is known yet")
-	}
-	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok || token == "" {
-		return nil, rock.Identity{}, rock.Fail("authenticate", "caller", rock.Unauthenticated, rock.NotRun).Becausef("header Authorization: want \"Bearer TOKEN\"")
-	}
-	id, err := fleet.Authenticate(token)
-	if err != nil {
-		return nil, rock.Identity{}, rock.Fail("authenticate", "caller", rock.Unauthenticated, rock.NotRun).Because(err)
-	}
-	if id.Role() != rock.CallerRole || id.Organisation() == "" {
-		return nil, rock.Identity{}, rock.Fail("authorise", "caller", rock.Forbidden, rock.NotRun).Becausef("role %s: want %s of an organisation", id.Role(), rock.CallerRole)
-	}
-	return fleet, id, nil
-}
-
 // own returns the job that the request names, if it is the caller's. Another
 // organisation's job is refused in the same words as one that does not exist.
 func (s *Jobs) own(r *http.Request) (job.Job, uint64, error) {
-	_, id, err := s.caller(r)
+	_, id, err := auth.Caller(s.settings.Fleet, r)
 	if err != nil {
 		return job.Job{}, 0, err
 	}
--- a/io/jobs/handler.go
+++ b/io/jobs/handler.go
@@ -7,6 +7,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/job"
+	"bramleyrock/io/auth"
 	"bramleyrock/io/probl"
 )
 
@@ -58,7 +59,7 @@
 }
 
 func (s *Jobs) serveSubmit(w http.ResponseWriter, r *http.Request) error {
-	fleet, id, err := s.caller(r)
+	fleet, id, err := auth.Caller(s.settings.Fleet, r)
 	if err != nil {
 		return err
 	}
