--- a/cmd/bramleyrock/commands.go
+++ b/cmd/bramleyrock/commands.go
@@ -6,6 +6,7 @@
 func (a *app) commands() []*cobra.Command {
 	return []*cobra.Command{
 		a.entry(),
+		a.hosted(),
 		a.trial(),
 		a.get(),
 		a.apply(),
--- /dev/null
+++ b/core/cell/cell.go
@@ -0,0 +1,270 @@
+package cell
+
+import (
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/eject"
+	"bramleyrock/core/works"
+)
+
+// Cell is the state of a cell. It is not safe for concurrent use.
+type Cell struct {
+	settings Settings
+	queues   map[string]works.Queue
+	jobs     map[string]*job
+	workers  map[string]*worker
+	former   map[string]bool
+	watch    *eject.Watch
+	times    map[timeKey]*runTime
+	// orphans are stops of runs that belong to no live task.
+	orphans []*run
+	fenced  bool
+	// quickFlush is set once something waits that a caller wants to see.
+	dirtySince time.Time
+	urgent     bool
+	ended      []*job
+	settled    bool
+	// dropped lists workers whose rows are to be deleted.
+	dropped []string
+	notes   []Note
+	stats   Stats
+}
+
+// New returns a cell that knows nothing yet.
+func New(s Settings) *Cell {
+	c := &Cell{
+		settings: s,
+		queues:   map[string]works.Queue{},
+		jobs:     map[string]*job{},
+		workers:  map[string]*worker{},
+		former:   map[string]bool{},
+		watch:    eject.NewWatch(eject.Settings{}),
+		times:    map[timeKey]*runTime{},
+	}
+	for _, id := range s.Former {
+		c.former[id] = true
+	}
+	return c
+}
+
+// Note is a change of what the cell believes, for the log.
+type Note struct {
+	// What names the change, such as "run lost".
+	What string
+	// Job, Task and Worker name what it is about; some may be empty.
+	Job    string
+	Task   string
+	Worker string
+	// Run is the number of the run, or 0.
+	Run int64
+	// Detail gives the inputs that decided.
+	Detail string
+}
+
+func (c *Cell) note(what string, r *run, detail string) {
+	n := Note{What: what, Detail: detail}
+	if r != nil {
+		n.Task, n.Worker, n.Run = r.key, r.worker.id(), r.number
+		if r.task != nil {
+			n.Job = r.task.step.job.ID
+		}
+	}
+	c.notes = append(c.notes, n)
+}
+
+// Notes returns the changes of belief since the last call.
+func (c *Cell) Notes() []Note {
+	n := c.notes
+	c.notes = nil
+	return n
+}
+
+// Fenced reports whether a worker refused an order because it has seen a
+// newer owner.
+func (c *Cell) Fenced() bool { return c.fenced }
+
+// SetQueues puts the configured queues in force. Jobs keep the queue that
+// they were accepted with if it is no longer configured.
+func (c *Cell) SetQueues(queues []works.Queue) {
+	clear(c.queues)
+	for _, q := range queues {
+		c.queues[q.Name] = q
+	}
+	for _, j := range c.jobs {
+		if q, ok := c.queues[j.Queue]; ok {
+			j.queue = q
+		}
+	}
+}
+
+// defaultQueue stands for a queue that is not configured any more. It gives
+// its tasks the fewest attempts of the sheets.
+var defaultQueue = works.Queue{Attempts: 2, Stretch: 2, Objective: time.Second}
+
+// AddJob adds an accepted job whose row has that version. A job that is known
+// is ignored.
+func (c *Cell) AddJob(now time.Time, j works.Job, version uint64) {
+	if c.jobs[j.ID] != nil {
+		return
+	}
+	q, ok := c.queues[j.Queue]
+	if !ok {
+		q = defaultQueue
+		q.Name = j.Queue
+	}
+	c.jobs[j.ID] = newJob(now, j, q, version)
+}
+
+// AddProgress puts the stored progress of a job in force.
+func (c *Cell) AddProgress(id string, p works.Progress) {
+	if j := c.jobs[id]; j != nil {
+		j.restore(p)
+		c.settleJob(j)
+	}
+}
+
+// Cancel ends a job at its caller's wish.
+func (c *Cell) Cancel(now time.Time, id string) {
+	j := c.jobs[id]
+	if j == nil {
+		return
+	}
+	j.cancel = true
+	if !j.state.Ended() {
+		c.endJob(now, j, works.Cancelled, "cancelled by the caller")
+	}
+}
+
+// endJob gives the job its final state and stops what still runs.
+func (c *Cell) endJob(now time.Time, j *job, s works.State, why string) {
+	j.state = s
+	c.ended = append(c.ended, j)
+	c.touch(now, true)
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			if t.current != nil {
+				c.stop(t.current, why)
+			}
+		}
+	}
+	c.notes = append(c.notes, Note{What: "job " + string(s), Job: j.ID, Detail: why})
+}
+
+// touch notes that something waits to be written.
+func (c *Cell) touch(now time.Time, urgent bool) {
+	if c.dirtySince.IsZero() {
+		c.dirtySince = now
+	}
+	c.urgent = c.urgent || urgent
+}
+
+// settleJob ends a job whose tasks are all done.
+func (c *Cell) settleJob(j *job) {
+	if j.left == 0 && !j.state.Ended() {
+		c.endJob(j.arrival, j, works.Completed, "all tasks are done")
+	}
+}
+
+// stop asks for the end of a run.
+func (c *Cell) stop(r *run, why string) {
+	if r.state == stopping {
+		return
+	}
+	r.state, r.why = stopping, why
+	r.orderedAt, r.answeredAt = time.Time{}, time.Time{}
+	c.orphans = append(c.orphans, r)
+}
+
+// SetWorkers tells which workers of the pool are registered.
+func (c *Cell) SetWorkers(now time.Time, list []rock.Worker) {
+	listed := map[string]bool{}
+	for _, s := range list {
+		if s.Pool != c.settings.Pool {
+			continue
+		}
+		listed[s.ID] = true
+		w := c.workers[s.ID]
+		if w == nil {
+			w = &worker{Worker: s, clock: s.Clock, clockAt: s.ReadAt, runs: map[runKey]*run{}, health: c.watch.Join(s.ID), born: s.Born, answeredAt: now, recorded: c.former[s.ID]}
+			if !w.recorded {
+				c.touch(now, true)
+			}
+			w.rack = rackOf(s.Labels)
+			c.workers[s.ID] = w
+		}
+		if w.State != s.State {
+			c.notes = append(c.notes, Note{What: "worker " + string(s.State), Worker: s.ID})
+		}
+		if w.gone && s.Born.After(w.born) {
+			w.gone, w.born, w.handled, w.stored = false, s.Born, 0, 0
+			w.clock, w.clockAt, w.maxUntil = s.Clock, s.ReadAt, 0
+		}
+		w.Worker, w.listed = s, true
+	}
+	for id, w := range c.workers {
+		if listed[id] {
+			continue
+		}
+		w.listed = false
+		if len(w.runs) == 0 && (w.gone || w.fenced || c.settled) {
+			delete(c.workers, id)
+			c.watch.Leave(id)
+			c.dropped = append(c.dropped, id)
+			c.touch(now, false)
+		}
+	}
+}
+
+// rackOf returns the label that names the rack; the kind comes first.
+func rackOf(labels []string) string {
+	if len(labels) > 1 {
+		return labels[len(labels)-1]
+	}
+	return ""
+}
+
+// Workers returns the workers that are to be asked for reports, by id.
+func (c *Cell) Workers() map[string]rock.Worker {
+	all := make(map[string]rock.Worker, len(c.workers))
+	for id, w := range c.workers {
+		if !w.gone {
+			all[id] = w.Worker
+		}
+	}
+	return all
+}
+
+// HoldOrder returns the next order to hold for a worker, and false if the
+// worker is not to be asked any more.
+func (c *Cell) HoldOrder(now time.Time, id string, wait time.Duration) (rock.Worker, rock.HoldOrder, bool) {
+	w := c.workers[id]
+	if w == nil || w.gone {
+		return rock.Worker{}, rock.HoldOrder{}, false
+	}
+	return w.Worker, rock.HoldOrder{Until: w.until(now, c.settings.Hold), Fence: c.settings.Fence, SeenUpTo: w.stored, Wait: wait}, true
+}
+
+// settle reports whether all that a former owner started is accounted for.
+func (c *Cell) settle(now time.Time) bool {
+	if c.settled {
+		return true
+	}
+	if now.After(c.settings.SettledAt) {
+		c.settled = true
+		return true
+	}
+	for id := range c.former {
+		if w := c.workers[id]; w == nil || !w.fenced && !w.gone {
+			return false
+		}
+	}
+	for _, w := range c.workers {
+		if !w.fenced && !w.gone {
+			return false
+		}
+	}
+	c.settled = true
+	c.notes = append(c.notes, Note{What: "takeover settled", Detail: "all workers answered"})
+	return true
+}
--- /dev/null
+++ b/core/cell/decide.go
@@ -0,0 +1,358 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/rank"
+	"bramleyrock/core/works"
+)
+
+// Decide returns the orders to give now.
+func (c *Cell) Decide(now time.Time) []Order {
+	c.expire(now)
+	orders := c.repeat(now, nil)
+	settled := c.settle(now)
+	return c.place(now, settled, orders)
+}
+
+// repeat returns the stops to give, and repeats unanswered orders.
+func (c *Cell) repeat(now time.Time, orders []Order) []Order {
+	c.orphans = slices.DeleteFunc(c.orphans, func(r *run) bool { return r.worker.runs[r.id()] != r })
+	for _, r := range c.orphans {
+		if r.inFlight || now.Sub(r.orderedAt) < resendInterval || r.worker.silent {
+			continue
+		}
+		if !r.answeredAt.IsZero() && now.Sub(r.orderedAt) < c.settings.Stop+resendInterval {
+			continue
+		}
+		orders = append(orders, c.stopOrder(now, r))
+	}
+	for _, w := range c.workers {
+		if w.silent || w.gone {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.state == starting && !r.inFlight && now.Sub(r.orderedAt) >= resendInterval {
+				orders = append(orders, c.startOrder(now, r))
+			}
+		}
+	}
+	return orders
+}
+
+func (c *Cell) stopOrder(now time.Time, r *run) Order {
+	r.orderedAt, r.inFlight = now, true
+	o := Order{
+		Kind: OrderStop, Worker: r.worker.Worker, Why: r.why, run: r,
+		Stop: rock.StopOrder{Task: r.key, Run: r.number, Fence: c.settings.Fence},
+	}
+	if r.task != nil {
+		o.Job, o.Queue = r.task.step.job.ID, r.task.step.job.Queue
+	}
+	return o
+}
+
+func (c *Cell) startOrder(now time.Time, r *run) Order {
+	r.orderedAt, r.inFlight = now, true
+	j := r.task.step.job
+	return Order{
+		Kind: OrderStart, Worker: r.worker.Worker, run: r, Job: j.ID, Queue: j.Queue,
+		Start: rock.StartOrder{
+			Task: r.key, Run: r.number, Payload: j.Spec.Payload, Until: r.worker.until(now, c.settings.Hold),
+			Fence: c.settings.Fence, Checkpoint: r.task.checkpoint,
+		},
+	}
+}
+
+// candidate is a job with tasks that may start, and its rank.
+type candidate struct {
+	job  *job
+	rank rank.Rank
+}
+
+// candidates returns the jobs with tasks that may start, best first.
+func (c *Cell) candidates(now time.Time, settled bool) []candidate {
+	var list []candidate
+	for _, j := range c.jobs {
+		if j.state.Ended() || !settled && j.version <= c.settings.KnownVersion {
+			continue
+		}
+		list = append(list, candidate{j, rank.Of(now, c.work(j))})
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		if n := a.rank.Compare(b.rank); n != 0 {
+			return n
+		}
+		if a.job.ID < b.job.ID {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// work describes the job for its rank.
+func (c *Cell) work(j *job) rank.Work {
+	chain := c.chain(j)
+	w := rank.Work{
+		Accepted: j.Accepted, Priority: j.queue.Priority, Left: chain,
+		Begun: j.begun, Lasting: j.Spec.Lasting(),
+		Objective: j.queue.Objective, Stretch: j.queue.Stretch,
+	}
+	n := len(j.Spec.Steps)
+	ends := make([]time.Duration, n)
+	for i, s := range j.steps[:n] {
+		var before time.Duration
+		for _, a := range s.After {
+			before = max(before, ends[a])
+		}
+		e := c.expect(s)
+		ends[i] = before + e
+		w.Chain = max(w.Chain, ends[i])
+		w.Size += float64(s.left) * float64(s.Need.MilliCores) / 1000 * e.Seconds()
+	}
+	if j.Spec.Times > 0 {
+		w.Accepted = j.nextDue()
+	}
+	return w
+}
+
+// nextDue returns when the first occurrence that is not done was due.
+func (j *job) nextDue() time.Time {
+	n := len(j.Spec.Steps)
+	for i, s := range j.steps {
+		if s.left > 0 {
+			return j.Spec.Due(i / n)
+		}
+	}
+	return j.Accepted
+}
+
+// place starts as many tasks as there is room for.
+func (c *Cell) place(now time.Time, settled bool, orders []Order) []Order {
+	usable := c.usable(now)
+	if len(usable) == 0 {
+		return orders
+	}
+	for _, k := range c.candidates(now, settled) {
+		for _, s := range k.job.steps {
+			if s.left == 0 || !s.ready(now) {
+				continue
+			}
+			if s.Gang {
+				orders = c.placeGang(now, s, usable, orders)
+				continue
+			}
+			orders = c.placeStep(now, s, usable, orders)
+		}
+	}
+	return orders
+}
+
+func (c *Cell) usable(now time.Time) []*worker {
+	var list []*worker
+	for _, w := range c.workers {
+		if w.usable(now) {
+			list = append(list, w)
+		}
+	}
+	slices.SortFunc(list, func(a, b *worker) int {
+		if a.id() < b.id() {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// placeStep starts the step's waiting tasks where there is room.
+func (c *Cell) placeStep(now time.Time, s *step, usable []*worker, orders []Order) []Order {
+	for _, t := range s.tasks {
+		if t.done || t.current != nil || !c.mayTry(now, t) {
+			continue
+		}
+		w := c.choose(now, t, usable)
+		if w == nil {
+			return orders
+		}
+		orders = append(orders, c.start(now, t, w, c.nextRun(t)))
+	}
+	return orders
+}
+
+// restartDelay is the time before a lasting task that ended is started again,
+// so that one which fails at once does not take up the worker's time.
+const restartDelay = 100 * time.Millisecond
+
+func (c *Cell) mayTry(now time.Time, t *task) bool {
+	return !t.step.Lasting || t.endedAt.IsZero() || now.Sub(t.endedAt) >= restartDelay
+}
+
+// nextRun returns the number of the task's next run: above all of this owner
+// and of all former ones.
+func (c *Cell) nextRun(t *task) int64 {
+	return max(t.lastRun+1, int64(c.settings.Fence)*runsPerFence)
+}
+
+// start begins a run of the task on the worker.
+func (c *Cell) start(now time.Time, t *task, w *worker, number int64) Order {
+	t.lastRun = number
+	r := &run{key: t.key, number: number, task: t, worker: w, room: t.step.Room(), state: starting}
+	t.current = r
+	w.add(r)
+	c.stats.Started++
+	return c.startOrder(now, r)
+}
+
+// placeGang starts all members of a gang at once, or none.
+func (c *Cell) placeGang(now time.Time, s *step, usable []*worker, orders []Order) []Order {
+	var number int64
+	for _, t := range s.tasks {
+		if t.current != nil {
+			return orders // members of the last run are not gone yet
+		}
+		number = max(number, c.nextRun(t))
+	}
+	chosen := make([]*worker, 0, len(s.tasks))
+	for _, t := range s.tasks {
+		w := c.choose(now, t, usable)
+		if w == nil {
+			break
+		}
+		w.used = w.used.Add(s.Room())
+		chosen = append(chosen, w)
+	}
+	for _, w := range chosen {
+		w.used = w.used.Sub(s.Room())
+	}
+	if len(chosen) < len(s.tasks) {
+		return orders
+	}
+	saved := gangCheckpoint(s)
+	for i, t := range s.tasks {
+		t.checkpoint = saved
+		orders = append(orders, c.start(now, t, chosen[i], number))
+	}
+	return orders
+}
+
+// gangCheckpoint returns a saved state of the gang's last run.
+func gangCheckpoint(s *step) string {
+	for _, t := range s.tasks {
+		if t.checkpoint != "" {
+			return t.checkpoint
+		}
+	}
+	return ""
+}
+
+// choose returns the best worker for a task, or nil.
+func (c *Cell) choose(now time.Time, t *task, usable []*worker) *worker {
+	s := t.step
+	need := s.Room()
+	var best *worker
+	var bestCost float64
+	for _, w := range usable {
+		if !w.free().Holds(need) || !w.has(s.Label) || now.Before(w.restUntil) {
+			continue
+		}
+		if w.health.Limit(now, maxSlots) <= len(w.runs) {
+			continue
+		}
+		if s.MaxPerWorker > 0 && c.countOn(w, s) >= s.MaxPerWorker {
+			continue
+		}
+		cost := c.cost(now, t, w)
+		if best == nil || cost < bestCost {
+			best, bestCost = w, cost
+		}
+	}
+	return best
+}
+
+// maxSlots is more than a worker ever runs, so that only the room and the
+// health of a worker limit it.
+const maxSlots = 1 << 16
+
+// cost returns how bad a worker is for a task: its expected slowdown, and its
+// load.
+func (c *Cell) cost(now time.Time, t *task, w *worker) float64 {
+	cost := w.pace.value(now)
+	if t.step.Rack != "" && w.rack != t.step.Rack {
+		cost *= max(1, c.settings.Far)
+	}
+	if w.id() == t.failedOn {
+		cost += 1
+	}
+	if w.Room.MilliCores > 0 {
+		cost += loadWeight * float64(w.used.MilliCores) / float64(w.Room.MilliCores)
+	}
+	return cost
+}
+
+// loadWeight is the cost of a full worker against an empty one, in units of
+// the slowdown: it only orders workers of about the same speed.
+const loadWeight = 0.3
+
+// countOn returns the number of the step's runs on a worker.
+func (c *Cell) countOn(w *worker, s *step) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task != nil && r.task.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+// Load returns what the cell has to do and with what.
+func (c *Cell) Load(now time.Time) Load {
+	l := Load{Waiting: map[string]int{}}
+	for _, j := range c.jobs {
+		if j.state.Ended() {
+			continue
+		}
+		if !j.begun && j.Spec.Times == 0 {
+			l.Waiting[j.Queue]++
+		}
+		if !j.Spec.Lasting() {
+			l.Work += c.work(j).Size
+		}
+	}
+	for _, w := range c.workers {
+		if w.usable(now) {
+			l.Cores += float64(w.Room.MilliCores) / 1000
+		}
+	}
+	return l
+}
+
+// Load is the load of a cell.
+type Load struct {
+	// Waiting is the number of jobs of each queue that have not begun.
+	Waiting map[string]int
+	// Work is the expected work that is left, in core-seconds.
+	Work float64
+	// Cores is the capacity of the usable workers.
+	Cores float64
+}
+
+// Stats counts what the cell did.
+type Stats struct {
+	Started int64
+	Refused int64
+}
+
+// Stats returns the counts since the cell was made.
+func (c *Cell) Stats() Stats { return c.stats }
+
+// State returns the state of a live job.
+func (c *Cell) State(id string) (works.State, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	return j.state, true
+}
--- /dev/null
+++ b/core/cell/flush.go
@@ -0,0 +1,136 @@
+package cell
+
+import (
+	"time"
+
+	"bramleyrock/core/works"
+)
+
+// Write is what is to be written about one job.
+type Write struct {
+	ID string
+	// Ended is true if the job's rows are replaced by its outcome.
+	Ended   bool
+	Outcome works.Outcome
+	// Progress is written otherwise.
+	Progress works.Progress
+	// HadProgress and HadCancel tell which rows of the job exist.
+	HadProgress bool
+	HadCancel   bool
+}
+
+// Batch is a set of writes that belong in one transaction.
+type Batch struct {
+	Writes []Write
+	// NewWorkers and OldWorkers name workers whose rows are to be written and
+	// to be deleted.
+	NewWorkers []string
+	OldWorkers []string
+
+	seen  map[string]int64
+	ended []*job
+	more  bool
+}
+
+// FlushDue reports whether there is something to write now.
+func (c *Cell) FlushDue(now time.Time) bool {
+	return !c.dirtySince.IsZero() && (c.urgent || now.Sub(c.dirtySince) >= flushDelay)
+}
+
+// Flush returns what is to be written. Until [Cell.Flushed] or
+// [Cell.FlushFailed] is called, it must not be called again.
+func (c *Cell) Flush(now time.Time) *Batch {
+	b := &Batch{seen: map[string]int64{}}
+	for len(c.ended) > 0 && len(b.Writes) < maxWrites {
+		j := c.ended[0]
+		c.ended = c.ended[1:]
+		j.dirty = false
+		b.ended = append(b.ended, j)
+		b.Writes = append(b.Writes, Write{
+			ID: j.ID, Ended: true, Outcome: works.Outcome{State: j.state, At: now},
+			HadProgress: j.stored, HadCancel: j.cancel,
+		})
+	}
+	b.more = len(c.ended) > 0
+	for _, j := range c.jobs {
+		if !j.dirty || j.state.Ended() {
+			continue
+		}
+		if len(b.Writes) >= maxWrites {
+			b.more = true
+			break
+		}
+		j.dirty, j.stored = false, true
+		b.Writes = append(b.Writes, Write{ID: j.ID, Progress: j.progress()})
+	}
+	c.flushWorkers(b)
+	if !b.more {
+		for id, w := range c.workers {
+			b.seen[id] = w.handled
+		}
+		c.dirtySince, c.urgent = time.Time{}, false
+	}
+	return b
+}
+
+// maxWorkerWrites bounds the rows of workers in a batch.
+const maxWorkerWrites = 20
+
+// flushWorkers adds the rows of workers to the batch.
+func (c *Cell) flushWorkers(b *Batch) {
+	n := min(len(c.dropped), maxWorkerWrites)
+	b.OldWorkers = c.dropped[:n:n]
+	c.dropped = c.dropped[n:]
+	b.more = b.more || len(c.dropped) > 0
+	for id, w := range c.workers {
+		if w.recorded {
+			continue
+		}
+		if len(b.NewWorkers)+len(b.OldWorkers) >= maxWorkerWrites {
+			b.more = true
+			return
+		}
+		b.NewWorkers = append(b.NewWorkers, id)
+	}
+}
+
+// Flushed notes that the batch is stored.
+func (c *Cell) Flushed(_ time.Time, b *Batch) {
+	for id, n := range b.seen {
+		if w := c.workers[id]; w != nil && n <= w.handled {
+			w.stored = max(w.stored, n)
+		}
+	}
+	for _, id := range b.NewWorkers {
+		if w := c.workers[id]; w != nil {
+			w.recorded = true
+		}
+	}
+	for _, j := range b.ended {
+		c.forget(j)
+	}
+}
+
+// FlushFailed notes that the batch was not stored, as far as is known.
+func (c *Cell) FlushFailed(now time.Time, b *Batch) {
+	c.ended = append(b.ended, c.ended...)
+	c.dropped = append(b.OldWorkers, c.dropped...)
+	for _, w := range b.Writes {
+		if j := c.jobs[w.ID]; j != nil && !w.Ended {
+			j.dirty = true
+		}
+	}
+	c.touch(now, len(c.ended) > 0)
+}
+
+// forget drops an ended job. What it still runs is stopped without it.
+func (c *Cell) forget(j *job) {
+	delete(c.jobs, j.ID)
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if t.current != nil {
+				t.current.task = nil
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/cell/job.go
@@ -0,0 +1,146 @@
+package cell
+
+import (
+	"time"
+
+	"bramleyrock/core/works"
+)
+
+// job is a live job.
+type job struct {
+	works.Job
+	queue   works.Queue
+	version uint64
+	steps   []*step
+	// left is the number of tasks that are not done.
+	left   int
+	begun  bool
+	state  works.State
+	dirty  bool
+	stored bool // a progress row exists
+	cancel bool // a cancel row exists
+	// arrival is when the cell heard of the job.
+	arrival time.Time
+}
+
+// step is one occurrence of a step of a job.
+type step struct {
+	*works.Step
+	job        *job
+	occurrence int
+	number     int
+	tasks      []*task
+	left       int
+	// failures and counted are those of a gang as a whole.
+	failures int
+	// away is the number of running tasks, kept for gangs.
+	placed int
+}
+
+// task is one task of a step.
+type task struct {
+	name     works.TaskName
+	key      string
+	step     *step
+	done     bool
+	failures int
+	// counted is the last run whose end is counted.
+	counted    int64
+	checkpoint string
+	current    *run
+	lastRun    int64
+	// failedOn is the worker on which the last run failed.
+	failedOn string
+	// endedAt is when the last run ended.
+	endedAt time.Time
+}
+
+// newJob returns the live form of an accepted job.
+func newJob(now time.Time, j works.Job, q works.Queue, version uint64) *job {
+	l := &job{Job: j, queue: q, version: version, state: works.Queued, arrival: now}
+	for k := range l.Spec.Occurrences() {
+		for i := range l.Spec.Steps {
+			l.steps = append(l.steps, newStep(l, k, i))
+		}
+	}
+	return l
+}
+
+func newStep(j *job, occurrence, number int) *step {
+	s := &step{Step: &j.Spec.Steps[number], job: j, occurrence: occurrence, number: number}
+	for i := range s.Count {
+		n := works.TaskName{Job: j.ID, Occurrence: occurrence, Step: number, Index: i}
+		s.tasks = append(s.tasks, &task{name: n, key: n.String(), step: s})
+	}
+	s.left = s.Count
+	j.left += s.Count
+	return s
+}
+
+// step returns an occurrence of a step, or nil.
+func (j *job) step(occurrence, number int) *step {
+	n := len(j.Spec.Steps)
+	if number < 0 || number >= n || occurrence < 0 || occurrence >= j.Spec.Occurrences() {
+		return nil
+	}
+	return j.steps[occurrence*n+number]
+}
+
+// ready reports whether the step's tasks may start.
+func (s *step) ready(now time.Time) bool {
+	if due := s.job.Spec.Due(s.occurrence); now.Before(due) {
+		return false
+	}
+	for _, a := range s.After {
+		if s.job.step(s.occurrence, a).left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// finish marks the task as done.
+func (t *task) finish() {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.step.left--
+	t.step.job.left--
+	t.step.job.dirty = true
+}
+
+// progress returns what is known of the job's tasks.
+func (j *job) progress() works.Progress {
+	p := works.Progress{Begun: j.begun}
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if t.done || t.failures > 0 || t.counted > 0 {
+				p.Tasks = append(p.Tasks, works.TaskProgress{
+					Occurrence: s.occurrence, Step: s.number, Index: t.name.Index,
+					Done: t.done, Failures: t.failures, Run: t.counted, Checkpoint: t.checkpoint,
+				})
+			}
+		}
+	}
+	return p
+}
+
+// restore puts stored progress in force.
+func (j *job) restore(p works.Progress) {
+	j.begun = j.begun || p.Begun
+	j.stored = true
+	for _, r := range p.Tasks {
+		s := j.step(r.Occurrence, r.Step)
+		if s == nil || r.Index < 0 || r.Index >= len(s.tasks) {
+			continue
+		}
+		t := s.tasks[r.Index]
+		t.failures, t.counted, t.checkpoint = r.Failures, r.Run, r.Checkpoint
+		t.lastRun = r.Run
+		if r.Done {
+			t.finish()
+		}
+	}
+	j.dirty = false
+}
--- /dev/null
+++ b/core/cell/settings.go
@@ -0,0 +1,53 @@
+package cell
+
+import "time"
+
+// Settings holds the parameters of a [Cell].
+type Settings struct {
+	// Pool is the pool whose workers the cell orders.
+	Pool string
+	// Fence is the owner's epoch. It grows with every change of owners.
+	Fence uint64
+	// KnownVersion is the version of the platform's table at which the former
+	// owner could not start anything any more. It may have started tasks of
+	// jobs that were stored before.
+	KnownVersion uint64
+	// Hold is the lease that workers are given.
+	Hold time.Duration
+	// SettledAt is when the last lease that a former owner gave has passed on
+	// every worker's clock. The zero time means that there was none.
+	SettledAt time.Time
+	// Former lists the workers to which a former owner gave orders.
+	Former []string
+	// Stop is the time that a stop takes at most.
+	Stop time.Duration
+	// Far is how many times longer work takes away from its data.
+	Far float64
+	// Early is how long before its time a task may start.
+	Early time.Duration
+}
+
+const (
+	// clockRate is the least rate of a worker's clock: the platform states
+	// that it may be 2 % slow, with a margin for the reading of clocks.
+	clockRate = 0.975
+	// resendInterval is the time between repeats of an unanswered order,
+	// several times the way to the farthest worker.
+	resendInterval = 250 * time.Millisecond
+	// fullRest is how long a worker that had no room is not asked again,
+	// about as long as it takes for one of its tasks to end.
+	fullRest = 60 * time.Millisecond
+	// busyRest is how long an unhealthy worker is not asked again.
+	busyRest = 500 * time.Millisecond
+	// quietLimit is how long a worker may be silent before it is given no
+	// new work: a waiting hold order is answered within less.
+	quietLimit = 1500 * time.Millisecond
+	// flushDelay is how long progress that ends no job may wait for more, far
+	// below the 3 s in which it must be visible.
+	flushDelay = 80 * time.Millisecond
+	// maxWrites bounds the jobs in a batch, so that its rows and conditions
+	// stay below the platform's 100 in a transaction.
+	maxWrites = 18
+	// runsPerFence is the number of run numbers that belong to a fence.
+	runsPerFence = 1 << 12
+)
--- /dev/null
+++ b/core/cell/worker.go
@@ -0,0 +1,86 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/eject"
+)
+
+// worker is what the cell knows of a worker.
+type worker struct {
+	rock.Worker
+	// listed is true while the worker is registered.
+	listed bool
+	// fenced is true once the worker answered under the cell's fence.
+	fenced bool
+	// gone is true once another life answered in its place.
+	gone bool
+	// clockAt is when the reading of Clock arrived.
+	clock   time.Duration
+	clockAt time.Time
+	// maxUntil is the latest end of a lease that was sent, on its clock.
+	maxUntil time.Duration
+	// answeredAt is when the worker last answered, silent whether the last
+	// order had no answer.
+	answeredAt time.Time
+	silent     bool
+	restUntil  time.Time
+	used       rock.Room
+	runs       map[runKey]*run
+	// recorded is true once a row tells that the cell orders the worker.
+	recorded bool
+	// handled is the last end that was taken in, stored the last that needs
+	// no more writes.
+	handled int64
+	stored  int64
+	born    time.Time
+	health  *eject.Host
+	rack    string
+	pace    pace
+}
+
+func (w *worker) id() string { return w.Worker.ID }
+
+// until returns the end of a lease of length hold on the worker's clock.
+func (w *worker) until(now time.Time, hold time.Duration) time.Duration {
+	u := w.clock + now.Sub(w.clockAt) + hold
+	w.maxUntil = max(w.maxUntil, u)
+	return u
+}
+
+// lapsed reports whether every lease that was sent has passed for certain.
+func (w *worker) lapsed(now time.Time) bool {
+	atLeast := w.clock + time.Duration(clockRate*float64(now.Sub(w.clockAt)))
+	return atLeast > w.maxUntil
+}
+
+// usable reports whether the worker may be given new work.
+func (w *worker) usable(now time.Time) bool {
+	return w.listed && w.fenced && w.recorded && !w.gone && !w.silent && w.State == rock.WorkerReady &&
+		!now.Before(w.restUntil) && now.Sub(w.answeredAt) < quietLimit
+}
+
+// free returns the worker's free room.
+func (w *worker) free() rock.Room { return w.Room.Sub(w.used) }
+
+// add counts a run.
+func (w *worker) add(r *run) {
+	w.runs[r.id()] = r
+	w.used = w.used.Add(r.room)
+}
+
+// remove stops counting a run.
+func (w *worker) remove(r *run) {
+	if w.runs[r.id()] == r {
+		delete(w.runs, r.id())
+		w.used = w.used.Sub(r.room)
+	}
+	if r.task != nil && r.task.current == r {
+		r.task.current = nil
+	}
+}
+
+// has reports whether the worker carries the label.
+func (w *worker) has(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
--- /dev/null
+++ b/core/rank/doc.go
@@ -0,0 +1,14 @@
+// Package rank orders the jobs that wait for room.
+//
+// The load it answers: a queue whose demand rises to several times what its
+// pool holds for some seconds and falls to almost nothing after. While it
+// lasts, not all jobs can be completed within their objective, so those that
+// still can go first, and the others are completed in the calm that follows.
+//
+// # Usage
+//
+//	r := rank.Of(now, rank.Work{Accepted: accepted, Left: left, ...})
+//	if r.Compare(other) < 0 {
+//		// r goes first.
+//	}
+package rank
--- /dev/null
+++ b/core/rank/rank.go
@@ -0,0 +1,90 @@
+package rank
+
+import (
+	"cmp"
+	"time"
+)
+
+// Work describes a job that waits.
+type Work struct {
+	// Accepted is when the job was accepted.
+	Accepted time.Time
+	// Priority orders queues; 0 comes first.
+	Priority int
+	// Chain is the longest chain of the job's work, Left that of what is not
+	// done.
+	Chain time.Duration
+	Left  time.Duration
+	// Size is the work that is left, in core-seconds.
+	Size float64
+	// Objective and Stretch give the time in which the job should be
+	// completed: Stretch times the chain, and Objective more.
+	Objective time.Duration
+	Stretch   float64
+	// Begun is true once a task has started.
+	Begun bool
+	// Lasting is true for a job that runs until it is cancelled.
+	Lasting bool
+}
+
+// Class is what can still be won with a job.
+type Class int
+
+// The classes, best first.
+const (
+	// Lasting jobs earn while they run.
+	Lasting Class = iota
+	// InTime is work that can be completed within its objective.
+	InTime
+	// Late is work that can be completed within three times its objective.
+	Late
+	// Hopeless is work that can only be completed later.
+	Hopeless
+)
+
+// lateFactor times the objective is when a completed job stops being of use,
+// as the users state it.
+const lateFactor = 3
+
+// Rank is the place of a job in the order.
+type Rank struct {
+	class    Class
+	priority int
+	key      time.Time
+}
+
+// Bound returns the time in which the work should be completed.
+func (w Work) Bound() time.Duration {
+	return time.Duration(max(1, w.Stretch)*float64(w.Chain)) + w.Objective
+}
+
+// Of returns the rank of the work at that time.
+func Of(now time.Time, w Work) Rank {
+	if w.Lasting {
+		return Rank{class: Lasting, priority: w.Priority, key: w.Accepted}
+	}
+	finish := now.Add(w.Left)
+	due := w.Accepted.Add(w.Bound())
+	late := w.Accepted.Add(lateFactor * w.Bound())
+	switch {
+	case !finish.After(due):
+		return Rank{class: InTime, priority: w.Priority, key: due.Add(-w.Left)}
+	case !finish.After(late):
+		return Rank{class: Late, priority: w.Priority, key: late.Add(-w.Left)}
+	}
+	return Rank{class: Hopeless, priority: w.Priority, key: w.Accepted}
+}
+
+// Class returns what can still be won.
+func (r Rank) Class() Class { return r.class }
+
+// Compare returns a negative number if r goes before o.
+func (r Rank) Compare(o Rank) int {
+	if n := cmp.Compare(r.class, o.class); n != 0 {
+		return n
+	}
+	if n := cmp.Compare(r.priority, o.priority); n != 0 {
+		return n
+	}
+	return r.key.Compare(o.key)
+}
--- /dev/null
+++ b/core/tenure/tenure.go
@@ -0,0 +1,86 @@
+package tenure
+
+import "time"
+
+const (
+	// ActFor is how long an owner may act after it sent its last successful
+	// renewal: four renewals, and the 0.6 s that one takes in a slow spell of
+	// the platform.
+	ActFor = 2000 * time.Millisecond
+	// TakeAfter is how long a challenger must see no renewal: ActFor, and a
+	// tenth more for clocks that differ.
+	TakeAfter = 2300 * time.Millisecond
+	// BeatInterval is the time between renewals of an idle owner.
+	BeatInterval = 400 * time.Millisecond
+)
+
+// Action is what an entry should do about a cell.
+type Action string
+
+// The actions.
+const (
+	// Wait means that another entry owns the cell, or may.
+	Wait Action = "wait"
+	// Take means that the cell has no owner.
+	Take Action = "take"
+)
+
+// Owner is who owns a cell, as its row tells.
+type Owner struct {
+	// Name names the entry, and Session one life of its process. An empty
+	// name means that the last owner gave the cell up.
+	Name    string `cbor:"1,keyasint"`
+	Session string `cbor:"2,keyasint"`
+}
+
+// Tenure is what a challenger knows of a cell's ownership.
+type Tenure struct {
+	owner        Owner
+	ownerVersion uint64
+	beatVersion  uint64
+	changedAt    time.Time
+	known        bool
+}
+
+// Saw notes what the rows of the cell hold. Versions of rows that do not exist
+// are 0.
+func (t *Tenure) Saw(now time.Time, owner Owner, ownerVersion, beatVersion uint64) {
+	if t.known && ownerVersion <= t.ownerVersion && beatVersion <= t.beatVersion {
+		return
+	}
+	if ownerVersion >= t.ownerVersion {
+		t.owner, t.ownerVersion = owner, ownerVersion
+	}
+	t.beatVersion = max(t.beatVersion, beatVersion)
+	t.changedAt, t.known = now, true
+}
+
+// Known reports whether the rows were read.
+func (t *Tenure) Known() bool { return t.known }
+
+// Owner returns who owns the cell.
+func (t *Tenure) Owner() Owner { return t.owner }
+
+// Versions returns the versions of the rows.
+func (t *Tenure) Versions() (owner, beat uint64) { return t.ownerVersion, t.beatVersion }
+
+// Next returns what the entry that is me should do. The platform has answered
+// it since that time. Delay spreads the challengers, so that the least loaded
+// is first.
+func (t *Tenure) Next(now time.Time, me Owner, answeredSince time.Time, delay time.Duration) Action {
+	if !t.known || answeredSince.IsZero() {
+		return Wait
+	}
+	idle := now.Sub(t.changedAt)
+	switch {
+	case t.owner.Name == "":
+		if idle >= delay {
+			return Take
+		}
+	case t.owner.Name == me.Name && t.owner.Session != me.Session:
+		return Take // the former life of this process is over
+	case idle >= TakeAfter+delay && now.Sub(answeredSince) >= TakeAfter/2:
+		return Take
+	}
+	return Wait
+}
--- /dev/null
+++ b/core/works/progress.go
@@ -0,0 +1,74 @@
+package works
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Progress is how far a live job has come, as its row keeps it.
+type Progress struct {
+	// Begun is true once a task has started.
+	Begun bool `cbor:"1,keyasint,omitempty"`
+	// Tasks holds what is known of the tasks that have come anywhere, by
+	// occurrence, step and index.
+	Tasks []TaskProgress `cbor:"2,keyasint,omitempty"`
+}
+
+// TaskProgress is how far one task has come.
+type TaskProgress struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int
+	Done       bool
+	// Failures is the number of runs that failed.
+	Failures int
+	// Run is the last run whose end is counted.
+	Run int64
+	// Checkpoint is the last saved state.
+	Checkpoint string
+}
+
+// Outcome is the end of a job, as its row keeps it.
+type Outcome struct {
+	State State     `cbor:"1,keyasint"`
+	At    time.Time `cbor:"2,keyasint"`
+}
+
+// EncodeProgress returns the value of a progress row.
+func EncodeProgress(p Progress) ([]byte, error) {
+	data, err := modes.Marshal(p)
+	if err != nil {
+		return nil, fmt.Errorf("encode progress: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeProgress returns the progress in a row's value.
+func DecodeProgress(data []byte) (Progress, error) {
+	var p Progress
+	if err := cbor.Unmarshal(data, &p); err != nil {
+		return Progress{}, fmt.Errorf("decode progress: %w", err)
+	}
+	return p, nil
+}
+
+// EncodeOutcome returns the value of an outcome row.
+func EncodeOutcome(o Outcome) ([]byte, error) {
+	data, err := modes.Marshal(o)
+	if err != nil {
+		return nil, fmt.Errorf("encode outcome: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeOutcome returns the outcome in a row's value.
+func DecodeOutcome(data []byte) (Outcome, error) {
+	var o Outcome
+	if err := cbor.Unmarshal(data, &o); err != nil {
+		return Outcome{}, fmt.Errorf("decode outcome: %w", err)
+	}
+	return o, nil
+}
--- /dev/null
+++ b/core/works/state.go
@@ -0,0 +1,16 @@
+package works
+
+// State is the state of a job as callers see it.
+type State string
+
+// The states of a job.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Ended reports whether the state is final.
+func (s State) Ended() bool { return s == Completed || s == Failed || s == Cancelled }
--- /dev/null
+++ b/core/works/step.go
@@ -0,0 +1,54 @@
+package works
+
+import (
+	"time"
+
+	rock "bramleyrock"
+)
+
+// Step is a number of like tasks of a job.
+type Step struct {
+	// Count is the number of tasks.
+	Count int `cbor:"1,keyasint"`
+	// Need is what a task takes of its worker.
+	Need rock.Room `cbor:"2,keyasint"`
+	// Estimate is the caller's rough estimate of a task's duration.
+	Estimate time.Duration `cbor:"3,keyasint,omitempty"`
+	// After lists the earlier steps all of whose tasks must be done first.
+	After []int `cbor:"4,keyasint,omitempty"`
+	// Checkpoints is true if the tasks save their progress.
+	Checkpoints bool `cbor:"5,keyasint,omitempty"`
+	// Gang is true if the tasks work only together.
+	Gang bool `cbor:"6,keyasint,omitempty"`
+	// SameRack is true if a gang is slow on more than one rack.
+	SameRack bool `cbor:"7,keyasint,omitempty"`
+	// Label is a label that the worker must have, or "".
+	Label string `cbor:"8,keyasint,omitempty"`
+	// Rack is the rack that holds the data, or "".
+	Rack string `cbor:"9,keyasint,omitempty"`
+	// MaxPerWorker bounds the tasks of the step on one worker; 0 means no
+	// bound.
+	MaxPerWorker int `cbor:"10,keyasint,omitempty"`
+	// Speculative is true if copies of a task may run at the same time.
+	Speculative bool `cbor:"11,keyasint,omitempty"`
+	// Lasting is true if the tasks run until the job is cancelled.
+	Lasting bool `cbor:"12,keyasint,omitempty"`
+	// Image names what the tasks run; tasks of an image behave alike.
+	Image string `cbor:"13,keyasint,omitempty"`
+	// Target is the bound of the tail of a lasting task's response times.
+	Target time.Duration `cbor:"14,keyasint,omitempty"`
+	// Fills is true if the tasks use the processor time that others leave.
+	Fills bool `cbor:"15,keyasint,omitempty"`
+	// MayMiss is how many tasks of a lasting step may be away at the same
+	// time through acts of the system; a negative number means any.
+	MayMiss int `cbor:"16,keyasint"`
+}
+
+// Room returns what a task is counted with on its worker.
+func (s *Step) Room() rock.Room {
+	n := s.Need
+	if s.Fills {
+		n.MilliCores = 0
+	}
+	return n
+}
--- /dev/null
+++ b/hostduties.go
@@ -0,0 +1,46 @@
+package rock
+
+import "context"
+
+// HostPhase is what the platform says of a host.
+type HostPhase string
+
+// The phases of a host.
+const (
+	HostUp         HostPhase = "up"
+	HostMoving     HostPhase = "moving"
+	HostInUpkeep   HostPhase = "upkeep"
+	HostDown       HostPhase = "down"
+	HostPhaseOther HostPhase = "other"
+)
+
+// FleetHost is a host as the platform lists it.
+type FleetHost struct {
+	Name   string
+	Pool   string
+	Phase  HostPhase
+	Zone   string
+	Labels []string
+	Room   Room
+	// Worker is the id of the worker on the host, or "".
+	Worker string
+}
+
+// Holder identifies who orders a change of a host.
+type Holder struct {
+	// Name is the entry's name.
+	Name string
+	// Token grows whenever the duty changes hands.
+	Token uint64
+}
+
+// HostDuties changes hosts through the platform. A reply says whether the
+// order was taken; an error with verdict [MayHaveRun] leaves it open.
+type HostDuties interface {
+	// Hosts lists all hosts.
+	Hosts(ctx context.Context) ([]FleetHost, error)
+	// Move puts a host into another pool and ends all that runs on it.
+	Move(ctx context.Context, by Holder, host, pool string) (Reply, error)
+	// Maintain begins a host's maintenance and ends all that runs on it.
+	Maintain(ctx context.Context, by Holder, host string, wave int64) (Reply, error)
+}
--- /dev/null
+++ b/io/logs/bounded.go
@@ -0,0 +1,78 @@
+package logs
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+)
+
+// Bounded is a writer that never blocks: lines wait in a queue of bounded
+// length for a slower writer, and those that find it full are counted and
+// dropped.
+type Bounded struct {
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewBounded returns a writer with room for that many lines.
+func NewBounded(lines int) *Bounded {
+	return &Bounded{lines: make(chan []byte, lines)}
+}
+
+// Write implements [io.Writer]. It takes one line a call and never fails.
+func (b *Bounded) Write(line []byte) (int, error) {
+	select {
+	case b.lines <- append([]byte(nil), line...):
+	default:
+		b.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines dropped.
+func (b *Bounded) Dropped() int64 { return b.dropped.Load() }
+
+// Copy writes the lines to w until ctx ends and none is left.
+func (b *Bounded) Copy(ctx context.Context, w io.Writer) error {
+	for {
+		select {
+		case line := <-b.lines:
+			if err := b.copyAll(w, line); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			select {
+			case line := <-b.lines:
+				return b.copyAll(w, line)
+			default:
+				return nil
+			}
+		}
+	}
+}
+
+// maxCopy bounds the bytes of a write, the size of a pipe's buffer.
+const maxCopy = 64 << 10
+
+// copyAll writes the line and those that wait, many in a write.
+func (b *Bounded) copyAll(w io.Writer, line []byte) error {
+	for {
+		for len(line) < maxCopy {
+			select {
+			case next := <-b.lines:
+				line = append(line, next...)
+				continue
+			default:
+			}
+			break
+		}
+		if _, err := w.Write(line); err != nil {
+			return err
+		}
+		select {
+		case line = <-b.lines:
+		default:
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/io/site/beat.go
@@ -0,0 +1,25 @@
+package site
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// beat is the value of a cell's renewal row: the load of the cell, so that
+// every entry can tell callers of it.
+type beat struct {
+	// Waiting is the number of jobs of each queue that have not begun.
+	Waiting map[string]int `cbor:"1,keyasint,omitempty"`
+	// Work is the work that is left in core-seconds, Cores the capacity.
+	Work  float64 `cbor:"2,keyasint,omitempty"`
+	Cores float64 `cbor:"3,keyasint,omitempty"`
+}
+
+func encode(v any) ([]byte, error) {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", v, err)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/io/site/desk.go
@@ -0,0 +1,242 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/works"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// submitRetry is the time before a refused write of a job is repeated.
+	submitRetry = 40 * time.Millisecond
+	// submitPatience is how long a job is held while the platform refuses the
+	// write: a short burst of refusals, a fraction of any objective.
+	submitPatience = 250 * time.Millisecond
+	// storeRest is the Retry-After while the platform does not answer: its
+	// outages last for seconds.
+	storeRest = time.Second
+	// readyPatience is how long the platform may be silent before the entry
+	// asks the balancer for no more connections.
+	readyPatience = time.Second
+)
+
+// Find returns the queue of a call and what follows its prefix.
+func (s *Site) Find(host, path string) (works.Queue, string, error) {
+	c := s.view.current()
+	if c == nil {
+		return works.Queue{}, "", rock.Fail("find queue", host+path, rock.Unavailable, rock.NotRun).RetryIn(storeRest).Becausef("no configuration has been read")
+	}
+	q, rest, ok := c.Find(host, path)
+	if !ok {
+		return q, "", rock.Fail("find queue", host+path, rock.NotFound, rock.NotRun)
+	}
+	return q, rest, nil
+}
+
+// MaxBody returns the greatest size of a body in bytes.
+func (s *Site) MaxBody() int64 {
+	if c := s.view.current(); c != nil {
+		return c.MaxBody
+	}
+	return 0
+}
+
+// Ready returns nil if the entry should be given new connections.
+func (s *Site) Ready() error {
+	now := s.now()
+	s.view.mu.Lock()
+	defer s.view.mu.Unlock()
+	switch {
+	case s.view.stopping:
+		return fmt.Errorf("the entry is stopping")
+	case s.view.config == nil:
+		return fmt.Errorf("no configuration has been read")
+	case s.view.answeredSince.IsZero() && now.Sub(s.view.answeredAt) > readyPatience:
+		return fmt.Errorf("the platform's table does not answer")
+	}
+	return nil
+}
+
+// Submit stores a job.
+func (s *Site) Submit(ctx context.Context, q works.Queue, id string, spec works.Spec) error {
+	begun := s.now()
+	cell := cellOf(q.Pool)
+	value, err := works.EncodeJob(works.Job{ID: id, Queue: q.Name, Accepted: begun, Spec: spec})
+	if err != nil {
+		return rock.Fail("submit", "job "+id, rock.BadInput, rock.NotRun).Because(err)
+	}
+	var t rock.Transaction
+	name := jobTable(cell)
+	t.Require(key(name, cell, id+jobSuffix), 0)
+	t.Require(key(name, cell, id+outcomeSuffix), 0)
+	t.Put(key(name, cell, id+jobSuffix), value)
+	version, tries, err := s.store(ctx, begun, t)
+	took := s.now().Sub(begun)
+	s.meters.submitTime.RecordDuration(took)
+	line := s.log.WithFields(logrus.Fields{
+		"job": id, "queue": q.Name, "cell": cell, "config": s.configVersion(), "took_ms": took.Milliseconds(), "tries": tries,
+		"steps": len(spec.Steps),
+	})
+	switch {
+	case err == nil:
+		s.meters.submitted.Inc(1)
+		line.WithField("row_version", version).Info("Job accepted.")
+		return nil
+	case rock.ReasonOf(err) == rock.Conflict:
+		line.Info("Job was accepted before.")
+		return nil
+	case rock.VerdictOf(err) == rock.NotRun:
+		s.meters.refused.Inc(1)
+		line.WithError(err).Info("Job refused.")
+		return rock.Fail("submit", "job "+id, rock.Unavailable, rock.NotRun).RetryIn(storeRest).Because(err)
+	}
+	s.meters.unsettled.Inc(1)
+	line.WithError(err).Info("Job may be accepted.")
+	return err
+}
+
+func (s *Site) configVersion() int64 {
+	if c := s.view.current(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// store makes a write whose conditions hold only once, again and again until
+// its outcome is known or ctx ends. It says that the write was not made only
+// if none of its tries can have been.
+func (s *Site) store(ctx context.Context, begun time.Time, t rock.Transaction) (version uint64, tries int, err error) {
+	var open error
+	for {
+		tries++
+		version, err = s.settings.Store.Apply(ctx, t)
+		if ctx.Err() == nil {
+			s.heard(err)
+		}
+		switch {
+		case err == nil || rock.ReasonOf(err) == rock.Conflict:
+			return version, tries, err
+		case rock.VerdictOf(err) != rock.NotRun:
+			open = err
+		case open == nil && s.now().Sub(begun) > submitPatience:
+			return 0, tries, err
+		}
+		if pause(ctx, submitRetry) != nil {
+			if open != nil {
+				return 0, tries, open
+			}
+			return 0, tries, err
+		}
+	}
+}
+
+// rows are the rows of a job.
+type rows struct {
+	job, progress, outcome *rock.Row
+}
+
+// readJob reads the rows of a job.
+func (s *Site) readJob(ctx context.Context, q works.Queue, id string) (rows, error) {
+	cell := cellOf(q.Pool)
+	// The suffixes sort between a slash and the character after it.
+	c, err := s.settings.Store.List(ctx, jobTable(cell), cell, id+"/", id+"0")
+	if ctx.Err() == nil {
+		s.heard(err)
+	}
+	var r rows
+	if err != nil {
+		return r, rock.Fail("read", "job "+id, rock.Unavailable, rock.NotRun).RetryIn(storeRest).Because(err)
+	}
+	for i := range c.Rows {
+		row := &c.Rows[i]
+		_, name := splitKey(row.Key())
+		switch _, suffix := splitJobName(name); suffix {
+		case jobSuffix:
+			r.job = row
+		case progressSuffix:
+			r.progress = row
+		case outcomeSuffix:
+			r.outcome = row
+		}
+	}
+	return r, nil
+}
+
+// State returns the state of a job.
+func (s *Site) State(ctx context.Context, q works.Queue, id string) (works.State, error) {
+	r, err := s.readJob(ctx, q, id)
+	switch {
+	case err != nil:
+		s.log.WithError(err).WithField("job", id).Info("State is not known.")
+		return "", err
+	case r.outcome != nil:
+		o, err := works.DecodeOutcome(r.outcome.Value())
+		if err != nil {
+			return "", rock.Fail("read", "job "+id, rock.Internal, rock.MayHaveRun).Because(err)
+		}
+		return o.State, nil
+	case r.progress != nil:
+		return works.Running, nil
+	case r.job != nil:
+		return works.Queued, nil
+	}
+	s.log.WithField("job", id).WithField("queue", q.Name).Info("No such job.")
+	return "", rock.Fail("read", "job "+id, rock.Expired, rock.NotRun)
+}
+
+// Cancel ends a job.
+func (s *Site) Cancel(ctx context.Context, q works.Queue, id string) error {
+	line := s.log.WithField("job", id).WithField("queue", q.Name)
+	for {
+		r, err := s.readJob(ctx, q, id)
+		if err != nil {
+			if pause(ctx, submitRetry) != nil {
+				line.WithError(err).Info("Cancellation refused.")
+				return err
+			}
+			continue
+		}
+		if r.outcome != nil {
+			line.Info("Cancellation of an ended job.")
+			return nil
+		}
+		if r.job == nil {
+			line.Info("Cancellation of an unknown job.")
+			return rock.Fail("cancel", "job "+id, rock.Expired, rock.NotRun)
+		}
+		cell := cellOf(q.Pool)
+		var t rock.Transaction
+		t.Require(r.job.Key(), r.job.Version())
+		t.Put(key(jobTable(cell), cell, id+cancelSuffix), []byte{1})
+		_, err = s.settings.Store.Apply(ctx, t)
+		if ctx.Err() == nil {
+			s.heard(err)
+		}
+		if err == nil {
+			line.Info("Job cancelled.")
+			return nil
+		}
+		if pause(ctx, submitRetry) != nil {
+			line.WithError(err).Info("Job may be cancelled.")
+			return err
+		}
+	}
+}
+
+// Waiting returns the number of the queue's jobs that have not begun, as the
+// cell's owner last told.
+func (s *Site) Waiting(_ context.Context, q works.Queue) (int, error) {
+	n, known := 0, false
+	s.view.withCell(cellOf(q.Pool), func(c *cellView) {
+		n, known = c.beat.Waiting[q.Name], !c.beatAt.IsZero()
+	})
+	if !known {
+		return 0, rock.Fail("count", "queue "+q.Name, rock.Unavailable, rock.NotRun).RetryIn(storeRest).Becausef("the owner of the queue has not told yet")
+	}
+	return n, nil
+}
--- /dev/null
+++ b/io/site/doc.go
@@ -0,0 +1,25 @@
+// Package site runs an entry on the users' platform: it answers callers,
+// follows the configuration and the workers, and owns cells.
+//
+// Any entry stores a job, cancels it and tells its state, with rows of the
+// platform's table alone. The owner of a cell follows the rows of its jobs,
+// orders the cell's workers and writes how far the jobs have come. Entries do
+// not talk to one another: the table's feed tells an owner of a new job in
+// about the time that a message of its own would take, and needs no second
+// path that can fail.
+//
+// Rows, with the cell as the part of the table:
+//
+//	cells  owner     who owns the cell
+//	cells  beat      the last renewal, with the cell's load
+//	cells  w/ID      a worker to which the cell's owner may have given orders
+//	jobs-N ID/j      an accepted job
+//	jobs-N ID/c      the caller's wish to end it
+//	jobs-N ID/s      its progress
+//	jobs-N ID/d      its outcome, in place of the others
+//
+// # Usage
+//
+//	s := site.New(site.Settings{Name: name, Store: store, Workers: workers, ...})
+//	err := s.Run(ctx)
+package site
--- /dev/null
+++ b/io/site/follow.go
@@ -0,0 +1,250 @@
+package site
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/tenure"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// feedWait is how long a call waits for a change. A connection that has
+	// gone silent is noticed within this and the client's slack.
+	feedWait = 2 * time.Second
+	// feedRetry is the time before a failed call is repeated.
+	feedRetry = 100 * time.Millisecond
+	// cellPoll is the time between readings of the cells' renewals, of which
+	// each cell makes one in tenure.BeatInterval.
+	cellPoll = 250 * time.Millisecond
+)
+
+// table follows a table: it lists rows, then takes in every change. It lists
+// them again whenever the changes are no longer kept.
+type table struct {
+	name string
+	// list reads the rows and returns the version from which to follow.
+	list func(ctx context.Context) (uint64, error)
+	// take takes in changes.
+	take func(rows []rock.Row)
+	// gap is the time between calls, so that many changes come at once.
+	gap time.Duration
+}
+
+// follow follows the table until ctx ends.
+func (s *Site) follow(ctx context.Context, t table) error {
+	var version uint64
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			version, err = t.list(ctx)
+			listed = err == nil
+		} else {
+			var c rock.Changes
+			c, err = s.settings.Store.Changes(ctx, t.name, version, feedWait)
+			if err == nil {
+				version = max(version, c.Version)
+				if len(c.Rows) > 0 {
+					t.take(c.Rows)
+				}
+			}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		s.heard(err)
+		wait := t.gap
+		if err != nil {
+			wait = max(wait, feedRetry)
+			if rock.ReasonOf(err) == rock.Expired {
+				listed = false
+				s.log.WithField("table", t.name).Warn("Changes are no longer kept, table is read anew.")
+			}
+		}
+		if err := pause(ctx, wait); err != nil {
+			break
+		}
+	}
+	return ctx.Err()
+}
+
+// followOperator follows the configuration and the waves.
+func (s *Site) followOperator(ctx context.Context) error {
+	name := s.settings.Outside.OperatorTable
+	return s.follow(ctx, table{
+		name: name,
+		list: func(ctx context.Context) (uint64, error) {
+			c, err := s.settings.Store.List(ctx, name, "", "", "")
+			if err != nil {
+				return 0, err
+			}
+			s.takeOperator(c.Rows)
+			return c.Version, nil
+		},
+		take: s.takeOperator,
+	})
+}
+
+func (s *Site) takeOperator(rows []rock.Row) {
+	o := s.settings.Outside
+	for _, r := range rows {
+		_, name := splitKey(r.Key())
+		switch {
+		case !r.Exists():
+		case name == o.ConfigName:
+			s.takeConfig(r)
+		case strings.HasPrefix(name, o.WavePrefix):
+			w, err := o.DecodeWave(r.Value())
+			if err != nil {
+				s.log.WithError(err).WithField("row", r.Key()).Warn("Wave cannot be read.")
+				continue
+			}
+			s.view.mu.Lock()
+			s.view.waves[strings.TrimPrefix(name, o.WavePrefix)] = w
+			s.view.mu.Unlock()
+			s.log.WithField("wave", w.Number).WithField("hosts", len(w.Hosts)).WithField("at_once", w.AtOnce).Info("Wave is wanted.")
+		}
+	}
+	s.view.tell()
+}
+
+func (s *Site) takeConfig(r rock.Row) {
+	c, err := s.settings.Outside.DecodeConfig(r.Value())
+	if err != nil {
+		s.log.WithError(err).WithField("row_version", r.Version()).Error("Configuration cannot be read.")
+		return
+	}
+	if s.view.setConfig(c, r.Version()) {
+		s.log.WithField("version", c.Version).WithField("row_version", r.Version()).WithField("queues", len(c.Queues)).Info("Configuration in force.")
+	}
+}
+
+// followWorkers follows the registrations of workers.
+func (s *Site) followWorkers(ctx context.Context) error {
+	name := s.settings.Outside.WorkerTable
+	return s.follow(ctx, table{
+		name: name,
+		list: func(ctx context.Context) (uint64, error) {
+			c, err := s.settings.Store.List(ctx, name, "", "", "")
+			if err != nil {
+				return 0, err
+			}
+			all := map[string]rock.Worker{}
+			for _, r := range c.Rows {
+				if id, w := s.decodeWorker(r); w != nil {
+					all[id] = *w
+				}
+			}
+			s.view.setWorkers(all)
+			s.view.tell()
+			return c.Version, nil
+		},
+		take: func(rows []rock.Row) {
+			for _, r := range rows {
+				id, w := s.decodeWorker(r)
+				s.view.setWorker(id, w)
+			}
+			s.view.tell()
+		},
+		gap: workerPoll,
+	})
+}
+
+// workerPoll is the time between readings of changed registrations, far below
+// the 2 s after which a draining worker may get no more work.
+const workerPoll = 50 * time.Millisecond
+
+// decodeWorker returns the registration in a row, or nil if it names no worker.
+func (s *Site) decodeWorker(r rock.Row) (string, *rock.Worker) {
+	_, id := splitKey(r.Key())
+	if !r.Exists() {
+		return id, nil
+	}
+	w, err := s.settings.Outside.DecodeWorker(id, r.Value(), s.now())
+	if err != nil {
+		s.log.WithError(err).Warn("Registration names no worker.")
+		return id, nil
+	}
+	return id, &w
+}
+
+// followCells follows who owns the cells.
+func (s *Site) followCells(ctx context.Context) error {
+	return s.follow(ctx, table{
+		name: cellTable,
+		list: func(ctx context.Context) (uint64, error) {
+			var version uint64
+			for s.view.current() == nil {
+				if err := pause(ctx, feedRetry); err != nil {
+					return 0, err
+				}
+			}
+			for i, cell := range s.view.cellNames() {
+				v, err := s.readCell(ctx, cell)
+				if err != nil {
+					return 0, err
+				}
+				if i == 0 {
+					version = v
+				}
+			}
+			return version, nil
+		},
+		take: func(rows []rock.Row) { s.takeCells(rows) },
+		gap:  cellPoll,
+	})
+}
+
+// readCell reads who owns a cell.
+func (s *Site) readCell(ctx context.Context, cell string) (uint64, error) {
+	c, err := s.settings.Store.List(ctx, cellTable, cell, beatName, ownerName+"\x00")
+	if err != nil {
+		return 0, err
+	}
+	s.takeCells(c.Rows)
+	s.view.withCell(cell, func(v *cellView) {
+		if !v.tenure.Known() {
+			v.tenure.Saw(s.now(), tenure.Owner{}, 0, 0)
+		}
+	})
+	return c.Version, nil
+}
+
+// takeCells takes in rows of cells.
+func (s *Site) takeCells(rows []rock.Row) {
+	now := s.now()
+	for _, r := range rows {
+		cell, name := splitKey(r.Key())
+		if !r.Exists() {
+			continue
+		}
+		switch name {
+		case ownerName:
+			var o tenure.Owner
+			if err := cbor.Unmarshal(r.Value(), &o); err != nil {
+				s.log.WithError(err).WithField("cell", cell).Error("Owner of a cell cannot be read.")
+				continue
+			}
+			s.view.withCell(cell, func(v *cellView) {
+				_, b := v.tenure.Versions()
+				v.tenure.Saw(now, o, r.Version(), b)
+			})
+		case beatName:
+			var b beat
+			if err := cbor.Unmarshal(r.Value(), &b); err != nil {
+				s.log.WithError(err).WithField("cell", cell).Error("Renewal of a cell cannot be read.")
+				continue
+			}
+			s.view.withCell(cell, func(v *cellView) {
+				owner := v.tenure.Owner()
+				ov, _ := v.tenure.Versions()
+				v.tenure.Saw(now, owner, ov, r.Version())
+				v.beat, v.beatAt = b, now
+			})
+		}
+	}
+}
--- /dev/null
+++ b/io/site/meters.go
@@ -0,0 +1,51 @@
+package site
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// meters holds the entry's counters and histograms.
+type meters struct {
+	submitted  tally.Counter
+	refused    tally.Counter
+	unsettled  tally.Counter
+	submitTime tally.Histogram
+	started    tally.Counter
+	notStarted tally.Counter
+	stopped    tally.Counter
+	startTime  tally.Histogram
+	commits    tally.Counter
+	conflicts  tally.Counter
+	commitTime tally.Histogram
+	taken      tally.Counter
+	lost       tally.Counter
+	dropped    tally.Gauge
+}
+
+// latencies are the bounds of the buckets of latency histograms, from a call
+// within a zone to the greatest timeout.
+var latencies = tally.DurationBuckets{
+	2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second, 3 * time.Second,
+}
+
+func newMeters(s tally.Scope) meters {
+	return meters{
+		submitted:  s.Counter("jobs_submitted"),
+		refused:    s.Counter("jobs_refused"),
+		unsettled:  s.Counter("jobs_unsettled"),
+		submitTime: s.Histogram("submit_latency", latencies),
+		started:    s.Counter("tasks_started"),
+		notStarted: s.Counter("starts_refused"),
+		stopped:    s.Counter("tasks_stopped"),
+		startTime:  s.Histogram("start_latency", latencies),
+		commits:    s.Counter("commits"),
+		conflicts:  s.Counter("commit_conflicts"),
+		commitTime: s.Histogram("commit_latency", latencies),
+		taken:      s.Counter("cells_taken"),
+		lost:       s.Counter("cells_lost"),
+		dropped:    s.Gauge("log_lines_dropped"),
+	}
+}
--- /dev/null
+++ b/io/site/orders.go
@@ -0,0 +1,148 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/cell"
+)
+
+// give gives orders to workers, each in a goroutine of its own.
+func (o *owner) give(ctx context.Context, orders []cell.Order) {
+	o.logOrders(orders)
+	for _, d := range orders {
+		o.group.Go("order", func(ctx context.Context) error {
+			o.order(ctx, d)
+			return nil
+		})
+	}
+}
+
+// order gives one order and takes in the answer.
+func (o *owner) order(ctx context.Context, d cell.Order) {
+	sent := o.site.now()
+	var p rock.Reply
+	var err error
+	if d.Kind == cell.OrderStart {
+		p, err = o.site.settings.Workers.Start(ctx, d.Worker, d.Start)
+		o.site.meters.startTime.RecordDuration(o.site.now().Sub(sent))
+		o.site.meters.started.Inc(1)
+		if p.Refusal != rock.Taken {
+			o.site.meters.notStarted.Inc(1)
+		}
+	} else {
+		p, err = o.site.settings.Workers.Stop(ctx, d.Worker, d.Stop)
+		o.site.meters.stopped.Inc(1)
+	}
+	o.post(ctx, func(now time.Time) {
+		o.core.Answered(now, d, p, err)
+		if err != nil {
+			o.core.Silent(now, d.Worker.ID, err)
+		}
+		o.changed = true
+	})
+}
+
+// logOrders writes a line for each job with orders.
+func (o *owner) logOrders(orders []cell.Order) {
+	type group struct {
+		job  string
+		kind cell.OrderKind
+		why  string
+	}
+	lines := map[group]*strings.Builder{}
+	var order []group
+	for _, d := range orders {
+		g := group{d.Job, d.Kind, d.Why}
+		b := lines[g]
+		if b == nil {
+			b = &strings.Builder{}
+			lines[g] = b
+			order = append(order, g)
+		}
+		task, run := d.Start.Task, d.Start.Run
+		if d.Kind == cell.OrderStop {
+			task, run = d.Stop.Task, d.Stop.Run
+		}
+		fmt.Fprintf(b, "%s/%d@%s ", strings.TrimPrefix(task, d.Job+"."), run, d.Worker.ID)
+	}
+	for _, g := range order {
+		e := o.log.WithField("job", g.job).WithField("runs", strings.TrimSpace(lines[g].String())).WithField("fence", o.fence)
+		if g.why != "" {
+			e = e.WithField("reason", g.why)
+		}
+		e.Info("Tasks: " + string(g.kind) + ".")
+	}
+}
+
+// poll keeps a goroutine for each worker that asks for its reports.
+func (o *owner) poll() {
+	for id := range o.core.Workers() {
+		if o.pollers[id] {
+			continue
+		}
+		o.pollers[id] = true
+		o.group.Go("hold "+id, func(ctx context.Context) error {
+			o.hold(ctx, id)
+			o.post(ctx, func(time.Time) { delete(o.pollers, id) })
+			return nil
+		})
+	}
+}
+
+// question is the next hold order for a worker.
+type question struct {
+	worker rock.Worker
+	order  rock.HoldOrder
+	known  bool
+	mayAct bool
+}
+
+// hold asks a worker for reports until it is not to be asked any more.
+func (o *owner) hold(ctx context.Context, id string) {
+	answers := make(chan question, 1)
+	wait := time.Duration(0) // the first answer is wanted at once
+	for ctx.Err() == nil {
+		o.post(ctx, func(now time.Time) {
+			q := question{mayAct: now.Before(o.actUntil), known: true}
+			if q.mayAct {
+				q.worker, q.order, q.known = o.core.HoldOrder(now, id, wait)
+			}
+			answers <- q
+		})
+		var q question
+		select {
+		case q = <-answers:
+		case <-ctx.Done():
+			return
+		}
+		if !q.known {
+			return
+		}
+		if !q.mayAct {
+			_ = pause(ctx, holdRetry) // the loop's condition sees the end
+			continue
+		}
+		sent := o.site.now()
+		p, err := o.site.settings.Workers.Hold(ctx, q.worker, q.order)
+		if ctx.Err() != nil {
+			return
+		}
+		o.post(ctx, func(now time.Time) {
+			if err != nil {
+				o.core.Silent(now, id, err)
+			} else {
+				o.core.Report(now, sent, id, p)
+			}
+			o.changed = true
+		})
+		wait = holdWait
+		if err != nil {
+			wait = 0
+			_ = pause(ctx, holdRetry) // the loop's condition sees the end
+		}
+	}
+}
--- /dev/null
+++ b/io/site/owner.go
@@ -0,0 +1,352 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/cell"
+	"bramleyrock/core/group"
+	"bramleyrock/core/tenure"
+	"bramleyrock/core/works"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// maxEvents bounds the events that wait for a cell.
+	maxEvents = 4096
+	// tick is the time between decisions when nothing happens.
+	tick = 50 * time.Millisecond
+	// holdWait is how long a hold order waits for an end. It is a fraction of
+	// the lease, so that a lost answer does not let the lease pass.
+	holdWait = 700 * time.Millisecond
+	// holdRetry is the time before a worker that did not answer is asked
+	// again.
+	holdRetry = 150 * time.Millisecond
+	// loadRetry is the time before a failed reading of a cell is repeated.
+	loadRetry = 50 * time.Millisecond
+	// releaseTimeout bounds the writes with which a cell is given up.
+	releaseTimeout = 1500 * time.Millisecond
+)
+
+// owner owns a cell.
+type owner struct {
+	site  *Site
+	cell  string
+	pool  string
+	table string
+	log   *logrus.Entry
+	core  *cell.Cell
+	group *group.Group
+	// events holds what the goroutines of the owner have to tell.
+	events chan func(now time.Time)
+	// first is true if the cell had no owner before.
+	first bool
+	fence uint64
+	// ownerVersion and beatVersion are the conditions of every write.
+	ownerVersion uint64
+	beatVersion  uint64
+	// actUntil is the time until which the owner may act without another
+	// successful write.
+	actUntil   time.Time
+	committing bool
+	commitAt   time.Time
+	lost       string
+	pollers    map[string]bool
+	changed    bool
+	upkeep     upkeep
+}
+
+// run owns the cell until ctx ends or the cell is lost.
+func (o *owner) run(ctx context.Context) {
+	jobs, err := o.load(ctx)
+	if err != nil {
+		o.log.WithError(err).Warn("Cell cannot be read and is left.")
+		return
+	}
+	o.pollers = map[string]bool{}
+	o.group = group.New(ctx)
+	defer o.site.view.listen(func() { o.post(o.group.Context(), func(now time.Time) { o.refresh(now) }) })()
+	o.refresh(o.site.now())
+	o.group.Go("follow jobs", func(ctx context.Context) error { return o.followJobs(ctx, jobs) })
+	o.group.Go("decide", func(ctx context.Context) error {
+		defer o.group.Stop()
+		return o.loop(ctx)
+	})
+	if err := o.group.Wait(); err != nil {
+		o.log.WithError(err).Error("Owner of the cell ended.")
+	}
+	if o.lost != "" {
+		o.site.meters.lost.Inc(1)
+		o.log.WithField("reason", o.lost).Warn("Cell lost.")
+		return
+	}
+	o.release()
+}
+
+// load reads the cell's rows, and returns the version from which its jobs are
+// to be followed.
+func (o *owner) load(ctx context.Context) (uint64, error) {
+	for {
+		version, err := o.tryLoad(ctx)
+		if err == nil || ctx.Err() != nil || o.site.now().After(o.actUntil) {
+			return version, err
+		}
+		o.log.WithError(err).Info("Cell cannot be read yet.")
+		if err := pause(ctx, loadRetry); err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (o *owner) tryLoad(ctx context.Context) (uint64, error) {
+	rows, err := o.site.settings.Store.List(ctx, cellTable, o.cell, "", "")
+	if err != nil {
+		return 0, err
+	}
+	var former []string
+	mine := false
+	for _, r := range rows.Rows {
+		_, name := splitKey(r.Key())
+		switch {
+		case name == ownerName:
+			var t tenure.Owner
+			if err := cbor.Unmarshal(r.Value(), &t); err != nil {
+				return 0, fmt.Errorf("decode owner: %w", err)
+			}
+			mine = t == o.site.me
+			o.ownerVersion = r.Version()
+		case name == beatName:
+			o.beatVersion = r.Version()
+		case strings.HasPrefix(name, workerPrefix):
+			former = append(former, strings.TrimPrefix(name, workerPrefix))
+		}
+	}
+	if !mine {
+		return 0, fmt.Errorf("the cell has another owner")
+	}
+	jobs, err := o.site.settings.Store.List(ctx, o.table, o.cell, "", "")
+	if err != nil {
+		return 0, err
+	}
+	o.fence = o.ownerVersion
+	o.build(former)
+	o.takeJobs(o.site.now(), jobs.Rows)
+	return jobs.Version, nil
+}
+
+// formerSlack is added to the time until which a former owner's leases may
+// last: the way of its last orders, and the age of its reading of clocks.
+const formerSlack = time.Second
+
+// build makes the cell's state.
+func (o *owner) build(former []string) {
+	s := &o.site.settings
+	c := cell.Settings{
+		Pool: o.pool, Fence: o.fence, KnownVersion: o.ownerVersion, Hold: s.Hold, Former: former,
+		Stop: s.Stop, Far: s.Far, Early: s.Early,
+	}
+	if !o.first {
+		c.SettledAt = o.site.now().Add(time.Duration(float64(s.Hold)*leaseStretch) + formerSlack)
+	}
+	o.core = cell.New(c)
+	o.core.SetQueues(o.site.view.queues())
+}
+
+// leaseStretch is how much longer a lease may last by the entry's clock: a
+// worker's clock may be 2 % slow.
+const leaseStretch = 1.03
+
+// takeJobs takes in rows of jobs.
+func (o *owner) takeJobs(now time.Time, rows []rock.Row) {
+	for _, r := range rows {
+		part, name := splitKey(r.Key())
+		if part != o.cell || !r.Exists() {
+			continue
+		}
+		id, suffix := splitJobName(name)
+		switch suffix {
+		case jobSuffix:
+			j, err := works.DecodeJob(r.Value())
+			if err != nil {
+				o.log.WithError(err).WithField("row", r.Key()).Error("Job cannot be read.")
+				continue
+			}
+			o.core.AddJob(now, j, r.Version())
+		case progressSuffix:
+			if r.Version() > o.ownerVersion {
+				continue // written by this owner
+			}
+			p, err := works.DecodeProgress(r.Value())
+			if err != nil {
+				o.log.WithError(err).WithField("row", r.Key()).Error("Progress cannot be read.")
+				continue
+			}
+			o.core.AddProgress(id, p)
+		}
+	}
+	for _, r := range rows {
+		part, name := splitKey(r.Key())
+		if id, suffix := splitJobName(name); part == o.cell && r.Exists() && suffix == cancelSuffix {
+			o.core.Cancel(now, id)
+		}
+	}
+	o.changed = true
+}
+
+// post hands an event to the loop.
+func (o *owner) post(ctx context.Context, f func(now time.Time)) {
+	select {
+	case o.events <- f:
+	case <-ctx.Done():
+	}
+}
+
+// followJobs follows the rows of the cell's jobs from a version on.
+func (o *owner) followJobs(ctx context.Context, version uint64) error {
+	first := true
+	return o.site.follow(ctx, table{
+		name: o.table,
+		list: func(ctx context.Context) (uint64, error) {
+			if first {
+				first = false
+				return version, nil
+			}
+			c, err := o.site.settings.Store.List(ctx, o.table, o.cell, "", "")
+			if err != nil {
+				return 0, err
+			}
+			o.post(ctx, func(now time.Time) { o.takeJobs(now, c.Rows) })
+			return c.Version, nil
+		},
+		take: func(rows []rock.Row) {
+			o.post(ctx, func(now time.Time) { o.takeJobs(now, rows) })
+		},
+		gap: jobPoll,
+	})
+}
+
+// jobPoll is the time between readings of the cell's jobs, so that its own
+// writes and the jobs of a surge come together.
+const jobPoll = 5 * time.Millisecond
+
+// refresh takes in the configuration and the workers.
+func (o *owner) refresh(now time.Time) {
+	if list, ok := o.site.view.listWorkers(); ok {
+		o.core.SetWorkers(now, list)
+	}
+	o.core.SetQueues(o.site.view.queues())
+	o.changed = true
+}
+
+// loop takes in events and decides, until ctx ends or the cell is lost.
+func (o *owner) loop(ctx context.Context) error {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		select {
+		case f := <-o.events:
+			now := o.site.now()
+			f(now)
+			o.drain(now)
+		case <-t.C:
+			o.changed = true
+		case <-ctx.Done():
+			return nil
+		}
+		now := o.site.now()
+		if o.core.Fenced() && o.lost == "" {
+			o.lost = "a worker has seen a newer owner"
+		}
+		if o.lost != "" {
+			return nil
+		}
+		o.step(ctx, now)
+	}
+	return nil
+}
+
+// drain takes in the events that have come meanwhile.
+func (o *owner) drain(now time.Time) {
+	for range maxEvents {
+		select {
+		case f := <-o.events:
+			f(now)
+		default:
+			return
+		}
+	}
+}
+
+// step gives the orders and makes the writes that are due.
+func (o *owner) step(ctx context.Context, now time.Time) {
+	if now.Before(o.actUntil) && o.changed {
+		o.changed = false
+		o.give(ctx, o.core.Decide(now))
+		o.poll()
+	}
+	o.logNotes()
+	if !o.committing && (o.core.FlushDue(now) || now.Sub(o.commitAt) >= tenure.BeatInterval) {
+		o.commit(ctx, now)
+	}
+}
+
+// logNotes writes a line for each change of belief.
+func (o *owner) logNotes() {
+	for _, n := range o.core.Notes() {
+		e := o.log.WithFields(logrus.Fields{"fence": o.fence})
+		for name, value := range map[string]string{"job": n.Job, "task": n.Task, "worker": n.Worker, "detail": n.Detail} {
+			if value != "" {
+				e = e.WithField(name, value)
+			}
+		}
+		if n.Run > 0 {
+			e = e.WithField("run", n.Run)
+		}
+		e.Info(sentence(n.What))
+	}
+}
+
+// sentence returns the words as a sentence.
+func sentence(words string) string {
+	return strings.ToUpper(words[:1]) + words[1:] + "."
+}
+
+// release gives the cell up, so that another entry takes it at once.
+func (o *owner) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	for !o.committing && ctx.Err() == nil {
+		now := o.site.now()
+		b := o.core.Flush(now)
+		t, err := o.transaction(now, b)
+		if err != nil {
+			o.log.WithError(err).Error("Last writes cannot be encoded.")
+			return
+		}
+		version, err := o.site.settings.Store.Apply(ctx, t)
+		if err != nil {
+			o.log.WithError(err).Warn("Last writes failed.")
+			return
+		}
+		o.beatVersion = version
+		o.core.Flushed(now, b)
+		if len(b.Writes) == 0 {
+			break
+		}
+	}
+	value, err := encode(tenure.Owner{})
+	if err != nil {
+		o.log.WithError(err).Error("Owner cannot be encoded.")
+		return
+	}
+	var t rock.Transaction
+	t.Require(key(cellTable, o.cell, ownerName), o.ownerVersion)
+	t.Put(key(cellTable, o.cell, ownerName), value)
+	_, err = o.site.settings.Store.Apply(ctx, t)
+	o.log.WithField("error", fmt.Sprint(err)).Info("Cell released.")
+}
--- /dev/null
+++ b/io/site/settings.go
@@ -0,0 +1,66 @@
+package site
+
+import (
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/works"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+)
+
+// Settings holds the parameters of a [Site].
+type Settings struct {
+	// Name names the entry, unlike any other that runs.
+	Name string
+	// Zone is the availability zone.
+	Zone string
+	// Store is the platform's table.
+	Store rock.Store
+	// Workers gives orders to workers.
+	Workers rock.Workers
+	// Hosts changes hosts.
+	Hosts rock.HostDuties
+	// Outside tells where the operator's and the workers' rows are.
+	Outside Outside
+	// Hold is the lease that workers are given.
+	Hold time.Duration
+	// Stop, Far, Early, Keep and HolderGap are bounds of the platform: the
+	// time that a stop takes, the slowdown away from data, how early a task
+	// may start, how long an ended job stays known, and the time between
+	// orders of two holders for one host.
+	Stop      time.Duration
+	Far       float64
+	Early     time.Duration
+	Keep      time.Duration
+	HolderGap time.Duration
+	// Grace is the time that a stop may take.
+	Grace time.Duration
+	// Clock returns the present time on a steady clock that counts
+	// suspensions.
+	Clock func() time.Time
+	// Log receives decisions and changes of belief.
+	Log *logrus.Logger
+	// Scope receives the counters.
+	Scope tally.Scope
+}
+
+// Outside tells where the operator's and the workers' rows are and how they
+// are decoded.
+type Outside struct {
+	// OperatorTable holds the configuration, in the row ConfigName, and the
+	// waves, in rows that begin with WavePrefix.
+	OperatorTable string
+	ConfigName    string
+	WavePrefix    string
+	// WorkerTable holds the registrations of workers, by id.
+	WorkerTable string
+	// StatusTable receives the state of waves.
+	StatusTable string
+
+	DecodeConfig func(value []byte) (works.Config, error)
+	DecodeWorker func(id string, value []byte, readAt time.Time) (rock.Worker, error)
+	DecodeWave   func(value []byte) (rock.Upkeep, error)
+	EncodeWave   func(complete bool) []byte
+}
--- /dev/null
+++ b/io/site/site.go
@@ -0,0 +1,79 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/group"
+	"bramleyrock/core/tenure"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Site is an entry on the users' platform.
+type Site struct {
+	settings Settings
+	view     *view
+	me       tenure.Owner
+	log      *logrus.Entry
+	meters   meters
+}
+
+// New returns an entry that does nothing yet.
+func New(s Settings) *Site {
+	return &Site{
+		settings: s,
+		view:     newView(),
+		me:       tenure.Owner{Name: s.Name, Session: fmt.Sprintf("%016x", rand.Uint64())},
+		log:      s.Log.WithField("part", "site"),
+		meters:   newMeters(s.Scope),
+	}
+}
+
+// Run follows the platform and owns cells until ctx ends. It gives up its
+// cells before it returns.
+func (s *Site) Run(ctx context.Context) error {
+	g := group.New(ctx)
+	g.Go("follow configuration", s.followOperator)
+	g.Go("follow workers", s.followWorkers)
+	g.Go("follow cells", s.followCells)
+	g.Go("keep cells", func(ctx context.Context) error { return s.keep(ctx, g) })
+	return g.Wait()
+}
+
+// Stopping tells the balancer and callers that the entry leaves.
+func (s *Site) Stopping() {
+	s.view.mu.Lock()
+	defer s.view.mu.Unlock()
+	s.view.stopping = true
+}
+
+func (s *Site) now() time.Time { return s.settings.Clock() }
+
+// heard notes the outcome of a call to the platform's table. A refusal of the
+// table itself is an answer.
+func (s *Site) heard(err error) {
+	ok := err == nil || rock.ReasonOf(err) == rock.Conflict || rock.ReasonOf(err) == rock.Expired
+	if s.view.answered(s.now(), ok) {
+		if ok {
+			s.log.Info("Platform table regained.")
+		} else {
+			s.log.WithError(err).Warn("Platform table lost.")
+		}
+	}
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/io/site/upkeep.go
@@ -0,0 +1,4 @@
+package site
+
+// upkeep maintains the hosts of a cell.
+type upkeep struct{}
--- /dev/null
+++ b/io/site/view.go
@@ -0,0 +1,185 @@
+package site
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/tenure"
+	"bramleyrock/core/works"
+)
+
+// view is what the entry knows of the site. It is safe for concurrent use.
+type view struct {
+	mu      sync.Mutex
+	config  *works.Config
+	version uint64
+	workers map[string]rock.Worker
+	// readWorkers is true once the registrations were read.
+	readWorkers bool
+	waves       map[string]rock.Upkeep
+	cells       map[string]*cellView
+	owned       int
+	// answeredSince is since when the platform has answered every call, and
+	// answeredAt when it last did.
+	answeredSince time.Time
+	answeredAt    time.Time
+	stopping      bool
+	listeners     []func()
+}
+
+// cellView is what the entry knows of a cell.
+type cellView struct {
+	pool   string
+	tenure tenure.Tenure
+	beat   beat
+	beatAt time.Time
+	owned  bool
+}
+
+func newView() *view {
+	return &view{workers: map[string]rock.Worker{}, waves: map[string]rock.Upkeep{}, cells: map[string]*cellView{}}
+}
+
+// listen calls f after every change of the configuration, the workers or the
+// waves, and returns a function that ends it.
+func (v *view) listen(f func()) (end func()) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	i := len(v.listeners)
+	v.listeners = append(v.listeners, f)
+	return func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.listeners[i] = nil
+	}
+}
+
+// tell calls the listeners.
+func (v *view) tell() {
+	v.mu.Lock()
+	list := slices.Clone(v.listeners)
+	v.mu.Unlock()
+	for _, f := range list {
+		if f != nil {
+			f()
+		}
+	}
+}
+
+// setConfig puts a configuration in force unless a newer one is. It reports
+// whether it did.
+func (v *view) setConfig(c works.Config, version uint64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.config != nil && version <= v.version {
+		return false
+	}
+	v.config, v.version = &c, version
+	for _, p := range c.Pools {
+		if cell := cellOf(p.Name); v.cells[cell] == nil {
+			v.cells[cell] = &cellView{pool: p.Name}
+		}
+	}
+	return true
+}
+
+// current returns the configuration in force, or nil.
+func (v *view) current() *works.Config {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.config
+}
+
+// queuesOf returns the configured queues.
+func (v *view) queues() []works.Queue {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.config == nil {
+		return nil
+	}
+	return v.config.Queues
+}
+
+// setWorkers replaces all registrations.
+func (v *view) setWorkers(all map[string]rock.Worker) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.workers, v.readWorkers = all, true
+}
+
+// setWorker changes one registration; nil removes it.
+func (v *view) setWorker(id string, w *rock.Worker) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if w == nil {
+		delete(v.workers, id)
+		return
+	}
+	v.workers[id] = *w
+}
+
+// listWorkers returns the registered workers, and false if they were not read
+// yet.
+func (v *view) listWorkers() ([]rock.Worker, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Collect(maps.Values(v.workers)), v.readWorkers
+}
+
+// answered notes whether the platform answered a call.
+func (v *view) answered(now time.Time, ok bool) (changed bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	was := !v.answeredSince.IsZero()
+	if !ok {
+		v.answeredSince = time.Time{}
+		return was
+	}
+	v.answeredAt = now
+	if !was {
+		v.answeredSince = now
+	}
+	return !was
+}
+
+// since returns since when the platform has answered.
+func (v *view) since() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.answeredSince
+}
+
+// withCell calls f with what is known of a cell, if it is configured.
+func (v *view) withCell(cell string, f func(*cellView)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if c := v.cells[cell]; c != nil {
+		f(c)
+	}
+}
+
+// cellNames returns the names of the configured cells, in order.
+func (v *view) cellNames() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Sorted(maps.Keys(v.cells))
+}
+
+// setOwned notes whether the entry owns the cell.
+func (v *view) setOwned(cell string, owned bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c := v.cells[cell]
+	if c == nil || c.owned == owned {
+		return
+	}
+	c.owned = owned
+	if owned {
+		v.owned++
+	} else {
+		v.owned--
+	}
+}
--- a/row.go
+++ b/row.go
@@ -7,6 +7,12 @@
 	key     string
 	version uint64
 	value   []byte
+	removed bool
+}
+
+// RemovedRow returns the row as deleted at that version.
+func RemovedRow(key string, version uint64) Row {
+	return Row{key: key, version: version, removed: true}
 }
 
 // NewRow returns a row. Version 0 means that the row does not exist.
@@ -24,4 +30,7 @@
 func (r Row) Value() []byte { return r.value }
 
 // Exists reports whether the row exists.
-func (r Row) Exists() bool { return r.version > 0 }
+func (r Row) Exists() bool { return r.version > 0 && !r.removed }
+
+// Removed reports whether the row was deleted, as a [Feed] tells it.
+func (r Row) Removed() bool { return r.removed }
--- /dev/null
+++ b/upkeep.go
@@ -0,0 +1,15 @@
+package rock
+
+import "time"
+
+// Upkeep is a request of an operator to maintain hosts.
+type Upkeep struct {
+	// Number names the wave.
+	Number int64
+	// Hosts lists the hosts to maintain.
+	Hosts []string
+	// Within is the time in which all should be done.
+	Within time.Duration
+	// AtOnce is the greatest number of hosts that are down for it at a time.
+	AtOnce int
+}
