Maintenance waves: hosts are claimed in one row, emptied and taken down

Change: core/maint picks hosts while their pool is calm or time runs short; a claim in a shared row bounds the hosts that are down; lasting tasks move one at a time as far as their step may miss them. Workers whose ends are not stored yet are asked at intervals.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -235,6 +235,13 @@
 	return all
 }
 
+// Unstored reports whether a worker listed ends that are not stored yet. It
+// answers hold orders at once until it is told that they are.
+func (c *Cell) Unstored(id string) bool {
+	w := c.workers[id]
+	return w != nil && w.stored < w.handled
+}
+
 // HoldOrder returns the next order to hold for a worker, and false if the
 // worker is not to be asked any more.
 func (c *Cell) HoldOrder(now time.Time, id string, wait time.Duration) (rock.Worker, rock.HoldOrder, bool) {
--- /dev/null
+++ b/core/cell/closing.go
@@ -0,0 +1,90 @@
+package cell
+
+import (
+	"time"
+
+	rock "bramleyrock"
+)
+
+// SetClosing names the workers that are to be emptied: they get no new work,
+// and lasting tasks move away as far as their steps may miss them.
+func (c *Cell) SetClosing(closing map[string]bool) {
+	for id, w := range c.workers {
+		if w.closing != closing[id] {
+			w.closing = closing[id]
+			what := "worker reopened"
+			if w.closing {
+				what = "worker closing"
+			}
+			c.notes = append(c.notes, Note{What: what, Worker: id})
+		}
+	}
+}
+
+// Occupancy is what a worker has to do.
+type Occupancy struct {
+	Known   bool
+	Usable  bool
+	Runs    int
+	Lasting int
+}
+
+// Occupancy returns what a worker has to do.
+func (c *Cell) Occupancy(now time.Time, id string) Occupancy {
+	w := c.workers[id]
+	if w == nil {
+		return Occupancy{}
+	}
+	o := Occupancy{Known: true, Usable: w.usable(now), Runs: len(w.runs)}
+	for _, r := range w.runs {
+		if r.task == nil || r.task.step.Lasting {
+			o.Lasting++
+		}
+	}
+	return o
+}
+
+// evacuate stops lasting tasks on workers that are to be emptied or that
+// leave, where another worker has room for them.
+func (c *Cell) evacuate(now time.Time) {
+	var usable []*worker
+	for _, w := range c.workers {
+		leaving := w.listed && w.State == rock.WorkerDraining
+		if !w.closing && !leaving || w.silent || w.gone {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.task == nil || !r.task.step.Lasting || r.state != running {
+				continue
+			}
+			if !leaving && !c.mayMiss(r.task) {
+				continue
+			}
+			if usable == nil {
+				usable = c.usable(now)
+			}
+			if c.choose(now, r.task, usable) != nil {
+				c.stop(r, "its worker is to be emptied")
+			}
+		}
+	}
+}
+
+// mayMiss reports whether the task may be ended although its job goes on: no
+// more of its step may be away than the job allows. A task that has not proved
+// to be at work counts as away.
+func (c *Cell) mayMiss(t *task) bool {
+	away := 0
+	for _, o := range t.step.tasks {
+		if o != t && !o.atWork() {
+			away++
+		}
+	}
+	return away < t.step.MayMiss
+}
+
+// atWork reports whether the task is known to be at work.
+func (t *task) atWork() bool {
+	r := t.current
+	return r != nil && r.state == running && r.percent >= 100 && !r.worker.silent && !r.worker.gone
+}
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -12,6 +12,7 @@
 // Decide returns the orders to give now.
 func (c *Cell) Decide(now time.Time) []Order {
 	c.expire(now)
+	c.evacuate(now)
 	orders := c.repeat(now, nil)
 	settled := c.settle(now)
 	return c.place(now, settled, orders)
--- a/core/cell/flush.go
+++ b/core/cell/flush.go
@@ -34,7 +34,7 @@
 
 // FlushDue reports whether there is something to write now.
 func (c *Cell) FlushDue(now time.Time) bool {
-	return !c.dirtySince.IsZero() && (c.urgent || now.Sub(c.dirtySince) >= flushDelay)
+	return !c.dirtySince.IsZero() && (c.urgent && now.Sub(c.dirtySince) >= urgentDelay || now.Sub(c.dirtySince) >= flushDelay)
 }
 
 // Flush returns what is to be written. Until [Cell.Flushed] or
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -27,8 +27,10 @@
 	answeredAt time.Time
 	silent     bool
 	restUntil  time.Time
-	used       rock.Room
-	runs       map[runKey]*run
+	// closing is true while the worker is to be emptied.
+	closing bool
+	used    rock.Room
+	runs    map[runKey]*run
 	// recorded is true once a row tells that the cell orders the worker.
 	recorded bool
 	// handled is the last end that was taken in, stored the last that needs
@@ -58,7 +60,7 @@
 
 // usable reports whether the worker may be given new work.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && w.fenced && w.recorded && !w.gone && !w.silent && w.State == rock.WorkerReady &&
+	return w.listed && !w.closing && w.fenced && w.recorded && !w.gone && !w.silent && w.State == rock.WorkerReady &&
 		!now.Before(w.restUntil) && now.Sub(w.answeredAt) < quietLimit
 }
 
--- a/core/works/step.go
+++ b/core/works/step.go
@@ -40,7 +40,7 @@
 	// Fills is true if the tasks use the processor time that others leave.
 	Fills bool `cbor:"15,keyasint,omitempty"`
 	// MayMiss is how many tasks of a lasting step may be away at the same
-	// time through acts of the system; a negative number means any.
+	// time through acts of the system.
 	MayMiss int `cbor:"16,keyasint"`
 }
 
--- a/io/site/follow.go
+++ b/io/site/follow.go
@@ -103,9 +103,7 @@
 				s.log.WithError(err).WithField("row", r.Key()).Warn("Wave cannot be read.")
 				continue
 			}
-			s.view.mu.Lock()
-			s.view.waves[strings.TrimPrefix(name, o.WavePrefix)] = w
-			s.view.mu.Unlock()
+			s.view.setWave(strings.TrimPrefix(name, o.WavePrefix), w, s.now())
 			s.log.WithField("wave", w.Number).WithField("hosts", len(w.Hosts)).WithField("at_once", w.AtOnce).Info("Wave is wanted.")
 		}
 	}
@@ -156,7 +154,7 @@
 
 // workerPoll is the time between readings of changed registrations, far below
 // the 2 s after which a draining worker may get no more work.
-const workerPoll = 50 * time.Millisecond
+const workerPoll = 250 * time.Millisecond
 
 // decodeWorker returns the registration in a row, or nil if it names no worker.
 func (s *Site) decodeWorker(r rock.Row) (string, *rock.Worker) {
--- a/io/site/orders.go
+++ b/io/site/orders.go
@@ -99,16 +99,24 @@
 	order  rock.HoldOrder
 	known  bool
 	mayAct bool
+	// rest is true if the worker would answer at once with what is known.
+	rest bool
 }
 
+// storeRestGap is the time between questions to a worker whose last ends are
+// not stored yet, about as long as a write takes.
+const storeRestGap = 25 * time.Millisecond
+
 // hold asks a worker for reports until it is not to be asked any more.
 func (o *owner) hold(ctx context.Context, id string) {
 	answers := make(chan question, 1)
 	wait := time.Duration(0) // the first answer is wanted at once
+	rested := false
 	for ctx.Err() == nil {
 		o.post(ctx, func(now time.Time) {
 			q := question{mayAct: now.Before(o.actUntil), known: true}
-			if q.mayAct {
+			q.rest = !rested && o.core.Unstored(id)
+			if q.mayAct && !q.rest {
 				q.worker, q.order, q.known = o.core.HoldOrder(now, id, wait)
 			}
 			answers <- q
@@ -122,6 +130,10 @@
 		if !q.known {
 			return
 		}
+		if rested = q.rest; rested {
+			_ = pause(ctx, storeRestGap) // the loop's condition sees the end
+			continue
+		}
 		if !q.mayAct {
 			_ = pause(ctx, holdRetry) // the loop's condition sees the end
 			continue
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -58,7 +58,6 @@
 	lost       string
 	pollers    map[string]bool
 	changed    bool
-	upkeep     upkeep
 }
 
 // run owns the cell until ctx ends or the cell is lost.
@@ -73,6 +72,7 @@
 	defer o.site.view.listen(func() { o.post(o.group.Context(), func(now time.Time) { o.refresh(now) }) })()
 	o.refresh(o.site.now())
 	o.group.Go("follow jobs", func(ctx context.Context) error { return o.followJobs(ctx, jobs) })
+	o.group.Go("maintain", o.maintain)
 	o.group.Go("decide", func(ctx context.Context) error {
 		defer o.group.Stop()
 		return o.loop(ctx)
@@ -232,7 +232,7 @@
 
 // jobPoll is the time between readings of the cell's jobs, so that its own
 // writes and the jobs of a surge come together.
-const jobPoll = 5 * time.Millisecond
+const jobPoll = 20 * time.Millisecond
 
 // refresh takes in the configuration and the workers.
 func (o *owner) refresh(now time.Time) {
--- a/io/site/settings.go
+++ b/io/site/settings.go
@@ -14,6 +14,8 @@
 type Settings struct {
 	// Name names the entry, unlike any other that runs.
 	Name string
+	// Holder names the entry's host in orders about hosts.
+	Holder string
 	// Zone is the availability zone.
 	Zone string
 	// Store is the platform's table.
--- a/io/site/upkeep.go
+++ b/io/site/upkeep.go
@@ -1,4 +1,288 @@
 package site
 
-// upkeep maintains the hosts of a cell.
-type upkeep struct{}
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/cell"
+	"bramleyrock/core/maint"
+)
+
+const (
+	// upkeepPoll is the time between looks at the waves, a fraction of the
+	// time that a host is away.
+	upkeepPoll = 250 * time.Millisecond
+	// drainPatience is how long a claimed host may run ordinary tasks: longer
+	// than the longest of the sheets.
+	drainPatience = 5 * time.Second
+	// wavePart is the part of the cells' table with the states of waves.
+	wavePart = "waves"
+	// calmWork is the waiting work a core, in seconds, up to which a pool is
+	// calm.
+	calmWork = 0.25
+)
+
+// upkeep maintains the hosts of one cell. It belongs to one goroutine.
+type upkeep struct {
+	owner *owner
+	// begun is when the owner took the cell: orders for hosts keep a distance
+	// from those of a former owner.
+	begun time.Time
+	// claimedAt is when this owner first saw a claim.
+	claimedAt map[string]time.Time
+	// said holds the waves whose state is written.
+	said map[string]bool
+}
+
+// maintain serves the waves until ctx ends.
+func (o *owner) maintain(ctx context.Context) error {
+	u := &upkeep{owner: o, begun: o.site.now(), claimedAt: map[string]time.Time{}, said: map[string]bool{}}
+	for {
+		if err := pause(ctx, upkeepPoll); err != nil {
+			return nil
+		}
+		if err := u.turn(ctx); err != nil && ctx.Err() == nil {
+			o.log.WithError(err).Info("Maintenance waits.")
+		}
+	}
+}
+
+// turn does what is due for all waves.
+func (u *upkeep) turn(ctx context.Context) error {
+	waves, seen := u.owner.site.view.listWaves()
+	for name := range u.said {
+		delete(waves, name)
+	}
+	if len(waves) == 0 {
+		return nil
+	}
+	hosts, err := u.owner.site.settings.Hosts.Hosts(ctx)
+	if err != nil {
+		return fmt.Errorf("list hosts: %w", err)
+	}
+	closing := map[string]bool{}
+	for _, name := range slices.Sorted(maps.Keys(waves)) {
+		if err := u.serve(ctx, name, waves[name], seen[name], hosts, closing); err != nil {
+			return fmt.Errorf("wave %s: %w", name, err)
+		}
+	}
+	u.owner.post(ctx, func(time.Time) { u.owner.core.SetClosing(closing) })
+	return nil
+}
+
+// situation is what the cell knows of its workers and its load.
+type situation struct {
+	mayAct bool
+	token  uint64
+	load   cell.Load
+	hosts  map[string]cell.Occupancy
+}
+
+// ask asks the owner's loop for the situation.
+func (u *upkeep) ask(ctx context.Context, workers []string) (situation, error) {
+	answers := make(chan situation, 1)
+	o := u.owner
+	o.post(ctx, func(now time.Time) {
+		s := situation{mayAct: now.Before(o.actUntil), token: o.beatVersion, load: o.core.Load(now), hosts: map[string]cell.Occupancy{}}
+		for _, id := range workers {
+			s.hosts[id] = o.core.Occupancy(now, id)
+		}
+		answers <- s
+	})
+	select {
+	case s := <-answers:
+		if !s.mayAct {
+			return s, fmt.Errorf("the ownership is not proved")
+		}
+		return s, nil
+	case <-ctx.Done():
+		return situation{}, ctx.Err()
+	}
+}
+
+// serve does what is due for one wave.
+func (u *upkeep) serve(ctx context.Context, name string, w rock.Upkeep, seen time.Time, hosts []rock.FleetHost, closing map[string]bool) error {
+	rowKey := key(cellTable, wavePart, name)
+	rows, err := u.owner.site.settings.Store.List(ctx, cellTable, wavePart, name, name+"\x00")
+	if err != nil {
+		return err
+	}
+	var row rock.Row
+	if len(rows.Rows) > 0 {
+		row = rows.Rows[0]
+	}
+	state, err := maint.Decode(row.Value())
+	if err != nil {
+		return err
+	}
+	if state.Complete(w) {
+		return u.say(ctx, name, true)
+	}
+	byName := map[string]rock.FleetHost{}
+	for _, h := range hosts {
+		byName[h.Name] = h
+	}
+	changed := u.finish(w, &state, byName)
+	claimed, err := u.claim(ctx, w, &state, seen, hosts)
+	if err != nil {
+		return err
+	}
+	if changed || claimed {
+		if err := u.store(ctx, rowKey, row.Version(), state); err != nil {
+			return err
+		}
+		return nil // the orders follow in the next turn, from what is stored
+	}
+	for host, c := range state.Claims {
+		if h := byName[host]; h.Pool == u.owner.pool && !c.Ordered {
+			closing[h.Worker] = true
+		}
+	}
+	ordered, err := u.order(ctx, w, &state, byName)
+	if ordered {
+		if err := u.store(ctx, rowKey, row.Version(), state); err != nil {
+			return err
+		}
+	}
+	return err
+}
+
+// finish notes which of the cell's claimed hosts are up again, and which of
+// the wave's hosts are gone.
+func (u *upkeep) finish(w rock.Upkeep, state *maint.State, hosts map[string]rock.FleetHost) bool {
+	changed := false
+	for _, name := range w.Hosts {
+		h, ok := hosts[name]
+		c, claimed := state.Claims[name]
+		switch {
+		case !ok && !slices.Contains(state.Done, name):
+			state.Finish(name)
+			changed = true
+			u.owner.log.WithField("host", name).WithField("wave", w.Number).Info("Host of the wave is not listed any more.")
+		case ok && claimed && c.Ordered && h.Pool == u.owner.pool && h.Phase == rock.HostUp && (h.Worker != c.Worker || h.Worker == ""):
+			state.Finish(name)
+			changed = true
+			u.owner.log.WithField("host", name).WithField("wave", w.Number).WithField("worker", h.Worker).Info("Host is maintained.")
+		}
+	}
+	return changed
+}
+
+// claim adds the hosts that are to be taken down next.
+func (u *upkeep) claim(ctx context.Context, w rock.Upkeep, state *maint.State, seen time.Time, hosts []rock.FleetHost) (bool, error) {
+	o := u.owner
+	now := o.site.now()
+	if now.Sub(u.begun) < o.site.settings.HolderGap {
+		return false, nil
+	}
+	var ids []string
+	pool := maint.Pool{}
+	for _, h := range hosts {
+		if h.Pool == o.pool {
+			pool.Hosts++
+			ids = append(ids, h.Worker)
+		}
+	}
+	s, err := u.ask(ctx, ids)
+	if err != nil {
+		return false, err
+	}
+	var mine []maint.Host
+	workers := map[string]string{}
+	standby := true
+	for _, h := range hosts {
+		if h.Pool != o.pool {
+			continue
+		}
+		standby = standby && h.Worker == ""
+		if slices.Contains(w.Hosts, h.Name) {
+			c := s.hosts[h.Worker]
+			mine = append(mine, maint.Host{Name: h.Name, Worker: h.Worker, Up: h.Phase == rock.HostUp, Runs: c.Runs, Lasting: c.Lasting})
+			workers[h.Name] = h.Worker
+		}
+	}
+	pool.Calm, pool.Idle = s.load.Work <= calmWork*s.load.Cores, standby
+	picked := maint.Pick(now.Sub(seen), w, *state, mine, pool)
+	for _, name := range picked {
+		state.Claims[name] = maint.Claim{Worker: workers[name]}
+		o.log.WithField("host", name).WithField("wave", w.Number).WithField("worker", workers[name]).
+			WithField("work", s.load.Work).WithField("cores", s.load.Cores).Info("Host is claimed for maintenance.")
+	}
+	return len(picked) > 0, nil
+}
+
+// order takes down the cell's claimed hosts that are empty.
+func (u *upkeep) order(ctx context.Context, w rock.Upkeep, state *maint.State, hosts map[string]rock.FleetHost) (bool, error) {
+	o := u.owner
+	ordered := false
+	for _, name := range slices.Sorted(maps.Keys(state.Claims)) {
+		c, h := state.Claims[name], hosts[name]
+		if c.Ordered || h.Pool != o.pool {
+			continue
+		}
+		s, err := u.ask(ctx, []string{h.Worker})
+		if err != nil {
+			return ordered, err
+		}
+		if !u.empty(name, s.hosts[h.Worker]) || o.site.now().Sub(u.begun) < o.site.settings.HolderGap {
+			continue
+		}
+		p, err := o.site.settings.Hosts.Maintain(ctx, rock.Holder{Name: o.site.settings.Holder, Token: s.token}, name, w.Number)
+		line := o.log.WithField("host", name).WithField("wave", w.Number).WithField("token", s.token).WithField("runs", s.hosts[h.Worker].Runs)
+		if err != nil {
+			line.WithError(err).Warn("Maintenance order is open.")
+			return ordered, err
+		}
+		line.WithField("refusal", p.Refusal).Info("Maintenance order.")
+		if p.Refusal == rock.Taken {
+			c.Ordered, c.Worker = true, h.Worker
+			state.Claims[name] = c
+			ordered = true
+		}
+	}
+	return ordered, nil
+}
+
+// empty reports whether a claimed host may be taken down: nothing runs on it,
+// or only ordinary tasks that run for too long.
+func (u *upkeep) empty(name string, c cell.Occupancy) bool {
+	now := u.owner.site.now()
+	if u.claimedAt[name].IsZero() {
+		u.claimedAt[name] = now
+		return c.Runs == 0 && !c.Usable
+	}
+	if c.Runs == 0 {
+		return !c.Usable // the cell has heard that the worker is to be emptied
+	}
+	return c.Lasting == 0 && now.Sub(u.claimedAt[name]) > drainPatience
+}
+
+// store writes the state of a wave on condition that it is unchanged.
+func (u *upkeep) store(ctx context.Context, rowKey string, version uint64, state maint.State) error {
+	value, err := state.Encode()
+	if err != nil {
+		return err
+	}
+	var t rock.Transaction
+	t.Require(rowKey, version)
+	t.Put(rowKey, value)
+	_, err = u.owner.site.settings.Store.Apply(ctx, t)
+	return err
+}
+
+// say tells the operator how a wave stands.
+func (u *upkeep) say(ctx context.Context, name string, complete bool) error {
+	o := u.owner
+	var t rock.Transaction
+	t.Put(key(o.site.settings.Outside.StatusTable, "", o.site.settings.Outside.WavePrefix+name), o.site.settings.Outside.EncodeWave(complete))
+	if _, err := o.site.settings.Store.Apply(ctx, t); err != nil {
+		return err
+	}
+	u.said[name] = true
+	o.log.WithField("wave", name).Info("Wave is completed.")
+	return nil
+}
--- a/io/site/view.go
+++ b/io/site/view.go
@@ -20,8 +20,10 @@
 	// readWorkers is true once the registrations were read.
 	readWorkers bool
 	waves       map[string]rock.Upkeep
-	cells       map[string]*cellView
-	owned       int
+	// waveSeen is when a wave was first read.
+	waveSeen map[string]time.Time
+	cells    map[string]*cellView
+	owned    int
 	// answeredSince is since when the platform has answered every call, and
 	// answeredAt when it last did.
 	answeredSince time.Time
@@ -40,7 +42,7 @@
 }
 
 func newView() *view {
-	return &view{workers: map[string]rock.Worker{}, waves: map[string]rock.Upkeep{}, cells: map[string]*cellView{}}
+	return &view{workers: map[string]rock.Worker{}, waves: map[string]rock.Upkeep{}, waveSeen: map[string]time.Time{}, cells: map[string]*cellView{}}
 }
 
 // listen calls f after every change of the configuration, the workers or the
@@ -183,3 +185,21 @@
 		v.owned--
 	}
 }
+
+// setWave notes a wave that is asked for.
+func (v *view) setWave(name string, w rock.Upkeep, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.waves[name] = w
+	if v.waveSeen[name].IsZero() {
+		v.waveSeen[name] = now
+	}
+}
+
+// listWaves returns the waves that are asked for and when they were first
+// seen.
+func (v *view) listWaves() (map[string]rock.Upkeep, map[string]time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return maps.Clone(v.waves), maps.Clone(v.waveSeen)
+}
