Ends are told as stored only after their write

Ruled out: a late write of an older state, which the condition on the renewal row excludes.

Change: the cell remembers that a batch is on its way.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -20,8 +20,10 @@
 	// orphans are stops of runs that belong to no live task.
 	orphans []*run
 	fenced  bool
-	// quickFlush is set once something waits that a caller wants to see.
+	// dirtySince is since when something waits to be written, urgent whether
+	// a caller waits to see it, and flushing whether a batch is on its way.
 	dirtySince time.Time
+	flushing   bool
 	urgent     bool
 	ended      []*job
 	settled    bool
--- a/core/cell/flush.go
+++ b/core/cell/flush.go
@@ -40,6 +40,7 @@
 // Flush returns what is to be written. Until [Cell.Flushed] or
 // [Cell.FlushFailed] is called, it must not be called again.
 func (c *Cell) Flush(now time.Time) *Batch {
+	c.flushing = true
 	b := &Batch{seen: map[string]int64{}}
 	for len(c.ended) > 0 && len(b.Writes) < maxWrites {
 		j := c.ended[0]
@@ -96,6 +97,7 @@
 
 // Flushed notes that the batch is stored.
 func (c *Cell) Flushed(_ time.Time, b *Batch) {
+	c.flushing = false
 	for id, n := range b.seen {
 		if w := c.workers[id]; w != nil && n <= w.handled {
 			w.stored = max(w.stored, n)
@@ -113,6 +115,7 @@
 
 // FlushFailed notes that the batch was not stored, as far as is known.
 func (c *Cell) FlushFailed(now time.Time, b *Batch) {
+	c.flushing = false
 	c.ended = append(b.ended, c.ended...)
 	c.dropped = append(b.OldWorkers, c.dropped...)
 	for _, w := range b.Writes {
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -43,7 +43,7 @@
 		}
 	}
 	c.compare(now, sent, w, p)
-	if c.dirtySince.IsZero() {
+	if c.dirtySince.IsZero() && !c.flushing {
 		w.stored = w.handled
 	} else if w.stored < w.handled {
 		c.touch(now, false)
