Hosts follow the work between pools

Change: core/resize plans moves from what the cells tell of themselves; owners empty and move their own hosts. The lease of a silent worker is not extended any more, so that it passes; departing workers stay closed.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -5,6 +5,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/eject"
+	"bramleyrock/core/resize"
 	"bramleyrock/core/works"
 )
 
@@ -30,6 +31,7 @@
 	// dropped lists workers whose rows are to be deleted.
 	dropped []string
 	notes   []Note
+	demand  resize.Demand
 	stats   Stats
 }
 
@@ -115,7 +117,11 @@
 		q = defaultQueue
 		q.Name = j.Queue
 	}
-	c.jobs[j.ID] = newJob(now, j, q, version)
+	l := newJob(now, j, q, version)
+	c.jobs[j.ID] = l
+	if !l.Spec.Lasting() && version > c.settings.KnownVersion {
+		c.demand.Arrive(now, c.work(l).Size)
+	}
 }
 
 // AddProgress puts the stored progress of a job in force.
@@ -245,13 +251,18 @@
 }
 
 // HoldOrder returns the next order to hold for a worker, and false if the
-// worker is not to be asked any more.
+// worker is not to be asked any more. The lease of a worker that does not
+// answer is not extended, so that it passes.
 func (c *Cell) HoldOrder(now time.Time, id string, wait time.Duration) (rock.Worker, rock.HoldOrder, bool) {
 	w := c.workers[id]
 	if w == nil || w.gone {
 		return rock.Worker{}, rock.HoldOrder{}, false
 	}
-	return w.Worker, rock.HoldOrder{Until: w.until(now, c.settings.Hold), Fence: c.settings.Fence, SeenUpTo: w.stored, Wait: wait}, true
+	h := rock.HoldOrder{Fence: c.settings.Fence, SeenUpTo: w.stored, Wait: wait}
+	if !w.silent {
+		h.Until = w.until(now, c.settings.Hold)
+	}
+	return w.Worker, h, true
 }
 
 // settle reports whether all that a former owner started is accounted for.
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -127,3 +127,45 @@
 	b.flush()
 	assert.Equal(t, b.seen("w0"), int64(1))
 }
+
+func TestLeaseOfSilentWorkerPasses(t *testing.T) {
+	b := newBench(t, 2, nil)
+	b.AddJob(b.now, job("a", 9, step(1)), 9)
+	first := b.started()
+	assert.Equal(t, len(first), 1)
+	dead := first[0].Worker.ID
+	var second []cell.Order
+	for range 100 {
+		b.pass(100 * time.Millisecond)
+		for _, w := range b.known {
+			_, _, ok := b.HoldOrder(b.now, w.ID, 0)
+			assert.Assert(t, ok)
+			if w.ID == dead {
+				b.Silent(b.now, w.ID, fmt.Errorf("no answer"))
+			} else {
+				b.report(w.ID, running(second...), nil)
+			}
+		}
+		second = append(second, b.started()...)
+	}
+	assert.Equal(t, len(second), 1)
+	assert.Assert(t, second[0].Worker.ID != dead)
+	assert.Assert(t, second[0].Start.Run > first[0].Start.Run)
+}
+
+func TestTaskOfSilentWorkerWaitsForItsLease(t *testing.T) {
+	b := newBench(t, 2, nil)
+	b.AddJob(b.now, job("a", 9, step(1)), 9)
+	dead := b.started()[0].Worker.ID
+	b.HoldOrder(b.now, dead, 0)
+	for b.now.Before(start.Add(4 * time.Second)) {
+		b.Silent(b.now, dead, fmt.Errorf("no answer"))
+		for _, w := range b.known {
+			if w.ID != dead {
+				b.report(w.ID, nil, nil)
+			}
+		}
+		assert.Equal(t, len(b.started()), 0, "at %v", b.now.Sub(start))
+		b.pass(50 * time.Millisecond)
+	}
+}
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -287,12 +287,26 @@
 	if w.id() == t.failedOn {
 		cost += 1
 	}
+	if t.step.Lasting {
+		return cost + c.packing(w)
+	}
 	if w.Room.MilliCores > 0 {
 		cost += loadWeight * float64(w.used.MilliCores) / float64(w.Room.MilliCores)
 	}
 	return cost
 }
 
+// packing returns the cost of a worker for a task that lasts: such tasks share
+// few hosts, so that the others can be taken down or moved.
+func (c *Cell) packing(w *worker) float64 {
+	for _, r := range w.runs {
+		if r.task != nil && r.task.step.Lasting {
+			return 0
+		}
+	}
+	return 1
+}
+
 // loadWeight is the cost of a full worker against an empty one, in units of
 // the slowdown: it only orders workers of about the same speed.
 const loadWeight = 0.3
@@ -308,38 +322,6 @@
 	return n
 }
 
-// Load returns what the cell has to do and with what.
-func (c *Cell) Load(now time.Time) Load {
-	l := Load{Waiting: map[string]int{}}
-	for _, j := range c.jobs {
-		if j.state.Ended() {
-			continue
-		}
-		if !j.begun && j.Spec.Times == 0 {
-			l.Waiting[j.Queue]++
-		}
-		if !j.Spec.Lasting() {
-			l.Work += c.work(j).Size
-		}
-	}
-	for _, w := range c.workers {
-		if w.usable(now) {
-			l.Cores += float64(w.Room.MilliCores) / 1000
-		}
-	}
-	return l
-}
-
-// Load is the load of a cell.
-type Load struct {
-	// Waiting is the number of jobs of each queue that have not begun.
-	Waiting map[string]int
-	// Work is the expected work that is left, in core-seconds.
-	Work float64
-	// Cores is the capacity of the usable workers.
-	Cores float64
-}
-
 // Stats counts what the cell did.
 type Stats struct {
 	Started int64
--- /dev/null
+++ b/core/cell/load.go
@@ -0,0 +1,67 @@
+package cell
+
+import "time"
+
+// Load is the load of a cell.
+type Load struct {
+	// Waiting is the number of jobs of each queue that have not begun.
+	Waiting map[string]int
+	// Work is the expected work that is left, in core-seconds, without tasks
+	// that last.
+	Work float64
+	// Cores is the capacity of the usable workers.
+	Cores float64
+	// Want is the capacity that the cell needs, Keep that which it may need
+	// again soon, in cores.
+	Want float64
+	Keep float64
+}
+
+// Load returns what the cell has to do and with what.
+func (c *Cell) Load(now time.Time) Load {
+	l := Load{Waiting: map[string]int{}}
+	var ready, lasting float64
+	for _, j := range c.jobs {
+		if j.state.Ended() {
+			continue
+		}
+		if !j.begun && j.Spec.Times == 0 {
+			l.Waiting[j.Queue]++
+		}
+		for _, s := range j.steps {
+			cores := float64(s.left) * float64(s.Room().MilliCores) / 1000
+			if s.Lasting {
+				lasting += cores
+				continue
+			}
+			if s.left == 0 {
+				continue
+			}
+			expected := c.expect(s)
+			work := cores*expected.Seconds() - c.spent(now, s, expected)
+			l.Work += work
+			if s.ready(now) {
+				ready += work
+			}
+		}
+	}
+	for _, w := range c.workers {
+		if w.usable(now) {
+			l.Cores += float64(w.Room.MilliCores) / 1000
+		}
+	}
+	l.Want, l.Keep = c.demand.Want(now, ready, lasting)
+	return l
+}
+
+// spent returns the work that the step's running tasks have done, in
+// core-seconds.
+func (c *Cell) spent(now time.Time, s *step, expected time.Duration) float64 {
+	var d time.Duration
+	for _, t := range s.tasks {
+		if t.current != nil && !t.current.startedAt.IsZero() {
+			d += min(expected, now.Sub(t.current.startedAt))
+		}
+	}
+	return d.Seconds() * float64(s.Room().MilliCores) / 1000
+}
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -63,6 +63,13 @@
 	}
 }
 
+// Gone notes that the platform has ended a worker's life.
+func (c *Cell) Gone(now time.Time, id, why string) {
+	if w := c.workers[id]; w != nil && !w.gone {
+		c.vanish(now, w, why)
+	}
+}
+
 // vanish notes that the worker's life is over.
 func (c *Cell) vanish(now time.Time, w *worker, why string) {
 	w.gone = true
--- a/core/maint/state.go
+++ b/core/maint/state.go
@@ -132,7 +132,11 @@
 		room = min(room, max(1, int(calmShare*float64(p.Hosts)))-mine)
 	}
 	slices.SortFunc(free, func(a, b Host) int {
-		if n := a.Runs + lastingCost*a.Lasting - b.Runs - lastingCost*b.Lasting; n != 0 {
+		// Lasting tasks move one by one, so their hosts need the most time.
+		if n := b.Lasting - a.Lasting; n != 0 {
+			return n
+		}
+		if n := a.Runs - b.Runs; n != 0 {
 			return n
 		}
 		if a.Name < b.Name {
@@ -146,7 +150,3 @@
 	}
 	return names
 }
-
-// lastingCost is how many ordinary runs a lasting one counts for: it must be
-// moved, and only one of its step at a time.
-const lastingCost = 20
--- /dev/null
+++ b/core/resize/demand.go
@@ -0,0 +1,81 @@
+package resize
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// fastWindow is the time over which the rate of arrivals is taken: short
+	// against a surge of 4 s, long against the 20 ms between its jobs.
+	fastWindow = 600 * time.Millisecond
+	// slowWindow is the time over which the rate is taken that the other is
+	// compared with.
+	slowWindow = 1800 * time.Millisecond
+	// trend is how far the difference of the two rates is carried on: a host
+	// that is sent now arrives after 1.5 s.
+	trend = 1.0
+	// readyTime is the time in which the work that can run at once should be
+	// done, about the duration of a task.
+	readyTime = 1200 * time.Millisecond
+	// fallTime is the time in which a demand that is over is forgotten: a host
+	// that has moved may not move again for 3 s, so one that is sent to standby
+	// is of no use to the next surge.
+	fallTime = 6 * time.Second
+	// headroom is the capacity wanted for a unit of demand. Tasks do not fit
+	// a host exactly, and jobs come unevenly.
+	headroom = 1.15
+)
+
+// rate is a decaying sum of arrivals.
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+func (r *rate) now(now time.Time, window time.Duration) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	return r.value * math.Exp(-now.Sub(r.at).Seconds()/window.Seconds())
+}
+
+func (r *rate) add(now time.Time, work float64, window time.Duration) {
+	r.value = r.now(now, window) + work/window.Seconds()
+	r.at = now
+}
+
+// Demand estimates the capacity that a pool needs. The zero value is ready to
+// use.
+type Demand struct {
+	fast   rate
+	slow   rate
+	keep   float64
+	keepAt time.Time
+}
+
+// Arrive notes a job of that much work, in core-seconds.
+func (d *Demand) Arrive(now time.Time, work float64) {
+	d.fast.add(now, work, fastWindow)
+	d.slow.add(now, work, slowWindow)
+}
+
+// Rate returns the work that will arrive when a host sent now is there, in
+// cores: the present rate, and more if it rises.
+func (d *Demand) Rate(now time.Time) float64 {
+	fast, slow := d.fast.now(now, fastWindow), d.slow.now(now, slowWindow)
+	return fast + trend*max(0, fast-slow)
+}
+
+// Want returns the cores that the pool needs, and those that it may need again
+// soon. Ready is the work that could run at once, in core-seconds; lasting are
+// the cores of tasks that last.
+func (d *Demand) Want(now time.Time, ready, lasting float64) (want, keep float64) {
+	want = lasting + headroom*max(d.Rate(now), ready/readyTime.Seconds())
+	keep = want
+	if !d.keepAt.IsZero() {
+		keep = max(want, d.keep*math.Exp(-now.Sub(d.keepAt).Seconds()/fallTime.Seconds()))
+	}
+	d.keep, d.keepAt = keep, now
+	return want, keep
+}
--- /dev/null
+++ b/core/resize/plan.go
@@ -0,0 +1,121 @@
+package resize
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Pool is what is known of a pool.
+type Pool struct {
+	Name string
+	// Standby is true if the pool's hosts are off.
+	Standby bool
+	// Want is the number of cores that the pool needs now, Keep the number
+	// that it may need again soon.
+	Want float64
+	Keep float64
+	// HostCores is the number of cores of a host.
+	HostCores float64
+	// Hosts is the number of hosts that are in the pool or on their way.
+	Hosts int
+	// Spare is the number of hosts that could leave now.
+	Spare int
+}
+
+// Move is a number of hosts that go from one pool to another.
+type Move struct {
+	From  string
+	To    string
+	Count int
+}
+
+const (
+	// MinHosts is the least number of hosts of a pool that is not on standby:
+	// the first jobs of a surge run there until hosts have moved.
+	MinHosts = 3
+	// slack is how many hosts more than it needs a pool keeps before it sends
+	// one to standby, so that hosts do not go to and fro.
+	slack = 1
+)
+
+// hostsFor returns the number of hosts that give the pool that many cores.
+func (p Pool) hostsFor(cores float64) int {
+	if p.Standby {
+		return 0
+	}
+	return max(MinHosts, int(math.Ceil(cores/max(1, p.HostCores))))
+}
+
+// targets returns how many hosts each pool should have: what it needs, or a
+// share of what there is in proportion to it.
+func targets(pools []Pool) map[string]int {
+	total, floor, need := 0, 0, 0
+	for _, p := range pools {
+		total += p.Hosts
+		if !p.Standby {
+			floor += MinHosts
+			need += p.hostsFor(p.Want)
+		}
+	}
+	t := map[string]int{}
+	for _, p := range pools {
+		n := p.hostsFor(p.Want)
+		if need > total && !p.Standby {
+			n = MinHosts + max(0, total-floor)*(n-MinHosts)/max(1, need-floor)
+		}
+		t[p.Name] = n
+	}
+	return t
+}
+
+// Plan returns the moves that bring each pool what it needs, as far as the
+// others can spare it. Pools with the greatest lack go first. Hosts on standby
+// are used first, because they need not be emptied.
+func Plan(pools []Pool) []Move {
+	order := slices.Clone(pools)
+	target := targets(order)
+	excess := func(p Pool) int { return p.Hosts - target[p.Name] }
+	slices.SortFunc(order, func(a, b Pool) int {
+		if n := excess(b) - excess(a); n != 0 {
+			return n
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
+	left := map[string]int{}
+	for _, p := range order {
+		left[p.Name] = max(0, min(p.Spare, excess(p)))
+	}
+	var moves []Move
+	for _, to := range slices.Backward(order) {
+		lack := -excess(to)
+		for _, standby := range []bool{true, false} {
+			for _, from := range order {
+				n := min(lack, left[from.Name])
+				if from.Standby != standby || n <= 0 || from.Name == to.Name {
+					continue
+				}
+				moves = append(moves, Move{from.Name, to.Name, n})
+				left[from.Name] -= n
+				lack -= n
+			}
+		}
+	}
+	return append(moves, park(order, target, left)...)
+}
+
+// park returns the moves of hosts that nobody needs to a standby pool.
+func park(pools []Pool, target, left map[string]int) []Move {
+	i := slices.IndexFunc(pools, func(p Pool) bool { return p.Standby })
+	if i < 0 {
+		return nil
+	}
+	var moves []Move
+	for _, p := range pools {
+		keep := max(0, p.hostsFor(p.Keep)-target[p.Name])
+		if n := left[p.Name] - keep - slack; !p.Standby && n > 0 {
+			moves = append(moves, Move{p.Name, pools[i].Name, n})
+		}
+	}
+	return moves
+}
--- a/io/site/beat.go
+++ b/io/site/beat.go
@@ -14,6 +14,12 @@
 	// Work is the work that is left in core-seconds, Cores the capacity.
 	Work  float64 `cbor:"2,keyasint,omitempty"`
 	Cores float64 `cbor:"3,keyasint,omitempty"`
+	// Want is the capacity that the cell needs, Keep that which it may need
+	// again soon, in cores.
+	Want float64 `cbor:"4,keyasint,omitempty"`
+	Keep float64 `cbor:"6,keyasint,omitempty"`
+	// Spare is the number of the pool's hosts that could leave it now.
+	Spare int `cbor:"5,keyasint,omitempty"`
 }
 
 func encode(v any) ([]byte, error) {
--- /dev/null
+++ b/io/site/move.go
@@ -0,0 +1,160 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/cell"
+	"bramleyrock/core/resize"
+
+	"github.com/sirupsen/logrus"
+)
+
+// departPatience is how long a host that is to leave its pool may run tasks,
+// as long as most tasks take. A host that is not empty by then stays.
+const departPatience = 1300 * time.Millisecond
+
+// departure is a host that is about to leave the pool.
+type departure struct {
+	to    string
+	since time.Time
+}
+
+// move decides which hosts are to leave the pool and returns those that could.
+func (u *steward) move(ctx context.Context, hosts []rock.FleetHost, closing, claimed map[string]bool) ([]rock.FleetHost, error) {
+	mine, ids := u.candidates(hosts, claimed)
+	s, err := u.ask(ctx, ids)
+	if err != nil {
+		return nil, err
+	}
+	mine = slices.DeleteFunc(mine, func(h rock.FleetHost) bool { return s.hosts[h.Worker].Lasting > 0 })
+	u.plan(hosts, mine, s)
+	for _, h := range mine {
+		if u.departures[h.Name].to != "" && h.Worker != "" {
+			closing[h.Worker] = true
+		}
+	}
+	return mine, nil
+}
+
+// candidates returns the pool's hosts that could leave, and their workers.
+func (u *steward) candidates(hosts []rock.FleetHost, claimed map[string]bool) ([]rock.FleetHost, []string) {
+	var mine []rock.FleetHost
+	var ids []string
+	for _, h := range hosts {
+		if h.Pool == u.owner.pool && h.Phase == rock.HostUp && !claimed[h.Name] && u.mayOrder(h.Name) {
+			mine = append(mine, h)
+			ids = append(ids, h.Worker)
+		}
+	}
+	return mine, ids
+}
+
+// plan decides which hosts leave.
+func (u *steward) plan(hosts, mine []rock.FleetHost, s situation) {
+	o := u.owner
+	now := o.site.now()
+	for name, d := range u.departures {
+		if now.Sub(d.since) > departPatience || !slices.ContainsFunc(mine, func(h rock.FleetHost) bool { return h.Name == name }) {
+			delete(u.departures, name)
+		}
+	}
+	spare := len(mine)
+	o.post(o.group.Context(), func(time.Time) { o.spare = spare })
+	pools := o.site.view.pools(hosts, o.pool, s.load, spare)
+	free := slices.DeleteFunc(slices.Clone(mine), func(h rock.FleetHost) bool { return u.departures[h.Name].to != "" })
+	slices.SortFunc(free, func(a, b rock.FleetHost) int {
+		if n := s.hosts[a.Worker].Runs - s.hosts[b.Worker].Runs; n != 0 {
+			return n
+		}
+		return compareNames(a, b)
+	})
+	under := len(u.departures)
+	for _, m := range resize.Plan(pools) {
+		if m.From != o.pool {
+			continue
+		}
+		for range m.Count {
+			if under > 0 {
+				under-- // a host is on its way out already
+				continue
+			}
+			if len(free) == 0 {
+				return
+			}
+			u.departures[free[0].Name] = departure{m.To, now}
+			o.log.WithFields(logrus.Fields{"host": free[0].Name, "to": m.To, "runs": s.hosts[free[0].Worker].Runs, "pools": fmt.Sprintf("%+v", pools)}).Info("Host is to leave the pool.")
+			free = free[1:]
+		}
+	}
+}
+
+func compareNames(a, b rock.FleetHost) int {
+	if a.Name < b.Name {
+		return -1
+	}
+	return 1
+}
+
+// depart moves the hosts that are empty.
+func (u *steward) depart(ctx context.Context, mine []rock.FleetHost) error {
+	o := u.owner
+	for _, h := range mine {
+		d, ok := u.departures[h.Name]
+		if !ok {
+			continue
+		}
+		s, err := u.ask(ctx, []string{h.Worker})
+		if err != nil {
+			return err
+		}
+		if w := s.hosts[h.Worker]; h.Worker != "" && (w.Runs > 0 || w.Usable) {
+			continue
+		}
+		p, err := o.site.settings.Hosts.Move(ctx, rock.Holder{Name: o.site.settings.Holder, Token: s.token}, h.Name, d.to)
+		line := o.log.WithFields(logrus.Fields{"host": h.Name, "to": d.to, "token": s.token, "worker": h.Worker, "refusal": p.Refusal})
+		if err != nil {
+			line.WithError(err).Warn("Move is open.")
+			return err
+		}
+		line.Info("Host moves.")
+		if p.Refusal == rock.Taken && h.Worker != "" {
+			u.gone(ctx, h.Worker, "its host moves to pool "+d.to)
+		}
+		delete(u.departures, h.Name)
+	}
+	return nil
+}
+
+// pools describes all pools for the plan: the own one as its owner knows it,
+// the others as their owners last told.
+func (v *view) pools(hosts []rock.FleetHost, own string, load cell.Load, spare int) []resize.Pool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.config == nil {
+		return nil
+	}
+	var pools []resize.Pool
+	for _, p := range v.config.Pools {
+		r := resize.Pool{Name: p.Name, Standby: p.Standby}
+		cores := 0.0
+		for _, h := range hosts {
+			if h.Pool == p.Name && (h.Phase == rock.HostUp || h.Phase == rock.HostMoving || h.Phase == rock.HostInUpkeep) {
+				r.Hosts++
+			}
+			cores += float64(h.Room.MilliCores) / 1000
+		}
+		r.HostCores = cores / float64(max(1, len(hosts)))
+		if c := v.cells[cellOf(p.Name)]; c != nil {
+			r.Want, r.Keep, r.Spare = c.beat.Want, c.beat.Keep, c.beat.Spare
+		}
+		if p.Name == own {
+			r.Want, r.Keep, r.Spare = load.Want, load.Keep, spare
+		}
+		pools = append(pools, r)
+	}
+	return pools
+}
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -58,6 +58,8 @@
 	lost       string
 	pollers    map[string]bool
 	changed    bool
+	// spare is the number of the pool's hosts that could leave it now.
+	spare int
 }
 
 // run owns the cell until ctx ends or the cell is lost.
@@ -72,7 +74,7 @@
 	defer o.site.view.listen(func() { o.post(o.group.Context(), func(now time.Time) { o.refresh(now) }) })()
 	o.refresh(o.site.now())
 	o.group.Go("follow jobs", func(ctx context.Context) error { return o.followJobs(ctx, jobs) })
-	o.group.Go("maintain", o.maintain)
+	o.group.Go("tend hosts", o.tend)
 	o.group.Go("decide", func(ctx context.Context) error {
 		defer o.group.Stop()
 		return o.loop(ctx)
--- /dev/null
+++ b/io/site/steward.go
@@ -0,0 +1,149 @@
+package site
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/cell"
+)
+
+// tendInterval is the time between looks at the pool's hosts, a fraction of
+// the time that a host is away for a move.
+const tendInterval = 200 * time.Millisecond
+
+// steward maintains and moves the hosts of one pool for the cell's owner. It
+// belongs to one goroutine.
+type steward struct {
+	owner *owner
+	// since is when a host was first seen in the pool by this owner. Orders
+	// for it keep a distance from those of a former holder.
+	since map[string]time.Time
+	// claimedAt is when this owner first saw a claim of a wave.
+	claimedAt map[string]time.Time
+	// said holds the waves whose state is written.
+	said map[string]bool
+	// departures holds the hosts that are about to leave the pool.
+	departures map[string]departure
+	// pending holds the waves whose orders are to be given in this turn.
+	pending []pendingWave
+}
+
+// tend looks after the pool's hosts until ctx ends.
+func (o *owner) tend(ctx context.Context) error {
+	u := &steward{
+		owner: o, since: map[string]time.Time{}, claimedAt: map[string]time.Time{},
+		said: map[string]bool{}, departures: map[string]departure{},
+	}
+	for {
+		if err := pause(ctx, tendInterval); err != nil {
+			return nil
+		}
+		if err := u.turn(ctx); err != nil && ctx.Err() == nil {
+			o.log.WithError(err).Info("Hosts are left as they are for now.")
+		}
+	}
+}
+
+// turn does what is due for all hosts of the pool.
+func (u *steward) turn(ctx context.Context) error {
+	hosts, err := u.owner.site.settings.Hosts.Hosts(ctx)
+	if err != nil {
+		return fmt.Errorf("list hosts: %w", err)
+	}
+	u.note(hosts)
+	waves, seen := u.owner.site.view.listWaves()
+	closing, claimed := map[string]bool{}, map[string]bool{}
+	u.pending = nil
+	var failed error
+	for _, name := range slices.Sorted(maps.Keys(waves)) {
+		if u.said[name] {
+			continue
+		}
+		if err := u.serve(ctx, name, waves[name], seen[name], hosts, closing, claimed); err != nil && failed == nil {
+			failed = fmt.Errorf("wave %s: %w", name, err)
+		}
+	}
+	mine, err := u.move(ctx, hosts, closing, claimed)
+	if err != nil {
+		return err
+	}
+	u.close(ctx, closing)
+	return errors.Join(failed, u.orders(ctx), u.depart(ctx, mine))
+}
+
+// note remembers since when each host has been in the pool.
+func (u *steward) note(hosts []rock.FleetHost) {
+	now := u.owner.site.now()
+	here := map[string]bool{}
+	for _, h := range hosts {
+		if h.Pool == u.owner.pool {
+			here[h.Name] = true
+			if u.since[h.Name].IsZero() {
+				u.since[h.Name] = now
+			}
+		}
+	}
+	maps.DeleteFunc(u.since, func(name string, _ time.Time) bool { return !here[name] })
+}
+
+// mayOrder reports whether the owner may give orders for a host without
+// coming too close after another holder.
+func (u *steward) mayOrder(host string) bool {
+	t := u.since[host]
+	return !t.IsZero() && u.owner.site.now().Sub(t) > u.owner.site.settings.HolderGap+holderMargin
+}
+
+// holderMargin is added to the distance between two holders' orders: a
+// fraction of it, for orders that are under way.
+const holderMargin = 300 * time.Millisecond
+
+// gone tells the cell that the platform has ended a worker.
+func (u *steward) gone(ctx context.Context, worker, why string) {
+	u.owner.post(ctx, func(now time.Time) {
+		u.owner.core.Gone(now, worker, why)
+		u.owner.changed = true
+	})
+}
+
+// close tells the cell which workers are to be emptied.
+func (u *steward) close(ctx context.Context, closing map[string]bool) {
+	u.owner.post(ctx, func(time.Time) {
+		u.owner.core.SetClosing(closing)
+		u.owner.changed = true
+	})
+}
+
+// situation is what the cell knows of its workers and its load.
+type situation struct {
+	mayAct bool
+	token  uint64
+	load   cell.Load
+	hosts  map[string]cell.Occupancy
+}
+
+// ask asks the owner's loop for the situation.
+func (u *steward) ask(ctx context.Context, workers []string) (situation, error) {
+	answers := make(chan situation, 1)
+	o := u.owner
+	o.post(ctx, func(now time.Time) {
+		s := situation{mayAct: now.Before(o.actUntil), token: o.beatVersion, load: o.core.Load(now), hosts: map[string]cell.Occupancy{}}
+		for _, id := range workers {
+			s.hosts[id] = o.core.Occupancy(now, id)
+		}
+		answers <- s
+	})
+	select {
+	case s := <-answers:
+		if !s.mayAct {
+			return s, fmt.Errorf("the ownership is not proved")
+		}
+		return s, nil
+	case <-ctx.Done():
+		return situation{}, ctx.Err()
+	}
+}
--- a/io/site/upkeep.go
+++ b/io/site/upkeep.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// upkeepPoll is the time between looks at the waves, a fraction of the
-	// time that a host is away.
-	upkeepPoll = 250 * time.Millisecond
 	// drainPatience is how long a claimed host may run ordinary tasks: longer
 	// than the longest of the sheets.
 	drainPatience = 5 * time.Second
@@ -26,86 +23,8 @@
 	calmWork = 0.25
 )
 
-// upkeep maintains the hosts of one cell. It belongs to one goroutine.
-type upkeep struct {
-	owner *owner
-	// begun is when the owner took the cell: orders for hosts keep a distance
-	// from those of a former owner.
-	begun time.Time
-	// claimedAt is when this owner first saw a claim.
-	claimedAt map[string]time.Time
-	// said holds the waves whose state is written.
-	said map[string]bool
-}
-
-// maintain serves the waves until ctx ends.
-func (o *owner) maintain(ctx context.Context) error {
-	u := &upkeep{owner: o, begun: o.site.now(), claimedAt: map[string]time.Time{}, said: map[string]bool{}}
-	for {
-		if err := pause(ctx, upkeepPoll); err != nil {
-			return nil
-		}
-		if err := u.turn(ctx); err != nil && ctx.Err() == nil {
-			o.log.WithError(err).Info("Maintenance waits.")
-		}
-	}
-}
-
-// turn does what is due for all waves.
-func (u *upkeep) turn(ctx context.Context) error {
-	waves, seen := u.owner.site.view.listWaves()
-	for name := range u.said {
-		delete(waves, name)
-	}
-	if len(waves) == 0 {
-		return nil
-	}
-	hosts, err := u.owner.site.settings.Hosts.Hosts(ctx)
-	if err != nil {
-		return fmt.Errorf("list hosts: %w", err)
-	}
-	closing := map[string]bool{}
-	for _, name := range slices.Sorted(maps.Keys(waves)) {
-		if err := u.serve(ctx, name, waves[name], seen[name], hosts, closing); err != nil {
-			return fmt.Errorf("wave %s: %w", name, err)
-		}
-	}
-	u.owner.post(ctx, func(time.Time) { u.owner.core.SetClosing(closing) })
-	return nil
-}
-
-// situation is what the cell knows of its workers and its load.
-type situation struct {
-	mayAct bool
-	token  uint64
-	load   cell.Load
-	hosts  map[string]cell.Occupancy
-}
-
-// ask asks the owner's loop for the situation.
-func (u *upkeep) ask(ctx context.Context, workers []string) (situation, error) {
-	answers := make(chan situation, 1)
-	o := u.owner
-	o.post(ctx, func(now time.Time) {
-		s := situation{mayAct: now.Before(o.actUntil), token: o.beatVersion, load: o.core.Load(now), hosts: map[string]cell.Occupancy{}}
-		for _, id := range workers {
-			s.hosts[id] = o.core.Occupancy(now, id)
-		}
-		answers <- s
-	})
-	select {
-	case s := <-answers:
-		if !s.mayAct {
-			return s, fmt.Errorf("the ownership is not proved")
-		}
-		return s, nil
-	case <-ctx.Done():
-		return situation{}, ctx.Err()
-	}
-}
-
 // serve does what is due for one wave.
-func (u *upkeep) serve(ctx context.Context, name string, w rock.Upkeep, seen time.Time, hosts []rock.FleetHost, closing map[string]bool) error {
+func (u *steward) serve(ctx context.Context, name string, w rock.Upkeep, seen time.Time, hosts []rock.FleetHost, closing, known map[string]bool) error {
 	rowKey := key(cellTable, wavePart, name)
 	rows, err := u.owner.site.settings.Store.List(ctx, cellTable, wavePart, name, name+"\x00")
 	if err != nil {
@@ -131,29 +50,53 @@
 	if err != nil {
 		return err
 	}
+	for host, c := range state.Claims {
+		known[host] = true
+		if c.Ordered {
+			closing[c.Worker] = true // its life is over, whatever is still listed
+		} else if h := byName[host]; h.Pool == u.owner.pool {
+			closing[h.Worker] = true
+		}
+	}
 	if changed || claimed {
 		if err := u.store(ctx, rowKey, row.Version(), state); err != nil {
 			return err
 		}
 		return nil // the orders follow in the next turn, from what is stored
 	}
-	for host, c := range state.Claims {
-		if h := byName[host]; h.Pool == u.owner.pool && !c.Ordered {
-			closing[h.Worker] = true
+	u.pending = append(u.pending, pendingWave{w, state, row.Version(), rowKey, byName})
+	return nil
+}
+
+// pendingWave is a wave whose orders are given once the cell has heard which
+// workers are to be emptied.
+type pendingWave struct {
+	wave    rock.Upkeep
+	state   maint.State
+	version uint64
+	rowKey  string
+	hosts   map[string]rock.FleetHost
+}
+
+// orders gives the orders of the waves.
+func (u *steward) orders(ctx context.Context) error {
+	for _, p := range u.pending {
+		ordered, err := u.order(ctx, p.wave, &p.state, p.hosts)
+		if ordered {
+			if err := u.store(ctx, p.rowKey, p.version, p.state); err != nil {
+				return err
+			}
 		}
-	}
-	ordered, err := u.order(ctx, w, &state, byName)
-	if ordered {
-		if err := u.store(ctx, rowKey, row.Version(), state); err != nil {
-			return err
+		if err != nil {
+			return fmt.Errorf("wave %d: %w", p.wave.Number, err)
 		}
 	}
-	return err
+	return nil
 }
 
 // finish notes which of the cell's claimed hosts are up again, and which of
 // the wave's hosts are gone.
-func (u *upkeep) finish(w rock.Upkeep, state *maint.State, hosts map[string]rock.FleetHost) bool {
+func (u *steward) finish(w rock.Upkeep, state *maint.State, hosts map[string]rock.FleetHost) bool {
 	changed := false
 	for _, name := range w.Hosts {
 		h, ok := hosts[name]
@@ -173,12 +116,9 @@
 }
 
 // claim adds the hosts that are to be taken down next.
-func (u *upkeep) claim(ctx context.Context, w rock.Upkeep, state *maint.State, seen time.Time, hosts []rock.FleetHost) (bool, error) {
+func (u *steward) claim(ctx context.Context, w rock.Upkeep, state *maint.State, seen time.Time, hosts []rock.FleetHost) (bool, error) {
 	o := u.owner
 	now := o.site.now()
-	if now.Sub(u.begun) < o.site.settings.HolderGap {
-		return false, nil
-	}
 	var ids []string
 	pool := maint.Pool{}
 	for _, h := range hosts {
@@ -201,7 +141,7 @@
 		standby = standby && h.Worker == ""
 		if slices.Contains(w.Hosts, h.Name) {
 			c := s.hosts[h.Worker]
-			mine = append(mine, maint.Host{Name: h.Name, Worker: h.Worker, Up: h.Phase == rock.HostUp, Runs: c.Runs, Lasting: c.Lasting})
+			mine = append(mine, maint.Host{Name: h.Name, Worker: h.Worker, Up: h.Phase == rock.HostUp && u.mayOrder(h.Name) && u.departures[h.Name].to == "", Runs: c.Runs, Lasting: c.Lasting})
 			workers[h.Name] = h.Worker
 		}
 	}
@@ -216,7 +156,7 @@
 }
 
 // order takes down the cell's claimed hosts that are empty.
-func (u *upkeep) order(ctx context.Context, w rock.Upkeep, state *maint.State, hosts map[string]rock.FleetHost) (bool, error) {
+func (u *steward) order(ctx context.Context, w rock.Upkeep, state *maint.State, hosts map[string]rock.FleetHost) (bool, error) {
 	o := u.owner
 	ordered := false
 	for _, name := range slices.Sorted(maps.Keys(state.Claims)) {
@@ -228,7 +168,7 @@
 		if err != nil {
 			return ordered, err
 		}
-		if !u.empty(name, s.hosts[h.Worker]) || o.site.now().Sub(u.begun) < o.site.settings.HolderGap {
+		if !u.empty(name, s.hosts[h.Worker]) || !u.mayOrder(name) {
 			continue
 		}
 		p, err := o.site.settings.Hosts.Maintain(ctx, rock.Holder{Name: o.site.settings.Holder, Token: s.token}, name, w.Number)
@@ -239,6 +179,7 @@
 		}
 		line.WithField("refusal", p.Refusal).Info("Maintenance order.")
 		if p.Refusal == rock.Taken {
+			u.gone(ctx, h.Worker, "its host is maintained")
 			c.Ordered, c.Worker = true, h.Worker
 			state.Claims[name] = c
 			ordered = true
@@ -249,7 +190,7 @@
 
 // empty reports whether a claimed host may be taken down: nothing runs on it,
 // or only ordinary tasks that run for too long.
-func (u *upkeep) empty(name string, c cell.Occupancy) bool {
+func (u *steward) empty(name string, c cell.Occupancy) bool {
 	now := u.owner.site.now()
 	if u.claimedAt[name].IsZero() {
 		u.claimedAt[name] = now
@@ -262,7 +203,7 @@
 }
 
 // store writes the state of a wave on condition that it is unchanged.
-func (u *upkeep) store(ctx context.Context, rowKey string, version uint64, state maint.State) error {
+func (u *steward) store(ctx context.Context, rowKey string, version uint64, state maint.State) error {
 	value, err := state.Encode()
 	if err != nil {
 		return err
@@ -275,7 +216,7 @@
 }
 
 // say tells the operator how a wave stands.
-func (u *upkeep) say(ctx context.Context, name string, complete bool) error {
+func (u *steward) say(ctx context.Context, name string, complete bool) error {
 	o := u.owner
 	var t rock.Transaction
 	t.Put(key(o.site.settings.Outside.StatusTable, "", o.site.settings.Outside.WavePrefix+name), o.site.settings.Outside.EncodeWave(complete))
