--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -27,7 +27,9 @@
 	flushing   bool
 	urgent     bool
 	ended      []*job
-	settled    bool
+	// over holds the jobs that have ended and when their end was stored.
+	over    map[string]time.Time
+	settled bool
 	// dropped lists workers whose rows are to be deleted.
 	dropped []string
 	notes   []Note
@@ -43,6 +45,7 @@
 		jobs:     map[string]*job{},
 		workers:  map[string]*worker{},
 		former:   map[string]bool{},
+		over:     map[string]time.Time{},
 		watch:    eject.NewWatch(eject.Settings{}),
 		times:    map[timeKey]*runTime{},
 	}
@@ -107,9 +110,10 @@
 var defaultQueue = works.Queue{Attempts: 2, Stretch: 2, Objective: time.Second}
 
 // AddJob adds an accepted job whose row has that version. A job that is known
-// is ignored.
+// is ignored, also for a while after it has ended: a listing may be older than
+// the write that ended it.
 func (c *Cell) AddJob(now time.Time, j works.Job, version uint64) {
-	if c.jobs[j.ID] != nil {
+	if c.jobs[j.ID] != nil || !c.over[j.ID].IsZero() {
 		return
 	}
 	q, ok := c.queues[j.Queue]
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -169,3 +169,19 @@
 		b.pass(50 * time.Millisecond)
 	}
 }
+
+func TestEndedJobIsNotTakenInAgain(t *testing.T) {
+	b := newBench(t, 1, nil)
+	j := job("a", 9, step(1))
+	b.AddJob(b.now, j, 9)
+	s := b.started()
+	b.pass(time.Second)
+	b.report("w0", nil, []rock.End{end(s[0], rock.EndDone)})
+	b.pass(time.Second)
+	batch := b.flush()
+	assert.Equal(t, len(batch.Writes), 1)
+	assert.Equal(t, batch.Writes[0].Outcome.State, works.Completed)
+	// A listing that began before the write arrives after it.
+	b.AddJob(b.now, j, 9)
+	assert.Equal(t, len(b.started()), 0)
+}
--- a/core/cell/flush.go
+++ b/core/cell/flush.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"maps"
 	"time"
 
 	"bramleyrock/core/works"
@@ -96,7 +97,7 @@
 }
 
 // Flushed notes that the batch is stored.
-func (c *Cell) Flushed(_ time.Time, b *Batch) {
+func (c *Cell) Flushed(now time.Time, b *Batch) {
 	c.flushing = false
 	for id, n := range b.seen {
 		if w := c.workers[id]; w != nil && n <= w.handled {
@@ -110,9 +111,17 @@
 	}
 	for _, j := range b.ended {
 		c.forget(j)
+		c.over[j.ID] = now
+	}
+	if len(b.ended) > 0 {
+		maps.DeleteFunc(c.over, func(_ string, t time.Time) bool { return now.Sub(t) > overMemory })
 	}
 }
 
+// overMemory is how long an ended job is remembered: several times the longest
+// that a listing can be under way.
+const overMemory = 15 * time.Second
+
 // FlushFailed notes that the batch was not stored, as far as is known.
 func (c *Cell) FlushFailed(now time.Time, b *Batch) {
 	c.flushing = false
