Runs are given up only after a question that follows their lease

Ruled out: a lease shorter than the one that was sent; the last start order carried the latest end.

Change: a silent worker's runs are lost only once a question that was sent after the lease has passed went unanswered. A test plays a busy entry.

--- a/core/cell/answered.go
+++ b/core/cell/answered.go
@@ -26,7 +26,7 @@
 		c.vanish(now, r.worker, "another life answers at its address")
 		return
 	}
-	r.worker.answeredAt = now
+	r.worker.answeredAt, r.worker.silent = now, false
 	if o.Kind == OrderStop {
 		c.stopped(now, r, p)
 		return
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -141,7 +141,7 @@
 			_, _, ok := b.HoldOrder(b.now, w.ID, 0)
 			assert.Assert(t, ok)
 			if w.ID == dead {
-				b.Silent(b.now, w.ID, fmt.Errorf("no answer"))
+				b.Silent(b.now, b.now, w.ID, fmt.Errorf("no answer"))
 			} else {
 				b.report(w.ID, running(second...), nil)
 			}
@@ -159,7 +159,7 @@
 	dead := b.started()[0].Worker.ID
 	b.HoldOrder(b.now, dead, 0)
 	for b.now.Before(start.Add(4 * time.Second)) {
-		b.Silent(b.now, dead, fmt.Errorf("no answer"))
+		b.Silent(b.now, b.now, dead, fmt.Errorf("no answer"))
 		for _, w := range b.known {
 			if w.ID != dead {
 				b.report(w.ID, nil, nil)
@@ -185,3 +185,24 @@
 	b.AddJob(b.now, j, 9)
 	assert.Equal(t, len(b.started()), 0)
 }
+
+func TestRunsAreLostOnlyAfterAQuestionThatFollowsTheLease(t *testing.T) {
+	b := newBench(t, 2, nil)
+	b.AddJob(b.now, job("a", 9, step(1)), 9)
+	o := b.started()[0]
+	slow := o.Worker.ID
+	sent := b.now
+	b.pass(10 * time.Second) // the entry was busy, the question is old
+	b.Silent(b.now, sent, slow, fmt.Errorf("no answer"))
+	for _, w := range b.known {
+		if w.ID != slow {
+			b.report(w.ID, nil, nil)
+		}
+	}
+	assert.Equal(t, len(b.started()), 0, "the task may have ended")
+	b.report(slow, nil, []rock.End{end(o, rock.EndDone)})
+	assert.Equal(t, len(b.started()), 0)
+	b.pass(time.Second)
+	batch := b.flush()
+	assert.Equal(t, batch.Writes[0].Outcome.State, works.Completed)
+}
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -272,20 +272,27 @@
 	c.stop(r, "no live task needs the run")
 }
 
-// Silent notes that a worker did not answer an order.
-func (c *Cell) Silent(now time.Time, id string, err error) {
+// Silent notes that a worker did not answer an order that was sent at that
+// time.
+func (c *Cell) Silent(now, sent time.Time, id string, err error) {
 	w := c.workers[id]
-	if w == nil || w.silent {
+	if w == nil || sent.Before(w.answeredAt) {
+		return
+	}
+	w.unansweredAt = sent
+	if w.silent {
 		return
 	}
 	w.silent = true
 	c.note("worker silent", nil, fmt.Sprintf("worker %s, last answer %v ago: %v", id, now.Sub(w.answeredAt), err))
 }
 
-// expire gives up the runs of workers whose lease has passed for certain.
+// expire gives up the runs of workers whose lease has passed for certain. The
+// runs may have ended well before, so a worker is asked once more after its
+// lease has passed.
 func (c *Cell) expire(now time.Time) {
 	for _, w := range c.workers {
-		if len(w.runs) == 0 || !w.silent || !w.lapsed(now) {
+		if len(w.runs) == 0 || !w.silent || !w.lapsed(w.unansweredAt) {
 			continue
 		}
 		for _, r := range w.runs {
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -26,7 +26,9 @@
 	// order had no answer.
 	answeredAt time.Time
 	silent     bool
-	restUntil  time.Time
+	// unansweredAt is when the last order without an answer was sent.
+	unansweredAt time.Time
+	restUntil    time.Time
 	// closing is true while the worker is to be emptied.
 	closing bool
 	used    rock.Room
--- a/io/site/orders.go
+++ b/io/site/orders.go
@@ -40,7 +40,7 @@
 	o.post(ctx, func(now time.Time) {
 		o.core.Answered(now, d, p, err)
 		if err != nil {
-			o.core.Silent(now, d.Worker.ID, err)
+			o.core.Silent(now, sent, d.Worker.ID, err)
 		}
 		o.changed = true
 	})
@@ -145,7 +145,7 @@
 		}
 		o.post(ctx, func(now time.Time) {
 			if err != nil {
-				o.core.Silent(now, id, err)
+				o.core.Silent(now, sent, id, err)
 			} else {
 				o.core.Report(now, sent, id, p)
 			}
