The end of a silent worker's lease is stored; failures heard late count

A failure that was heard after the task's next run was not counted, so that a task had one attempt too many (BUDGET).

Change: the row of a worker that does not answer holds the time at which its last lease has passed; the lease is not extended while it does. A task lists its failed runs. Entries with more processor time own cells first.

--- a/cmd/bramleyrock/hosted.go
+++ b/cmd/bramleyrock/hosted.go
@@ -107,7 +107,7 @@
 func siteSettings(p platform.Settings, log *logrus.Logger, m *meter.Meter) site.Settings {
 	b := p.Bounds
 	return site.Settings{
-		Name: p.Name + "@" + p.IP, Holder: p.Name, Zone: p.Zone,
+		Name: p.Name + "@" + p.IP, Holder: p.Name, Zone: p.Zone, CPUShare: p.CPUShare,
 		Store: platform.NewStore(p.StoreAddress), Workers: platform.NewWorkers(), Hosts: platform.NewHostDuties(p.HostsAddress),
 		Outside: site.Outside{
 			OperatorTable: platform.OperatorTable, ConfigName: platform.ConfigName, WavePrefix: platform.WavePrefix,
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -15,7 +15,7 @@
 	queues   map[string]works.Queue
 	jobs     map[string]*job
 	workers  map[string]*worker
-	former   map[string]bool
+	former   map[string]*former
 	watch    *eject.Watch
 	times    map[timeKey]*runTime
 	// orphans are stops of runs that belong to no live task.
@@ -30,6 +30,7 @@
 	// over holds the jobs that have ended and when their end was stored.
 	over    map[string]time.Time
 	settled bool
+	leaving bool
 	// dropped lists workers whose rows are to be deleted.
 	dropped []string
 	notes   []Note
@@ -44,13 +45,16 @@
 		queues:   map[string]works.Queue{},
 		jobs:     map[string]*job{},
 		workers:  map[string]*worker{},
-		former:   map[string]bool{},
+		former:   map[string]*former{},
 		over:     map[string]time.Time{},
 		watch:    eject.NewWatch(eject.Settings{}),
 		times:    map[timeKey]*runTime{},
 	}
-	for _, id := range s.Former {
-		c.former[id] = true
+	for id, until := range s.Former {
+		c.former[id] = &former{until: until, stored: !until.IsZero()}
+		if until.IsZero() {
+			c.former[id].until = s.SettledAt
+		}
 	}
 	return c
 }
@@ -198,9 +202,9 @@
 		listed[s.ID] = true
 		w := c.workers[s.ID]
 		if w == nil {
-			w = &worker{Worker: s, clock: s.Clock, clockAt: s.ReadAt, runs: map[runKey]*run{}, health: c.watch.Join(s.ID), born: s.Born, answeredAt: now, recorded: c.former[s.ID]}
-			if !w.recorded {
-				c.touch(now, true)
+			w = &worker{Worker: s, clock: s.Clock, clockAt: s.ReadAt, runs: map[runKey]*run{}, health: c.watch.Join(s.ID), born: s.Born, answeredAt: now}
+			if f := c.former[s.ID]; f != nil {
+				w.recorded, w.boundStored = true, f.stored
 			}
 			w.rack = rackOf(s.Labels)
 			c.workers[s.ID] = w
@@ -255,40 +259,16 @@
 }
 
 // HoldOrder returns the next order to hold for a worker, and false if the
-// worker is not to be asked any more. The lease of a worker that does not
-// answer is not extended, so that it passes.
+// worker is not to be asked any more. The lease of a worker that has not
+// answered is not extended, so that it passes.
 func (c *Cell) HoldOrder(now time.Time, id string, wait time.Duration) (rock.Worker, rock.HoldOrder, bool) {
 	w := c.workers[id]
 	if w == nil || w.gone {
 		return rock.Worker{}, rock.HoldOrder{}, false
 	}
 	h := rock.HoldOrder{Fence: c.settings.Fence, SeenUpTo: w.stored, Wait: wait}
-	if !w.silent {
+	if w.fenced && !w.silent && !w.boundStored {
 		h.Until = w.until(now, c.settings.Hold)
 	}
 	return w.Worker, h, true
 }
-
-// settle reports whether all that a former owner started is accounted for.
-func (c *Cell) settle(now time.Time) bool {
-	if c.settled {
-		return true
-	}
-	if now.After(c.settings.SettledAt) {
-		c.settled = true
-		return true
-	}
-	for id := range c.former {
-		if w := c.workers[id]; w == nil || !w.fenced && !w.gone {
-			return false
-		}
-	}
-	for _, w := range c.workers {
-		if !w.fenced && !w.gone {
-			return false
-		}
-	}
-	c.settled = true
-	c.notes = append(c.notes, Note{What: "takeover settled", Detail: "all workers answered"})
-	return true
-}
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -206,3 +206,124 @@
 	batch := b.flush()
 	assert.Equal(t, batch.Writes[0].Outcome.State, works.Completed)
 }
+
+func TestFailureThatIsHeardLateCounts(t *testing.T) {
+	b := newBench(t, 2, nil)
+	b.AddJob(b.now, job("a", 9, step(1)), 9)
+	first := b.started()[0]
+	b.pass(10 * time.Second)
+	b.Silent(b.now, b.now, first.Worker.ID, fmt.Errorf("no answer"))
+	for _, w := range b.known {
+		if w.ID != first.Worker.ID {
+			b.report(w.ID, nil, nil)
+		}
+	}
+	second := b.started()[0]
+	b.pass(time.Second)
+	b.report(second.Worker.ID, nil, []rock.End{end(second, rock.EndFailed)})
+	// The first worker is back and tells that its run had failed as well.
+	b.report(first.Worker.ID, nil, []rock.End{end(first, rock.EndFailed)})
+	assert.Equal(t, len(b.started()), 0, "two attempts are allowed")
+	b.pass(time.Second)
+	assert.Equal(t, b.flush().Writes[0].Outcome.State, works.Failed)
+}
+
+func TestFailureIsCountedOnce(t *testing.T) {
+	b := newBench(t, 2, nil)
+	j := job("a", 9, step(1))
+	b.AddJob(b.now, j, 9)
+	o := b.started()[0]
+	b.pass(time.Second)
+	b.report(o.Worker.ID, nil, []rock.End{end(o, rock.EndFailed)})
+	b.pass(time.Second)
+	p := b.flush().Writes[0].Progress
+	// The next owner hears of the same end, because the worker was not told
+	// that it is stored.
+	next := newBench(t, 2, func(s *cell.Settings) { s.Fence = fence + 1 })
+	next.AddJob(next.now, j, 9)
+	next.AddProgress("a", p)
+	next.report(o.Worker.ID, nil, []rock.End{end(o, rock.EndFailed)})
+	assert.Equal(t, len(next.started()), 1)
+}
+
+// takeover returns a bench whose cell was owned before, with what the former
+// owner stored about workers.
+func takeover(t *testing.T, workers int, formerUntil map[string]time.Time) *bench {
+	t.Helper()
+	s := cell.Settings{
+		Pool: "tins", Fence: fence, KnownVersion: fence, Hold: 4 * time.Second, Stop: 400 * time.Millisecond,
+		SettledAt: start.Add(5 * time.Second), Former: formerUntil,
+	}
+	b := &bench{Cell: cell.New(s), t: t, now: start, ends: map[string]int64{}}
+	b.SetQueues([]works.Queue{{Name: "q", Pool: "tins", Attempts: 2, Stretch: 1.6, Objective: 600 * time.Millisecond}})
+	for i := range workers {
+		b.known = append(b.known, rock.Worker{
+			ID: fmt.Sprint("w", i), Pool: "tins", State: rock.WorkerReady, Room: rock.Room{MilliCores: 4000, MemoryMB: 8000}, Born: start, ReadAt: start,
+		})
+	}
+	b.SetWorkers(b.now, b.known)
+	return b
+}
+
+func TestTakeoverWaitsForSilentWorkers(t *testing.T) {
+	cases := map[string]struct {
+		former map[string]time.Time
+		want   time.Duration
+	}{
+		"the end of the lease is not known": {map[string]time.Time{"w0": {}, "w1": {}}, 5 * time.Second},
+		"the end of the lease is stored":    {map[string]time.Time{"w0": {}, "w1": start.Add(2 * time.Second)}, 2 * time.Second},
+		"the worker is not registered":      {map[string]time.Time{"w0": {}, "w9": start.Add(3 * time.Second)}, 3 * time.Second},
+		"no order was given to the worker":  {map[string]time.Time{"w0": {}}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := takeover(t, 2, c.former)
+			b.AddJob(b.now, job("old", fence-1, step(1)), fence-1)
+			b.AddJob(b.now, job("new", fence+1, step(1)), fence+1)
+			began := map[string]time.Duration{}
+			var orders []cell.Order
+			for b.now.Sub(start) < 6*time.Second {
+				b.report("w0", running(orders...), nil)
+				b.Silent(b.now, b.now, "w1", fmt.Errorf("no answer"))
+				b.flush()
+				for _, o := range b.started() {
+					began[o.Job] = b.now.Sub(start)
+					orders = append(orders, o)
+				}
+				b.pass(20 * time.Millisecond)
+			}
+			assert.Assert(t, began["new"] <= 40*time.Millisecond, "a new job started after %v", began["new"])
+			assert.Assert(t, began["old"] >= c.want && began["old"] <= c.want+100*time.Millisecond, "the old job started after %v", began["old"])
+		})
+	}
+}
+
+func TestLeaseIsNotExtendedWhileItsEndIsStored(t *testing.T) {
+	b := takeover(t, 1, map[string]time.Time{"w0": start.Add(2 * time.Second)})
+	lease := func() time.Duration {
+		_, h, ok := b.HoldOrder(b.now, "w0", 0)
+		assert.Assert(t, ok)
+		return h.Until
+	}
+	assert.Equal(t, lease(), time.Duration(0))
+	b.report("w0", nil, nil)
+	assert.Equal(t, lease(), time.Duration(0))
+	b.Decide(b.now)
+	rows := b.flush().Workers
+	assert.DeepEqual(t, rows, []cell.WorkerRow{{ID: "w0"}})
+	assert.Assert(t, lease() > 0)
+}
+
+func TestEndOfLeaseIsStoredWhenTheOwnerLeaves(t *testing.T) {
+	b := newBench(t, 2, nil)
+	b.AddJob(b.now, job("a", 9, step(1)), 9)
+	dead := b.started()[0].Worker.ID
+	b.pass(100 * time.Millisecond)
+	b.Silent(b.now, b.now, dead, fmt.Errorf("no answer"))
+	assert.Equal(t, len(b.flush().Workers), 0)
+	b.Leave(b.now)
+	rows := b.flush().Workers
+	assert.Equal(t, len(rows), 1)
+	assert.Equal(t, rows[0].ID, dead)
+	assert.Assert(t, rows[0].Until.After(start.Add(4*time.Second)) && rows[0].Until.Before(start.Add(4200*time.Millisecond)), "%v", rows[0].Until.Sub(start))
+}
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -13,6 +13,7 @@
 func (c *Cell) Decide(now time.Time) []Order {
 	c.expire(now)
 	c.evacuate(now)
+	c.checkRows(now)
 	orders := c.repeat(now, nil)
 	settled := c.settle(now)
 	return c.place(now, settled, orders)
--- a/core/cell/flush.go
+++ b/core/cell/flush.go
@@ -23,9 +23,9 @@
 // Batch is a set of writes that belong in one transaction.
 type Batch struct {
 	Writes []Write
-	// NewWorkers and OldWorkers name workers whose rows are to be written and
-	// to be deleted.
-	NewWorkers []string
+	// Workers holds the rows of workers to write, OldWorkers names those to
+	// delete.
+	Workers    []WorkerRow
 	OldWorkers []string
 
 	seen  map[string]int64
@@ -65,7 +65,7 @@
 		j.dirty, j.stored = false, true
 		b.Writes = append(b.Writes, Write{ID: j.ID, Progress: j.progress()})
 	}
-	c.flushWorkers(b)
+	c.flushWorkers(now, b)
 	if !b.more {
 		for id, w := range c.workers {
 			b.seen[id] = w.handled
@@ -75,27 +75,6 @@
 	return b
 }
 
-// maxWorkerWrites bounds the rows of workers in a batch.
-const maxWorkerWrites = 20
-
-// flushWorkers adds the rows of workers to the batch.
-func (c *Cell) flushWorkers(b *Batch) {
-	n := min(len(c.dropped), maxWorkerWrites)
-	b.OldWorkers = c.dropped[:n:n]
-	c.dropped = c.dropped[n:]
-	b.more = b.more || len(c.dropped) > 0
-	for id, w := range c.workers {
-		if w.recorded {
-			continue
-		}
-		if len(b.NewWorkers)+len(b.OldWorkers) >= maxWorkerWrites {
-			b.more = true
-			return
-		}
-		b.NewWorkers = append(b.NewWorkers, id)
-	}
-}
-
 // Flushed notes that the batch is stored.
 func (c *Cell) Flushed(now time.Time, b *Batch) {
 	c.flushing = false
@@ -104,11 +83,7 @@
 			w.stored = max(w.stored, n)
 		}
 	}
-	for _, id := range b.NewWorkers {
-		if w := c.workers[id]; w != nil {
-			w.recorded = true
-		}
-	}
+	c.flushedWorkers(b)
 	for _, j := range b.ended {
 		c.forget(j)
 		c.over[j.ID] = now
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -31,21 +31,16 @@
 	number     int
 	tasks      []*task
 	left       int
-	// failures and counted are those of a gang as a whole.
-	failures int
-	// away is the number of running tasks, kept for gangs.
-	placed int
 }
 
 // task is one task of a step.
 type task struct {
-	name     works.TaskName
-	key      string
-	step     *step
-	done     bool
-	failures int
-	// counted is the last run whose end is counted.
-	counted    int64
+	name works.TaskName
+	key  string
+	step *step
+	done bool
+	// failed lists the runs that failed.
+	failed     []int64
 	checkpoint string
 	current    *run
 	lastRun    int64
@@ -115,10 +110,10 @@
 	p := works.Progress{Begun: j.begun}
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
-			if t.done || t.failures > 0 || t.counted > 0 {
+			if t.done || len(t.failed) > 0 {
 				p.Tasks = append(p.Tasks, works.TaskProgress{
 					Occurrence: s.occurrence, Step: s.number, Index: t.name.Index,
-					Done: t.done, Failures: t.failures, Run: t.counted, Checkpoint: t.checkpoint,
+					Done: t.done, Failed: t.failed, Run: t.lastRun, Checkpoint: t.checkpoint,
 				})
 			}
 		}
@@ -136,8 +131,7 @@
 			continue
 		}
 		t := s.tasks[r.Index]
-		t.failures, t.counted, t.checkpoint = r.Failures, r.Run, r.Checkpoint
-		t.lastRun = r.Run
+		t.failed, t.lastRun, t.checkpoint = r.Failed, r.Run, r.Checkpoint
 		if r.Done {
 			t.finish()
 		}
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	rock "bramleyrock"
@@ -163,7 +164,7 @@
 // failed counts the failure of a run. Tasks that last fail without limit. All
 // members of a gang count as one.
 func (c *Cell) failed(now time.Time, w *worker, t *task, e rock.End) {
-	if e.Run <= t.counted || t.step.Lasting {
+	if t.step.Lasting || slices.Contains(t.failed, e.Run) {
 		return
 	}
 	tasks := []*task{t}
@@ -171,14 +172,13 @@
 		tasks = t.step.tasks
 	}
 	for _, m := range tasks {
-		m.failures++
-		m.counted = e.Run
+		m.failed = append(m.failed, e.Run)
 	}
 	t.failedOn = w.id()
 	j := t.step.job
 	j.dirty = true
-	if t.failures >= j.queue.Attempts && !j.state.Ended() {
-		c.endJob(now, j, works.Failed, fmt.Sprintf("task %s failed %d times, last on worker %s", t.key, t.failures, w.id()))
+	if len(t.failed) >= j.queue.Attempts && !j.state.Ended() {
+		c.endJob(now, j, works.Failed, fmt.Sprintf("task %s failed %d times, last on worker %s", t.key, len(t.failed), w.id()))
 	}
 }
 
@@ -196,7 +196,7 @@
 		c.timesOf(s).note(took, s.Estimate)
 		c.watch.Note(now, r.worker.health, false)
 	case rock.EndFailed:
-		if r.task.failures == 0 {
+		if len(r.task.failed) == 0 {
 			c.watch.Note(now, r.worker.health, true)
 		}
 	}
@@ -260,7 +260,7 @@
 	if t != nil {
 		r.room = t.step.Room()
 	}
-	if t != nil && !t.done && t.current == nil && !t.step.job.state.Ended() && row.Run > t.counted {
+	if t != nil && !t.done && t.current == nil && !t.step.job.state.Ended() && !slices.Contains(t.failed, row.Run) {
 		r.task, t.current = t, r
 		t.lastRun = max(t.lastRun, row.Run)
 		w.add(r)
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -15,10 +15,11 @@
 	// Hold is the lease that workers are given.
 	Hold time.Duration
 	// SettledAt is when the last lease that a former owner gave has passed on
-	// every worker's clock. The zero time means that there was none.
+	// every worker's clock.
 	SettledAt time.Time
-	// Former lists the workers to which a former owner gave orders.
-	Former []string
+	// Former holds the workers to which a former owner gave orders, and when
+	// their last lease has passed if that is known.
+	Former map[string]time.Time
 	// Stop is the time that a stop takes at most.
 	Stop time.Duration
 	// Far is how many times longer work takes away from its data.
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -35,6 +35,9 @@
 	runs    map[runKey]*run
 	// recorded is true once a row tells that the cell orders the worker.
 	recorded bool
+	// boundStored is true while that row holds the end of the worker's lease,
+	// which must not be extended then.
+	boundStored bool
 	// handled is the last end that was taken in, stored the last that needs
 	// no more writes.
 	handled int64
@@ -56,13 +59,18 @@
 
 // lapsed reports whether every lease that was sent has passed for certain.
 func (w *worker) lapsed(now time.Time) bool {
-	atLeast := w.clock + time.Duration(clockRate*float64(now.Sub(w.clockAt)))
-	return atLeast > w.maxUntil
+	return now.After(w.lapsesAt())
+}
+
+// lapsesAt returns when every lease that was sent has passed for certain.
+func (w *worker) lapsesAt() time.Time {
+	left := float64(w.maxUntil-w.clock) / clockRate
+	return w.clockAt.Add(max(0, time.Duration(left)))
 }
 
 // usable reports whether the worker may be given new work.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.closing && w.fenced && w.recorded && !w.gone && !w.silent && w.State == rock.WorkerReady &&
+	return w.listed && !w.closing && w.fenced && w.recorded && !w.boundStored && !w.gone && !w.silent && w.State == rock.WorkerReady &&
 		!now.Before(w.restUntil) && now.Sub(w.answeredAt) < quietLimit
 }
 
--- a/core/works/progress.go
+++ b/core/works/progress.go
@@ -23,9 +23,9 @@
 	Step       int
 	Index      int
 	Done       bool
-	// Failures is the number of runs that failed.
-	Failures int
-	// Run is the last run whose end is counted.
+	// Failed lists the runs that failed.
+	Failed []int64
+	// Run is the last run that is known.
 	Run int64
 	// Checkpoint is the last saved state.
 	Checkpoint string
--- a/io/site/commit.go
+++ b/io/site/commit.go
@@ -93,8 +93,12 @@
 		return t, err
 	}
 	t.Put(key(cellTable, o.cell, beatName), value)
-	for _, id := range b.NewWorkers {
-		t.Put(key(cellTable, o.cell, workerPrefix+id), []byte{1})
+	for _, w := range b.Workers {
+		value, err := encode(workerRow{o.tableTime(w.Until)})
+		if err != nil {
+			return t, err
+		}
+		t.Put(key(cellTable, o.cell, workerPrefix+w.ID), value)
 	}
 	for _, id := range b.OldWorkers {
 		t.Delete(key(cellTable, o.cell, workerPrefix+id))
--- a/io/site/keep.go
+++ b/io/site/keep.go
@@ -18,6 +18,9 @@
 	// takePenalty is how much later an entry takes a cell for each that it
 	// owns already, so that cells spread over the entries.
 	takePenalty = 250 * time.Millisecond
+	// slowPenalty is how much later an entry with no processor time takes a
+	// cell than one with a whole core.
+	slowPenalty = 400 * time.Millisecond
 )
 
 // keep takes cells that have no owner, until ctx ends.
@@ -51,7 +54,8 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(cell + "\x00" + s.me.Name)) // never fails
 	share := time.Duration(h.Sum32()%1000) * takeSpread / 1000
-	return share + time.Duration(owned)*takePenalty
+	slow := time.Duration((1 - min(1, s.settings.CPUShare)) * float64(slowPenalty))
+	return share + slow + time.Duration(owned)*takePenalty
 }
 
 // challenge tries to take a cell, and owns it in a goroutine of the group.
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -50,6 +50,10 @@
 	// ownerVersion and beatVersion are the conditions of every write.
 	ownerVersion uint64
 	beatVersion  uint64
+	// early and late bound the time of the entry's clock at which the clock of
+	// the platform's table was zero.
+	early time.Time
+	late  time.Time
 	// actUntil is the time until which the owner may act without another
 	// successful write.
 	actUntil   time.Time
@@ -106,11 +110,13 @@
 }
 
 func (o *owner) tryLoad(ctx context.Context) (uint64, error) {
+	sent := o.site.now()
 	rows, err := o.site.settings.Store.List(ctx, cellTable, o.cell, "", "")
 	if err != nil {
 		return 0, err
 	}
-	var former []string
+	o.early, o.late = sent.Add(-rows.Now), o.site.now().Add(-rows.Now)
+	former := map[string]time.Time{}
 	mine := false
 	for _, r := range rows.Rows {
 		_, name := splitKey(r.Key())
@@ -125,7 +131,11 @@
 		case name == beatName:
 			o.beatVersion = r.Version()
 		case strings.HasPrefix(name, workerPrefix):
-			former = append(former, strings.TrimPrefix(name, workerPrefix))
+			var w workerRow
+			if err := cbor.Unmarshal(r.Value(), &w); err != nil {
+				return 0, fmt.Errorf("decode row of a worker: %w", err)
+			}
+			former[strings.TrimPrefix(name, workerPrefix)] = o.ownTime(w.UntilMS)
 		}
 	}
 	if !mine {
@@ -146,7 +156,7 @@
 const formerSlack = time.Second
 
 // build makes the cell's state.
-func (o *owner) build(former []string) {
+func (o *owner) build(former map[string]time.Time) {
 	s := &o.site.settings
 	c := cell.Settings{
 		Pool: o.pool, Fence: o.fence, KnownVersion: o.ownerVersion, Hold: s.Hold, Former: former,
@@ -324,6 +334,7 @@
 	defer cancel()
 	for !o.committing && ctx.Err() == nil {
 		now := o.site.now()
+		o.core.Leave(now)
 		b := o.core.Flush(now)
 		t, err := o.transaction(now, b)
 		if err != nil {
--- a/io/site/settings.go
+++ b/io/site/settings.go
@@ -18,6 +18,9 @@
 	Holder string
 	// Zone is the availability zone.
 	Zone string
+	// CPUShare is the share of a core that the entry may use; those with more
+	// own cells first.
+	CPUShare float64
 	// Store is the platform's table.
 	Store rock.Store
 	// Workers gives orders to workers.
--- /dev/null
+++ b/io/site/workerrow.go
@@ -0,0 +1,28 @@
+package site
+
+import "time"
+
+// workerRow is the row of a worker that a cell orders.
+type workerRow struct {
+	// UntilMS is when the worker's last lease has passed for certain, in
+	// milliseconds of the table's clock; 0 while the lease is extended.
+	UntilMS int64 `cbor:"1,keyasint,omitempty"`
+}
+
+// tableTime returns a time on the table's clock, in milliseconds, at least as
+// late as it is. The zero time is 0.
+func (o *owner) tableTime(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.Sub(o.early).Milliseconds() + 1
+}
+
+// ownTime returns the time of the entry's clock for one of the table's clock,
+// at least as late as it is.
+func (o *owner) ownTime(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return o.late.Add(time.Duration(ms) * time.Millisecond)
+}
