Decisions are gathered, ranks kept and garbage collected less often

Cause: the loop of a cell ranked and sorted all jobs at every event, a fifth of the processor time of a task.

Change: decisions are 5 ms apart, a job's description is kept for 0.4 s, jobs without waiting tasks and workers without room are left out; garbage may grow to four times the live memory.

--- a/cmd/bramleyrock/hosted.go
+++ b/cmd/bramleyrock/hosted.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -82,6 +83,7 @@
 	if err != nil {
 		return err
 	}
+	tuneMemory(p.MemoryMB)
 	lines := logs.NewBounded(logQueue)
 	log, err := logs.New(lines, *h.format, *h.level)
 	if err != nil {
@@ -103,6 +105,23 @@
 	return errors.Join(err, last.Wait())
 }
 
+const (
+	// gcPercent lets garbage grow to four times the live memory, which is a
+	// few megabytes of the hundreds that an entry has.
+	gcPercent = 400
+	// memoryShare is the share of the memory limit above which garbage is
+	// collected more often.
+	memoryShare = 0.6
+)
+
+// tuneMemory trades memory that the host has for processor time.
+func tuneMemory(limitMB float64) {
+	debug.SetGCPercent(gcPercent)
+	if limitMB > 0 {
+		debug.SetMemoryLimit(int64(limitMB * memoryShare * (1 << 20)))
+	}
+}
+
 // siteSettings translates the platform's settings.
 func siteSettings(p platform.Settings, log *logrus.Logger, m *meter.Meter) site.Settings {
 	b := p.Bounds
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -81,7 +81,10 @@
 		if j.state.Ended() || !settled && j.version <= c.settings.KnownVersion {
 			continue
 		}
-		list = append(list, candidate{j, rank.Of(now, c.work(j))})
+		if !j.waits(now) {
+			continue
+		}
+		list = append(list, candidate{j, rank.Of(now, c.outlook(now, j))})
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		if n := a.rank.Compare(b.rank); n != 0 {
@@ -95,6 +98,33 @@
 	return list
 }
 
+// waits reports whether a task of the job waits to be started.
+func (j *job) waits(now time.Time) bool {
+	for _, s := range j.steps {
+		if s.left == 0 || !s.ready(now) {
+			continue
+		}
+		for _, t := range s.tasks {
+			if !t.done && t.current == nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// outlookAge is how long a job's description holds: the estimates behind it
+// change slowly.
+const outlookAge = 400 * time.Millisecond
+
+// outlook returns the job's description for its rank.
+func (c *Cell) outlook(now time.Time, j *job) rank.Work {
+	if j.outlookAt.IsZero() || now.Sub(j.outlookAt) > outlookAge {
+		j.outlook, j.outlookAt = c.work(j), now
+	}
+	return j.outlook
+}
+
 // work describes the job for its rank.
 func (c *Cell) work(j *job) rank.Work {
 	chain := c.chain(j)
@@ -153,10 +183,12 @@
 	return orders
 }
 
+// usable returns the workers that may be given new work and have room for
+// some.
 func (c *Cell) usable(now time.Time) []*worker {
 	var list []*worker
 	for _, w := range c.workers {
-		if w.usable(now) {
+		if w.usable(now) && w.free().Holds(leastRoom) {
 			list = append(list, w)
 		}
 	}
@@ -169,6 +201,10 @@
 	return list
 }
 
+// leastRoom is the least room with which a worker is considered: less than any
+// task of the sheets needs.
+var leastRoom = rock.Room{MilliCores: 100, MemoryMB: 1}
+
 // placeStep starts the step's waiting tasks where there is room.
 func (c *Cell) placeStep(now time.Time, s *step, usable []*worker, orders []Order) []Order {
 	for _, t := range s.tasks {
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bramleyrock/core/rank"
 	"bramleyrock/core/works"
 )
 
@@ -21,6 +22,10 @@
 	cancel bool // a cancel row exists
 	// arrival is when the cell heard of the job.
 	arrival time.Time
+	// outlook is the job's description for its rank, as of outlookAt; the zero
+	// time means that it must be made again.
+	outlook   rank.Work
+	outlookAt time.Time
 }
 
 // step is one occurrence of a step of a job.
@@ -102,6 +107,7 @@
 	t.done = true
 	t.step.left--
 	t.step.job.left--
+	t.step.job.outlookAt = time.Time{}
 	t.step.job.dirty = true
 }
 
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -21,6 +21,9 @@
 	maxEvents = 4096
 	// tick is the time between decisions when nothing happens.
 	tick = 50 * time.Millisecond
+	// decideGap is the least time between decisions, so that the events of a
+	// surge are taken in together.
+	decideGap = 5 * time.Millisecond
 	// holdWait is how long a hold order waits for an end. It is a fraction of
 	// the lease, so that a lost answer does not let the lease pass.
 	holdWait = 700 * time.Millisecond
@@ -62,6 +65,7 @@
 	lost       string
 	pollers    map[string]bool
 	changed    bool
+	decidedAt  time.Time
 	// spare is the number of the pool's hosts that could leave it now.
 	spare int
 }
@@ -278,10 +282,20 @@
 			return nil
 		}
 		o.step(ctx, now)
+		o.wake(t, now)
 	}
 	return nil
 }
 
+// wake sets the ticker to the next time at which something is due.
+func (o *owner) wake(t *time.Ticker, now time.Time) {
+	next := tick
+	if o.changed {
+		next = max(time.Millisecond, decideGap-now.Sub(o.decidedAt))
+	}
+	t.Reset(next)
+}
+
 // drain takes in the events that have come meanwhile.
 func (o *owner) drain(now time.Time) {
 	for range maxEvents {
@@ -296,8 +310,8 @@
 
 // step gives the orders and makes the writes that are due.
 func (o *owner) step(ctx context.Context, now time.Time) {
-	if now.Before(o.actUntil) && o.changed {
-		o.changed = false
+	if now.Before(o.actUntil) && o.changed && now.Sub(o.decidedAt) >= decideGap {
+		o.changed, o.decidedAt = false, now
 		o.give(ctx, o.core.Decide(now))
 		o.poll()
 	}
