--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -141,7 +141,7 @@
 			_, _, ok := b.HoldOrder(b.now, w.ID, 0)
 			assert.Assert(t, ok)
 			if w.ID == dead {
-				b.Silent(b.now, b.now, w.ID, fmt.Errorf("no answer"))
+				b.Silent(b.now, b.now, w.ID, true, fmt.Errorf("no answer"))
 			} else {
 				b.report(w.ID, running(second...), nil)
 			}
@@ -159,7 +159,7 @@
 	dead := b.started()[0].Worker.ID
 	b.HoldOrder(b.now, dead, 0)
 	for b.now.Before(start.Add(4 * time.Second)) {
-		b.Silent(b.now, b.now, dead, fmt.Errorf("no answer"))
+		b.Silent(b.now, b.now, dead, true, fmt.Errorf("no answer"))
 		for _, w := range b.known {
 			if w.ID != dead {
 				b.report(w.ID, nil, nil)
@@ -193,7 +193,7 @@
 	slow := o.Worker.ID
 	sent := b.now
 	b.pass(10 * time.Second) // the entry was busy, the question is old
-	b.Silent(b.now, sent, slow, fmt.Errorf("no answer"))
+	b.Silent(b.now, sent, slow, true, fmt.Errorf("no answer"))
 	for _, w := range b.known {
 		if w.ID != slow {
 			b.report(w.ID, nil, nil)
@@ -212,7 +212,7 @@
 	b.AddJob(b.now, job("a", 9, step(1)), 9)
 	first := b.started()[0]
 	b.pass(10 * time.Second)
-	b.Silent(b.now, b.now, first.Worker.ID, fmt.Errorf("no answer"))
+	b.Silent(b.now, b.now, first.Worker.ID, true, fmt.Errorf("no answer"))
 	for _, w := range b.known {
 		if w.ID != first.Worker.ID {
 			b.report(w.ID, nil, nil)
@@ -284,7 +284,7 @@
 			var orders []cell.Order
 			for b.now.Sub(start) < 6*time.Second {
 				b.report("w0", running(orders...), nil)
-				b.Silent(b.now, b.now, "w1", fmt.Errorf("no answer"))
+				b.Silent(b.now, b.now, "w1", true, fmt.Errorf("no answer"))
 				b.flush()
 				for _, o := range b.started() {
 					began[o.Job] = b.now.Sub(start)
@@ -319,7 +319,7 @@
 	b.AddJob(b.now, job("a", 9, step(1)), 9)
 	dead := b.started()[0].Worker.ID
 	b.pass(100 * time.Millisecond)
-	b.Silent(b.now, b.now, dead, fmt.Errorf("no answer"))
+	b.Silent(b.now, b.now, dead, true, fmt.Errorf("no answer"))
 	assert.Equal(t, len(b.flush().Workers), 0)
 	b.Leave(b.now)
 	rows := b.flush().Workers
@@ -327,3 +327,17 @@
 	assert.Equal(t, rows[0].ID, dead)
 	assert.Assert(t, rows[0].Until.After(start.Add(4*time.Second)) && rows[0].Until.Before(start.Add(4200*time.Millisecond)), "%v", rows[0].Until.Sub(start))
 }
+
+func TestLateEntryDoesNotTakeAWorkerForLost(t *testing.T) {
+	b := newBench(t, 2, nil)
+	b.AddJob(b.now, job("a", 9, step(1)), 9)
+	o := b.started()[0]
+	b.pass(10 * time.Second)
+	b.Silent(b.now, b.now, o.Worker.ID, false, fmt.Errorf("no answer in time"))
+	for _, w := range b.known {
+		if w.ID != o.Worker.ID {
+			b.report(w.ID, nil, nil)
+		}
+	}
+	assert.Equal(t, len(b.started()), 0)
+}
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -45,7 +45,7 @@
 	quietLimit = 1500 * time.Millisecond
 	// flushDelay is how long progress that ends no job may wait for more, far
 	// below the 3 s in which it must be visible.
-	flushDelay = 80 * time.Millisecond
+	flushDelay = 50 * time.Millisecond
 	// urgentDelay is how long the end of a job may wait for others.
 	urgentDelay = 20 * time.Millisecond
 	// maxWrites bounds the jobs in a batch, so that its rows and conditions
--- a/io/site/beat.go
+++ b/io/site/beat.go
@@ -9,6 +9,9 @@
 // beat is the value of a cell's renewal row: the load of the cell, so that
 // every entry can tell callers of it.
 type beat struct {
+	// Told is false in the renewal with which a cell is taken: its owner does
+	// not know the jobs yet.
+	Told bool `cbor:"7,keyasint,omitempty"`
 	// Waiting is the number of jobs of each queue that have not begun.
 	Waiting map[string]int `cbor:"1,keyasint,omitempty"`
 	// Work is the work that is left in core-seconds, Cores the capacity.
--- a/io/site/desk.go
+++ b/io/site/desk.go
@@ -228,15 +228,49 @@
 	}
 }
 
-// Waiting returns the number of the queue's jobs that have not begun, as the
-// cell's owner last told.
-func (s *Site) Waiting(_ context.Context, q works.Queue) (int, error) {
-	n, known := 0, false
-	s.view.withCell(cellOf(q.Pool), func(c *cellView) {
-		n, known = c.beat.Waiting[q.Name], !c.beatAt.IsZero()
-	})
-	if !known {
-		return 0, rock.Fail("count", "queue "+q.Name, rock.Unavailable, rock.NotRun).RetryIn(storeRest).Becausef("the owner of the queue has not told yet")
+// waitingAge is how old an owner's word on its jobs may be, of the 2 s that the
+// answer may be old.
+const waitingAge = 1500 * time.Millisecond
+
+// Waiting returns the number of the queue's jobs that have not begun: as the
+// cell's owner last told, or, if it has not told for long, as the rows tell.
+func (s *Site) Waiting(ctx context.Context, q works.Queue) (int, error) {
+	cell := cellOf(q.Pool)
+	n, told := 0, time.Time{}
+	s.view.withCell(cell, func(c *cellView) { n, told = c.beat.Waiting[q.Name], c.beatAt })
+	if s.now().Sub(told) <= waitingAge {
+		return n, nil
+	}
+	c, err := s.settings.Store.List(ctx, jobTable(cell), cell, "", "")
+	if ctx.Err() == nil {
+		s.heard(err)
+	}
+	if err != nil {
+		return 0, rock.Fail("count", "queue "+q.Name, rock.Unavailable, rock.NotRun).RetryIn(storeRest).Because(err)
+	}
+	return countWaiting(c.Rows, q.Name), nil
+}
+
+// countWaiting returns the number of the queue's jobs without progress. Jobs
+// that run at set times do not wait.
+func countWaiting(rows []rock.Row, queue string) int {
+	waiting, begun := map[string]bool{}, map[string]bool{}
+	for i := range rows {
+		_, name := splitKey(rows[i].Key())
+		id, suffix := splitJobName(name)
+		switch suffix {
+		case jobSuffix:
+			j, err := works.DecodeJob(rows[i].Value())
+			waiting[id] = err == nil && j.Queue == queue && j.Spec.Times == 0
+		case progressSuffix, outcomeSuffix:
+			begun[id] = true
+		}
+	}
+	n := 0
+	for id, w := range waiting {
+		if w && !begun[id] {
+			n++
+		}
 	}
-	return n, nil
+	return n
 }
--- a/io/site/follow.go
+++ b/io/site/follow.go
@@ -241,7 +241,9 @@
 				owner := v.tenure.Owner()
 				ov, _ := v.tenure.Versions()
 				v.tenure.Saw(now, owner, ov, r.Version())
-				v.beat, v.beatAt = b, now
+				if b.Told {
+					v.beat, v.beatAt = b, now
+				}
 			})
 		}
 	}
--- a/io/site/orders.go
+++ b/io/site/orders.go
@@ -40,7 +40,7 @@
 	o.post(ctx, func(now time.Time) {
 		o.core.Answered(now, d, p, err)
 		if err != nil {
-			o.core.Silent(now, sent, d.Worker.ID, err)
+			o.core.Silent(now, sent, d.Worker.ID, !o.site.lag.since(sent), err)
 		}
 		o.changed = true
 	})
@@ -103,19 +103,25 @@
 	rest bool
 }
 
-// storeRestGap is the time between questions to a worker whose last ends are
-// not stored yet, about as long as a write takes.
-const storeRestGap = 25 * time.Millisecond
+const (
+	// restGap is the time between looks whether a worker's last ends are
+	// stored, about as long as a write takes.
+	restGap = 15 * time.Millisecond
+	// maxRest is how long a worker is not asked for that reason: in a slow
+	// spell of the table its new ends are wanted before the old ones are
+	// stored.
+	maxRest = 120 * time.Millisecond
+)
 
 // hold asks a worker for reports until it is not to be asked any more.
 func (o *owner) hold(ctx context.Context, id string) {
 	answers := make(chan question, 1)
 	wait := time.Duration(0) // the first answer is wanted at once
-	rested := false
+	var rested time.Duration
 	for ctx.Err() == nil {
 		o.post(ctx, func(now time.Time) {
 			q := question{mayAct: now.Before(o.actUntil), known: true}
-			q.rest = !rested && o.core.Unstored(id)
+			q.rest = rested < maxRest && o.core.Unstored(id)
 			if q.mayAct && !q.rest {
 				q.worker, q.order, q.known = o.core.HoldOrder(now, id, wait)
 			}
@@ -130,10 +136,12 @@
 		if !q.known {
 			return
 		}
-		if rested = q.rest; rested {
-			_ = pause(ctx, storeRestGap) // the loop's condition sees the end
+		if q.rest {
+			rested += restGap
+			_ = pause(ctx, restGap) // the loop's condition sees the end
 			continue
 		}
+		rested = 0
 		if !q.mayAct {
 			_ = pause(ctx, holdRetry) // the loop's condition sees the end
 			continue
@@ -145,7 +153,7 @@
 		}
 		o.post(ctx, func(now time.Time) {
 			if err != nil {
-				o.core.Silent(now, sent, id, err)
+				o.core.Silent(now, sent, id, !o.site.lag.since(sent), err)
 			} else {
 				o.core.Report(now, sent, id, p)
 			}
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -20,6 +20,7 @@
 	me       tenure.Owner
 	log      *logrus.Entry
 	meters   meters
+	lag      lag
 }
 
 // New returns an entry that does nothing yet.
@@ -37,6 +38,7 @@
 // cells before it returns.
 func (s *Site) Run(ctx context.Context) error {
 	g := group.New(ctx)
+	g.Go("watch lag", func(ctx context.Context) error { return s.lag.watch(ctx, s.now) })
 	g.Go("follow configuration", s.followOperator)
 	g.Go("follow workers", s.followWorkers)
 	g.Go("follow cells", s.followCells)
