--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -90,7 +90,7 @@
 	return starts
 }
 
-func job(id string, version uint64, steps ...works.Step) works.Job {
+func job(id string, steps ...works.Step) works.Job {
 	return works.Job{ID: id, Queue: "q", Accepted: start, Spec: works.Spec{Payload: "p", Steps: steps}}
 }
 
@@ -112,7 +112,7 @@
 
 func TestEndIsToldAsStoredOnlyAfterItsWrite(t *testing.T) {
 	b := newBench(t, 1, nil)
-	b.AddJob(b.now, job("a", 9, step(2)), 9)
+	b.AddJob(b.now, job("a", step(2)), 9)
 	s := b.started()
 	assert.Equal(t, len(s), 2)
 	b.pass(time.Second)
@@ -130,7 +130,7 @@
 
 func TestLeaseOfSilentWorkerPasses(t *testing.T) {
 	b := newBench(t, 2, nil)
-	b.AddJob(b.now, job("a", 9, step(1)), 9)
+	b.AddJob(b.now, job("a", step(1)), 9)
 	first := b.started()
 	assert.Equal(t, len(first), 1)
 	dead := first[0].Worker.ID
@@ -155,7 +155,7 @@
 
 func TestTaskOfSilentWorkerWaitsForItsLease(t *testing.T) {
 	b := newBench(t, 2, nil)
-	b.AddJob(b.now, job("a", 9, step(1)), 9)
+	b.AddJob(b.now, job("a", step(1)), 9)
 	dead := b.started()[0].Worker.ID
 	b.HoldOrder(b.now, dead, 0)
 	for b.now.Before(start.Add(4 * time.Second)) {
@@ -172,7 +172,7 @@
 
 func TestEndedJobIsNotTakenInAgain(t *testing.T) {
 	b := newBench(t, 1, nil)
-	j := job("a", 9, step(1))
+	j := job("a", step(1))
 	b.AddJob(b.now, j, 9)
 	s := b.started()
 	b.pass(time.Second)
@@ -188,7 +188,7 @@
 
 func TestRunsAreLostOnlyAfterAQuestionThatFollowsTheLease(t *testing.T) {
 	b := newBench(t, 2, nil)
-	b.AddJob(b.now, job("a", 9, step(1)), 9)
+	b.AddJob(b.now, job("a", step(1)), 9)
 	o := b.started()[0]
 	slow := o.Worker.ID
 	sent := b.now
@@ -209,7 +209,7 @@
 
 func TestFailureThatIsHeardLateCounts(t *testing.T) {
 	b := newBench(t, 2, nil)
-	b.AddJob(b.now, job("a", 9, step(1)), 9)
+	b.AddJob(b.now, job("a", step(1)), 9)
 	first := b.started()[0]
 	b.pass(10 * time.Second)
 	b.Silent(b.now, b.now, first.Worker.ID, true, fmt.Errorf("no answer"))
@@ -230,7 +230,7 @@
 
 func TestFailureIsCountedOnce(t *testing.T) {
 	b := newBench(t, 2, nil)
-	j := job("a", 9, step(1))
+	j := job("a", step(1))
 	b.AddJob(b.now, j, 9)
 	o := b.started()[0]
 	b.pass(time.Second)
@@ -278,8 +278,8 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			b := takeover(t, 2, c.former)
-			b.AddJob(b.now, job("old", fence-1, step(1)), fence-1)
-			b.AddJob(b.now, job("new", fence+1, step(1)), fence+1)
+			b.AddJob(b.now, job("old", step(1)), fence-1)
+			b.AddJob(b.now, job("new", step(1)), fence+1)
 			began := map[string]time.Duration{}
 			var orders []cell.Order
 			for b.now.Sub(start) < 6*time.Second {
@@ -316,7 +316,7 @@
 
 func TestEndOfLeaseIsStoredWhenTheOwnerLeaves(t *testing.T) {
 	b := newBench(t, 2, nil)
-	b.AddJob(b.now, job("a", 9, step(1)), 9)
+	b.AddJob(b.now, job("a", step(1)), 9)
 	dead := b.started()[0].Worker.ID
 	b.pass(100 * time.Millisecond)
 	b.Silent(b.now, b.now, dead, true, fmt.Errorf("no answer"))
@@ -330,7 +330,7 @@
 
 func TestLateEntryDoesNotTakeAWorkerForLost(t *testing.T) {
 	b := newBench(t, 2, nil)
-	b.AddJob(b.now, job("a", 9, step(1)), 9)
+	b.AddJob(b.now, job("a", step(1)), 9)
 	o := b.started()[0]
 	b.pass(10 * time.Second)
 	b.Silent(b.now, b.now, o.Worker.ID, false, fmt.Errorf("no answer in time"))
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -322,7 +322,7 @@
 		cost *= max(1, c.settings.Far)
 	}
 	if w.id() == t.failedOn {
-		cost += 1
+		cost++
 	}
 	if t.step.Lasting {
 		return cost + c.packing(w)
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -48,7 +48,7 @@
 	pace    pace
 }
 
-func (w *worker) id() string { return w.Worker.ID }
+func (w *worker) id() string { return w.ID }
 
 // until returns the end of a lease of length hold on the worker's clock.
 func (w *worker) until(now time.Time, hold time.Duration) time.Duration {
--- a/io/site/commit.go
+++ b/io/site/commit.go
@@ -14,7 +14,7 @@
 )
 
 // commit writes what is due, and renews the ownership, in one transaction.
-func (o *owner) commit(ctx context.Context, now time.Time) {
+func (o *owner) commit(now time.Time) {
 	b := o.core.Flush(now)
 	t, err := o.transaction(now, b)
 	if err != nil {
--- a/io/site/orders.go
+++ b/io/site/orders.go
@@ -11,7 +11,7 @@
 )
 
 // give gives orders to workers, each in a goroutine of its own.
-func (o *owner) give(ctx context.Context, orders []cell.Order) {
+func (o *owner) give(orders []cell.Order) {
 	o.logOrders(orders)
 	for _, d := range orders {
 		o.group.Go("order", func(ctx context.Context) error {
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -281,7 +281,7 @@
 		if o.lost != "" {
 			return nil
 		}
-		o.step(ctx, now)
+		o.step(now)
 		o.wake(t, now)
 	}
 	return nil
@@ -309,15 +309,15 @@
 }
 
 // step gives the orders and makes the writes that are due.
-func (o *owner) step(ctx context.Context, now time.Time) {
+func (o *owner) step(now time.Time) {
 	if now.Before(o.actUntil) && o.changed && now.Sub(o.decidedAt) >= decideGap {
 		o.changed, o.decidedAt = false, now
-		o.give(ctx, o.core.Decide(now))
+		o.give(o.core.Decide(now))
 		o.poll()
 	}
 	o.logNotes()
 	if !o.committing && (o.core.FlushDue(now) || now.Sub(o.commitAt) >= tenure.BeatInterval) {
-		o.commit(ctx, now)
+		o.commit(now)
 	}
 }
 
--- a/io/site/upkeep.go
+++ b/io/site/upkeep.go
@@ -59,10 +59,7 @@
 		}
 	}
 	if changed || claimed {
-		if err := u.store(ctx, rowKey, row.Version(), state); err != nil {
-			return err
-		}
-		return nil // the orders follow in the next turn, from what is stored
+		return u.store(ctx, rowKey, row.Version(), state) // the orders follow in the next turn, from what is stored
 	}
 	u.pending = append(u.pending, pendingWave{w, state, row.Version(), rowKey, byName})
 	return nil
