Pools keep a floor of hosts; lasting tasks are not starved; a host that came back is new

Cause: a surge met a pool with three hosts, because idle hosts had gone to standby.

Change: the floor is 0.55 of an even share; while a lasting task finds no room one worker is kept free of others, after 1.2 s it may use one that is to be emptied; an order forgets since when the host is in the pool, and so does a gap between listings. An owner that had the cell before may order at once.

--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -341,3 +341,51 @@
 	}
 	assert.Equal(t, len(b.started()), 0)
 }
+
+func lastingStep(count, maxPerWorker int, milliCores int64) works.Step {
+	return works.Step{Count: count, Need: rock.Room{MilliCores: milliCores, MemoryMB: 100}, Lasting: true, MayMiss: 1, MaxPerWorker: maxPerWorker}
+}
+
+func TestLastingTaskIsNotStarvedBySmallOnes(t *testing.T) {
+	b := newBench(t, 1, nil)
+	var busy []cell.Order
+	// Small tasks take the whole worker, and more of them wait.
+	for i := range 6 {
+		b.AddJob(b.now, job(fmt.Sprint("small", i), step(4)), 9)
+	}
+	busy = b.started()
+	assert.Equal(t, len(busy), 4)
+	b.AddJob(b.now, job("lasting", lastingStep(1, 0, 3000)), 9)
+	for range 8 {
+		b.pass(time.Second)
+		b.report("w0", running(busy[1:]...), []rock.End{end(busy[0], rock.EndDone)})
+		busy = append(busy[1:], b.started()...)
+		for _, o := range busy {
+			if o.Job == "lasting" {
+				return
+			}
+		}
+	}
+	t.Fatal("the lasting task never found room")
+}
+
+func TestLastingTaskStaysOnClosingWorkerRatherThanNowhere(t *testing.T) {
+	b := newBench(t, 2, nil)
+	b.AddJob(b.now, job("a", lastingStep(2, 1, 1000)), 9)
+	s := b.started()
+	assert.Equal(t, len(s), 2)
+	b.SetClosing(map[string]bool{s[0].Worker.ID: true})
+	b.pass(time.Second)
+	b.report(s[1].Worker.ID, running(s[1]), nil)
+	b.report(s[0].Worker.ID, nil, []rock.End{end(s[0], rock.EndFailed)})
+	for range 30 {
+		b.pass(100 * time.Millisecond)
+		b.report(s[0].Worker.ID, nil, nil)
+		b.report(s[1].Worker.ID, running(s[1]), nil)
+		if again := b.started(); len(again) > 0 {
+			assert.Equal(t, again[0].Worker.ID, s[0].Worker.ID, "the other worker may run only one of the step")
+			return
+		}
+	}
+	t.Fatal("the task was not started again")
+}
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -173,11 +173,14 @@
 			if s.left == 0 || !s.ready(now) {
 				continue
 			}
-			if s.Gang {
+			switch {
+			case s.Lasting:
+				orders, usable = c.placeLasting(now, s, usable, orders)
+			case s.Gang:
 				orders = c.placeGang(now, s, usable, orders)
-				continue
+			default:
+				orders = c.placeStep(now, s, usable, orders)
 			}
-			orders = c.placeStep(now, s, usable, orders)
 		}
 	}
 	return orders
@@ -205,6 +208,69 @@
 // task of the sheets needs.
 var leastRoom = rock.Room{MilliCores: 100, MemoryMB: 1}
 
+// closingPatience is how long a lasting task waits for a worker that stays
+// before one that is to be emptied is good enough, a fraction of the 3 s for
+// which it may be away.
+const closingPatience = 1200 * time.Millisecond
+
+// placeLasting starts the tasks of a step that lasts. While one of them finds
+// no room, the worker with the most room is kept free of other tasks, because
+// smaller ones would take whatever becomes free there. It returns the workers
+// that are left for others.
+func (c *Cell) placeLasting(now time.Time, s *step, usable []*worker, orders []Order) ([]Order, []*worker) {
+	for _, t := range s.tasks {
+		if t.done || t.current != nil || !c.mayTry(now, t) {
+			continue
+		}
+		w := c.choose(now, t, usable)
+		if w == nil && now.Sub(laterOf(t.endedAt, s.job.arrival)) > closingPatience {
+			w = c.choose(now, t, c.closingWorkers(now))
+		}
+		if w != nil {
+			orders = append(orders, c.start(now, t, w, c.nextRun(t)))
+			continue
+		}
+		return orders, c.reserve(s, usable)
+	}
+	return orders, usable
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// closingWorkers returns the workers that are to be emptied.
+func (c *Cell) closingWorkers(now time.Time) []*worker {
+	var list []*worker
+	for _, w := range c.workers {
+		if w.closing && w.reachable(now) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// reserve returns the workers without the one that has the most room among
+// those that could run the step.
+func (c *Cell) reserve(s *step, usable []*worker) []*worker {
+	best := -1
+	for i, w := range usable {
+		if !w.has(s.Label) || s.MaxPerWorker > 0 && c.countOn(w, s) >= s.MaxPerWorker {
+			continue
+		}
+		if best < 0 || w.free().MilliCores > usable[best].free().MilliCores {
+			best = i
+		}
+	}
+	if best < 0 {
+		return usable
+	}
+	return slices.Delete(slices.Clone(usable), best, best+1)
+}
+
 // placeStep starts the step's waiting tasks where there is room.
 func (c *Cell) placeStep(now time.Time, s *step, usable []*worker, orders []Order) []Order {
 	for _, t := range s.tasks {
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -69,8 +69,12 @@
 }
 
 // usable reports whether the worker may be given new work.
-func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.closing && w.fenced && w.recorded && !w.boundStored && !w.gone && !w.silent && w.State == rock.WorkerReady &&
+func (w *worker) usable(now time.Time) bool { return !w.closing && w.reachable(now) }
+
+// reachable reports whether the worker could be given new work if it were not
+// to be emptied.
+func (w *worker) reachable(now time.Time) bool {
+	return w.listed && w.fenced && w.recorded && !w.boundStored && !w.gone && !w.silent && w.State == rock.WorkerReady &&
 		!now.Before(w.restUntil) && now.Sub(w.answeredAt) < quietLimit
 }
 
--- a/core/resize/plan.go
+++ b/core/resize/plan.go
@@ -31,42 +31,56 @@
 }
 
 const (
-	// MinHosts is the least number of hosts of a pool that is not on standby:
-	// the first jobs of a surge run there until hosts have moved.
+	// MinHosts is the least number of hosts of a pool that is not on standby.
 	MinHosts = 3
+	// floorShare is the share of an even distribution of all hosts that a pool
+	// keeps at least: the first jobs of its surge run there until hosts have
+	// moved. Figures of the ways tried are in docs/design/platform.md.
+	floorShare = 0.55
 	// slack is how many hosts more than it needs a pool keeps before it sends
 	// one to standby, so that hosts do not go to and fro.
 	slack = 1
 )
 
+// plan is the pools with the hosts that each should have.
+type plan struct {
+	floor  int
+	target map[string]int
+}
+
 // hostsFor returns the number of hosts that give the pool that many cores.
-func (p Pool) hostsFor(cores float64) int {
+func (l *plan) hostsFor(p Pool, cores float64) int {
 	if p.Standby {
 		return 0
 	}
-	return max(MinHosts, int(math.Ceil(cores/max(1, p.HostCores))))
+	return max(l.floor, int(math.Ceil(cores/max(1, p.HostCores))))
 }
 
 // targets returns how many hosts each pool should have: what it needs, or a
 // share of what there is in proportion to it.
-func targets(pools []Pool) map[string]int {
-	total, floor, need := 0, 0, 0
+func targets(pools []Pool) *plan {
+	total, active := 0, 0
 	for _, p := range pools {
 		total += p.Hosts
 		if !p.Standby {
-			floor += MinHosts
-			need += p.hostsFor(p.Want)
+			active++
 		}
 	}
-	t := map[string]int{}
+	l := &plan{target: map[string]int{}}
+	l.floor = max(MinHosts, int(floorShare*float64(total)/float64(max(1, active))))
+	need := 0
+	for _, p := range pools {
+		need += l.hostsFor(p, p.Want)
+	}
+	floor := l.floor * active
 	for _, p := range pools {
-		n := p.hostsFor(p.Want)
+		n := l.hostsFor(p, p.Want)
 		if need > total && !p.Standby {
-			n = MinHosts + max(0, total-floor)*(n-MinHosts)/max(1, need-floor)
+			n = l.floor + max(0, total-floor)*(n-l.floor)/max(1, need-floor)
 		}
-		t[p.Name] = n
+		l.target[p.Name] = n
 	}
-	return t
+	return l
 }
 
 // Plan returns the moves that bring each pool what it needs, as far as the
@@ -74,8 +88,8 @@
 // are used first, because they need not be emptied.
 func Plan(pools []Pool) []Move {
 	order := slices.Clone(pools)
-	target := targets(order)
-	excess := func(p Pool) int { return p.Hosts - target[p.Name] }
+	l := targets(order)
+	excess := func(p Pool) int { return p.Hosts - l.target[p.Name] }
 	slices.SortFunc(order, func(a, b Pool) int {
 		if n := excess(b) - excess(a); n != 0 {
 			return n
@@ -101,18 +115,18 @@
 			}
 		}
 	}
-	return append(moves, park(order, target, left)...)
+	return append(moves, l.park(order, left)...)
 }
 
 // park returns the moves of hosts that nobody needs to a standby pool.
-func park(pools []Pool, target, left map[string]int) []Move {
+func (l *plan) park(pools []Pool, left map[string]int) []Move {
 	i := slices.IndexFunc(pools, func(p Pool) bool { return p.Standby })
 	if i < 0 {
 		return nil
 	}
 	var moves []Move
 	for _, p := range pools {
-		keep := max(0, p.hostsFor(p.Keep)-target[p.Name])
+		keep := max(0, l.hostsFor(p, p.Keep)-l.target[p.Name])
 		if n := left[p.Name] - keep - slack; !p.Standby && n > 0 {
 			moves = append(moves, Move{p.Name, pools[i].Name, n})
 		}
--- a/io/site/move.go
+++ b/io/site/move.go
@@ -114,6 +114,7 @@
 		if w := s.hosts[h.Worker]; h.Worker != "" && (w.Runs > 0 || w.Usable) {
 			continue
 		}
+		delete(u.since, h.Name) // whatever becomes of the order, the host may come back under another holder
 		p, err := o.site.settings.Hosts.Move(ctx, rock.Holder{Name: o.site.settings.Holder, Token: s.token}, h.Name, d.to)
 		line := o.log.WithFields(logrus.Fields{"host": h.Name, "to": d.to, "token": s.token, "worker": h.Worker, "refusal": p.Refusal})
 		if err != nil {
--- a/io/site/steward.go
+++ b/io/site/steward.go
@@ -16,6 +16,10 @@
 // the time that a host is away for a move.
 const tendInterval = 200 * time.Millisecond
 
+// listGap is the time between two listings from which a host may have left
+// the pool and come back: a move takes 1.5 s, and there and back two.
+const listGap = 2 * time.Second
+
 // steward maintains and moves the hosts of one pool for the cell's owner. It
 // belongs to one goroutine.
 type steward struct {
@@ -29,6 +33,11 @@
 	said map[string]bool
 	// departures holds the hosts that are about to leave the pool.
 	departures map[string]departure
+	// sole is true as long as no other holder can have given orders for the
+	// hosts that were in the pool when the cell was taken.
+	sole bool
+	// listedAt is when the hosts were last listed.
+	listedAt time.Time
 	// pending holds the waves whose orders are to be given in this turn.
 	pending []pendingWave
 }
@@ -37,7 +46,7 @@
 func (o *owner) tend(ctx context.Context) error {
 	u := &steward{
 		owner: o, since: map[string]time.Time{}, claimedAt: map[string]time.Time{},
-		said: map[string]bool{}, departures: map[string]departure{},
+		said: map[string]bool{}, departures: map[string]departure{}, sole: o.sole, listedAt: o.site.now(),
 	}
 	for {
 		if err := pause(ctx, tendInterval); err != nil {
@@ -55,7 +64,12 @@
 	if err != nil {
 		return fmt.Errorf("list hosts: %w", err)
 	}
+	if now := u.owner.site.now(); now.Sub(u.listedAt) > listGap {
+		clear(u.since) // a host may have left the pool and come back meanwhile
+		u.listedAt = now
+	}
 	u.note(hosts)
+	u.listedAt = u.owner.site.now()
 	waves, seen := u.owner.site.view.listWaves()
 	closing, claimed := map[string]bool{}, map[string]bool{}
 	u.pending = nil
@@ -85,9 +99,13 @@
 			here[h.Name] = true
 			if u.since[h.Name].IsZero() {
 				u.since[h.Name] = now
+				if u.sole {
+					u.since[h.Name] = now.Add(-u.owner.site.settings.HolderGap - holderMargin)
+				}
 			}
 		}
 	}
+	u.sole = false
 	maps.DeleteFunc(u.since, func(name string, _ time.Time) bool { return !here[name] })
 }
 
