The place of a run is stored before its start is ordered

Cause: after a change of owners all tasks of the jobs that the former owner knew waited for up to 5.6 s for workers that did not answer, because nothing told which tasks might run there; in a zone cut that stalls whole pools.

Change: a run is placed, its place is written with the job's progress, and only then its start is ordered. The next owner waits for the tasks on silent workers alone.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -15,7 +15,6 @@
 	queues   map[string]works.Queue
 	jobs     map[string]*job
 	workers  map[string]*worker
-	former   map[string]*former
 	watch    *eject.Watch
 	times    map[timeKey]*runTime
 	// orphans are stops of runs that belong to no live task.
@@ -27,9 +26,10 @@
 	flushing   bool
 	urgent     bool
 	ended      []*job
+	// placed holds the runs whose place is not stored yet.
+	placed []*run
 	// over holds the jobs that have ended and when their end was stored.
 	over    map[string]time.Time
-	settled bool
 	leaving bool
 	// dropped lists workers whose rows are to be deleted.
 	dropped []string
@@ -45,16 +45,12 @@
 		queues:   map[string]works.Queue{},
 		jobs:     map[string]*job{},
 		workers:  map[string]*worker{},
-		former:   map[string]*former{},
 		over:     map[string]time.Time{},
 		watch:    eject.NewWatch(eject.Settings{}),
 		times:    map[timeKey]*runTime{},
 	}
 	for id, until := range s.Former {
-		c.former[id] = &former{until: until, stored: !until.IsZero()}
-		if until.IsZero() {
-			c.former[id].until = s.SettledAt
-		}
+		c.addFormer(id, until)
 	}
 	return c
 }
@@ -127,17 +123,21 @@
 	}
 	l := newJob(now, j, q, version)
 	c.jobs[j.ID] = l
-	if !l.Spec.Lasting() && version > c.settings.KnownVersion {
+	if !l.Spec.Lasting() && version > c.settings.Fence {
 		c.demand.Arrive(now, c.work(l).Size)
 	}
 }
 
 // AddProgress puts the stored progress of a job in force.
-func (c *Cell) AddProgress(id string, p works.Progress) {
-	if j := c.jobs[id]; j != nil {
-		j.restore(p)
-		c.settleJob(j)
+func (c *Cell) AddProgress(now time.Time, id string, p works.Progress) {
+	j := c.jobs[id]
+	if j == nil {
+		return
+	}
+	for t, worker := range j.restore(p) {
+		c.expectRun(now, t, worker)
 	}
+	c.settleJob(j)
 }
 
 // Cancel ends a job at its caller's wish.
@@ -187,11 +187,39 @@
 	if r.state == stopping {
 		return
 	}
+	if r.state == placed {
+		c.unplace(r) // its start was not ordered
+		return
+	}
 	r.state, r.why = stopping, why
 	r.orderedAt, r.answeredAt = time.Time{}, time.Time{}
 	c.orphans = append(c.orphans, r)
 }
 
+// newWorker adds a worker of which only the id is known.
+func (c *Cell) newWorker(id string) *worker {
+	w := &worker{Worker: rock.Worker{ID: id}, runs: map[runKey]*run{}, health: c.watch.Join(id)}
+	c.workers[id] = w
+	return w
+}
+
+// unplaceAll takes the runs back whose starts were not ordered from a worker.
+func (c *Cell) unplaceAll(w *worker) {
+	for _, r := range w.runs {
+		if r.state == placed {
+			c.unplace(r)
+		}
+	}
+}
+
+// unplace takes a run back whose start was not ordered.
+func (c *Cell) unplace(r *run) {
+	r.worker.remove(r)
+	if r.task != nil {
+		r.task.step.job.dirty = true
+	}
+}
+
 // SetWorkers tells which workers of the pool are registered.
 func (c *Cell) SetWorkers(now time.Time, list []rock.Worker) {
 	listed := map[string]bool{}
@@ -202,14 +230,13 @@
 		listed[s.ID] = true
 		w := c.workers[s.ID]
 		if w == nil {
-			w = &worker{Worker: s, clock: s.Clock, clockAt: s.ReadAt, runs: map[runKey]*run{}, health: c.watch.Join(s.ID), born: s.Born, answeredAt: now}
-			if f := c.former[s.ID]; f != nil {
-				w.recorded, w.boundStored = true, f.stored
-			}
+			w = c.newWorker(s.ID)
+		}
+		if w.Address == "" {
+			w.clock, w.clockAt, w.born, w.answeredAt = s.Clock, s.ReadAt, s.Born, now
 			w.rack = rackOf(s.Labels)
-			c.workers[s.ID] = w
 		}
-		if w.State != s.State {
+		if w.State != s.State && w.Address != "" {
 			c.notes = append(c.notes, Note{What: "worker " + string(s.State), Worker: s.ID})
 		}
 		if w.gone && s.Born.After(w.born) {
@@ -223,12 +250,20 @@
 			continue
 		}
 		w.listed = false
-		if len(w.runs) == 0 && (w.gone || w.fenced || c.settled) {
-			delete(c.workers, id)
-			c.watch.Leave(id)
-			c.dropped = append(c.dropped, id)
-			c.touch(now, false)
-		}
+		c.drop(now, w)
+	}
+}
+
+// drop forgets a worker that is not registered any more and runs nothing.
+func (c *Cell) drop(now time.Time, w *worker) {
+	if w.listed || len(w.runs) > 0 || !w.gone && !w.fenced && !now.After(w.formerUntil) {
+		return
+	}
+	delete(c.workers, w.id())
+	c.watch.Leave(w.id())
+	if w.recorded {
+		c.dropped = append(c.dropped, w.id())
+		c.touch(now, false)
 	}
 }
 
@@ -244,7 +279,7 @@
 func (c *Cell) Workers() map[string]rock.Worker {
 	all := make(map[string]rock.Worker, len(c.workers))
 	for id, w := range c.workers {
-		if !w.gone {
+		if !w.gone && w.Address != "" {
 			all[id] = w.Worker
 		}
 	}
@@ -263,7 +298,7 @@
 // answered is not extended, so that it passes.
 func (c *Cell) HoldOrder(now time.Time, id string, wait time.Duration) (rock.Worker, rock.HoldOrder, bool) {
 	w := c.workers[id]
-	if w == nil || w.gone {
+	if w == nil || w.gone || w.Address == "" {
 		return rock.Worker{}, rock.HoldOrder{}, false
 	}
 	h := rock.HoldOrder{Fence: c.settings.Fence, SeenUpTo: w.stored, Wait: wait}
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -23,6 +23,10 @@
 	now   time.Time
 	ends  map[string]int64
 	known []rock.Worker
+	// outcomes, progress and rows are what was written.
+	outcomes map[string]works.State
+	progress map[string]works.Progress
+	rows     []cell.WorkerRow
 }
 
 func newBench(t *testing.T, workers int, change func(*cell.Settings)) *bench {
@@ -31,11 +35,11 @@
 	if change != nil {
 		change(&s)
 	}
-	b := &bench{Cell: cell.New(s), t: t, now: start, ends: map[string]int64{}}
+	b := &bench{Cell: cell.New(s), t: t, now: start, ends: map[string]int64{}, outcomes: map[string]works.State{}, progress: map[string]works.Progress{}}
 	b.SetQueues([]works.Queue{{Name: "q", Pool: "tins", Attempts: 2, Stretch: 1.6, Objective: 600 * time.Millisecond}})
 	for i := range workers {
 		b.known = append(b.known, rock.Worker{
-			ID: fmt.Sprint("w", i), Pool: "tins", State: rock.WorkerReady, Room: rock.Room{MilliCores: 4000, MemoryMB: 8000},
+			ID: fmt.Sprint("w", i), Address: "10.0.0.1:80", Pool: "tins", State: rock.WorkerReady, Room: rock.Room{MilliCores: 4000, MemoryMB: 8000},
 			Labels: []string{"a", "r1"}, Born: start, ReadAt: start,
 		})
 	}
@@ -65,10 +69,18 @@
 	b.Report(b.now, sent, id, rock.Report{Clock: b.clock(), Born: start, Running: running, Ended: ended})
 }
 
-func (b *bench) flush() *cell.Batch {
+// flush writes what is to be written.
+func (b *bench) flush() {
 	batch := b.Flush(b.now)
+	for _, w := range batch.Writes {
+		if w.Ended {
+			b.outcomes[w.ID] = w.Outcome.State
+		} else {
+			b.progress[w.ID] = w.Progress
+		}
+	}
+	b.rows = append(b.rows, batch.Workers...)
 	b.Flushed(b.now, batch)
-	return batch
 }
 
 // seen returns what a worker would be told to be stored.
@@ -78,10 +90,13 @@
 	return h.SeenUpTo
 }
 
-// started returns the orders to start, after they were answered.
+// started returns the orders to start, after their places were stored and they
+// were answered.
 func (b *bench) started() []cell.Order {
 	var starts []cell.Order
-	for _, o := range b.Decide(b.now) {
+	orders := b.Decide(b.now)
+	b.flush()
+	for _, o := range append(orders, b.Decide(b.now)...) {
 		if o.Kind == cell.OrderStart {
 			starts = append(starts, o)
 		}
@@ -178,9 +193,8 @@
 	b.pass(time.Second)
 	b.report("w0", nil, []rock.End{end(s[0], rock.EndDone)})
 	b.pass(time.Second)
-	batch := b.flush()
-	assert.Equal(t, len(batch.Writes), 1)
-	assert.Equal(t, batch.Writes[0].Outcome.State, works.Completed)
+	b.flush()
+	assert.Equal(t, b.outcomes["a"], works.Completed)
 	// A listing that began before the write arrives after it.
 	b.AddJob(b.now, j, 9)
 	assert.Equal(t, len(b.started()), 0)
@@ -203,8 +217,8 @@
 	b.report(slow, nil, []rock.End{end(o, rock.EndDone)})
 	assert.Equal(t, len(b.started()), 0)
 	b.pass(time.Second)
-	batch := b.flush()
-	assert.Equal(t, batch.Writes[0].Outcome.State, works.Completed)
+	b.flush()
+	assert.Equal(t, b.outcomes["a"], works.Completed)
 }
 
 func TestFailureThatIsHeardLateCounts(t *testing.T) {
@@ -225,7 +239,8 @@
 	b.report(first.Worker.ID, nil, []rock.End{end(first, rock.EndFailed)})
 	assert.Equal(t, len(b.started()), 0, "two attempts are allowed")
 	b.pass(time.Second)
-	assert.Equal(t, b.flush().Writes[0].Outcome.State, works.Failed)
+	b.flush()
+	assert.Equal(t, b.outcomes["a"], works.Failed)
 }
 
 func TestFailureIsCountedOnce(t *testing.T) {
@@ -236,12 +251,12 @@
 	b.pass(time.Second)
 	b.report(o.Worker.ID, nil, []rock.End{end(o, rock.EndFailed)})
 	b.pass(time.Second)
-	p := b.flush().Writes[0].Progress
+	b.flush()
 	// The next owner hears of the same end, because the worker was not told
 	// that it is stored.
 	next := newBench(t, 2, func(s *cell.Settings) { s.Fence = fence + 1 })
 	next.AddJob(next.now, j, 9)
-	next.AddProgress("a", p)
+	next.AddProgress(next.now, "a", b.progress["a"])
 	next.report(o.Worker.ID, nil, []rock.End{end(o, rock.EndFailed)})
 	assert.Equal(t, len(next.started()), 1)
 }
@@ -251,34 +266,38 @@
 func takeover(t *testing.T, workers int, formerUntil map[string]time.Time) *bench {
 	t.Helper()
 	s := cell.Settings{
-		Pool: "tins", Fence: fence, KnownVersion: fence, Hold: 4 * time.Second, Stop: 400 * time.Millisecond,
+		Pool: "tins", Fence: fence, Hold: 4 * time.Second, Stop: 400 * time.Millisecond,
 		SettledAt: start.Add(5 * time.Second), Former: formerUntil,
 	}
-	b := &bench{Cell: cell.New(s), t: t, now: start, ends: map[string]int64{}}
+	b := &bench{Cell: cell.New(s), t: t, now: start, ends: map[string]int64{}, outcomes: map[string]works.State{}, progress: map[string]works.Progress{}}
 	b.SetQueues([]works.Queue{{Name: "q", Pool: "tins", Attempts: 2, Stretch: 1.6, Objective: 600 * time.Millisecond}})
 	for i := range workers {
 		b.known = append(b.known, rock.Worker{
-			ID: fmt.Sprint("w", i), Pool: "tins", State: rock.WorkerReady, Room: rock.Room{MilliCores: 4000, MemoryMB: 8000}, Born: start, ReadAt: start,
+			ID: fmt.Sprint("w", i), Address: "10.0.0.1:80", Pool: "tins", State: rock.WorkerReady, Room: rock.Room{MilliCores: 4000, MemoryMB: 8000}, Born: start, ReadAt: start,
 		})
 	}
 	b.SetWorkers(b.now, b.known)
 	return b
 }
 
-func TestTakeoverWaitsForSilentWorkers(t *testing.T) {
+func TestTakeoverWaitsOnlyForTasksOnSilentWorkers(t *testing.T) {
 	cases := map[string]struct {
 		former map[string]time.Time
+		place  string
 		want   time.Duration
 	}{
-		"the end of the lease is not known": {map[string]time.Time{"w0": {}, "w1": {}}, 5 * time.Second},
-		"the end of the lease is stored":    {map[string]time.Time{"w0": {}, "w1": start.Add(2 * time.Second)}, 2 * time.Second},
-		"the worker is not registered":      {map[string]time.Time{"w0": {}, "w9": start.Add(3 * time.Second)}, 3 * time.Second},
-		"no order was given to the worker":  {map[string]time.Time{"w0": {}}, 0},
+		"the end of the lease is not known": {map[string]time.Time{"w0": {}, "w1": {}}, "w1", 5 * time.Second},
+		"the end of the lease is stored":    {map[string]time.Time{"w0": {}, "w1": start.Add(2 * time.Second)}, "w1", 2 * time.Second},
+		"the worker is not registered":      {map[string]time.Time{"w0": {}, "w9": start.Add(3 * time.Second)}, "w9", 3 * time.Second},
+		"the task was on another worker":    {map[string]time.Time{"w0": {}, "w1": {}}, "w0", 0},
+		"the task was on no worker":         {map[string]time.Time{"w0": {}, "w1": {}}, "", 0},
+		"the worker's row is gone":          {map[string]time.Time{"w0": {}}, "w7", 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			b := takeover(t, 2, c.former)
 			b.AddJob(b.now, job("old", step(1)), fence-1)
+			b.AddProgress(b.now, "old", works.Progress{Begun: true, Tasks: []works.TaskProgress{{Run: 5, Worker: c.place}}})
 			b.AddJob(b.now, job("new", step(1)), fence+1)
 			began := map[string]time.Duration{}
 			var orders []cell.Order
@@ -298,6 +317,32 @@
 	}
 }
 
+func TestRunOfFormerOwnerGoesOn(t *testing.T) {
+	b := takeover(t, 1, map[string]time.Time{"w0": {}})
+	b.AddJob(b.now, job("a", step(1)), fence-1)
+	b.AddProgress(b.now, "a", works.Progress{Begun: true, Tasks: []works.TaskProgress{{Run: 5, Worker: "w0"}}})
+	b.pass(time.Millisecond)
+	b.report("w0", []rock.Run{{Task: "a.0.0.0", Run: 5}}, nil)
+	assert.Equal(t, len(b.started()), 0)
+	b.pass(time.Second)
+	b.report("w0", nil, []rock.End{{Task: "a.0.0.0", Run: 5, How: rock.EndDone}})
+	b.flush()
+	assert.Equal(t, b.outcomes["a"], works.Completed)
+}
+
+func TestStartIsOrderedOnlyAfterItsPlaceIsStored(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.AddJob(b.now, job("a", step(1)), 9)
+	assert.Equal(t, len(b.Decide(b.now)), 0)
+	batch := b.Flush(b.now)
+	assert.Equal(t, batch.Writes[0].Progress.Tasks[0].Worker, "w0")
+	assert.Equal(t, len(b.Decide(b.now)), 0)
+	b.FlushFailed(b.now, batch)
+	assert.Equal(t, len(b.Decide(b.now)), 0)
+	b.flush()
+	assert.Equal(t, len(b.Decide(b.now)), 1)
+}
+
 func TestLeaseIsNotExtendedWhileItsEndIsStored(t *testing.T) {
 	b := takeover(t, 1, map[string]time.Time{"w0": start.Add(2 * time.Second)})
 	lease := func() time.Duration {
@@ -309,8 +354,8 @@
 	b.report("w0", nil, nil)
 	assert.Equal(t, lease(), time.Duration(0))
 	b.Decide(b.now)
-	rows := b.flush().Workers
-	assert.DeepEqual(t, rows, []cell.WorkerRow{{ID: "w0"}})
+	b.flush()
+	assert.DeepEqual(t, b.rows, []cell.WorkerRow{{ID: "w0"}})
 	assert.Assert(t, lease() > 0)
 }
 
@@ -320,12 +365,15 @@
 	dead := b.started()[0].Worker.ID
 	b.pass(100 * time.Millisecond)
 	b.Silent(b.now, b.now, dead, true, fmt.Errorf("no answer"))
-	assert.Equal(t, len(b.flush().Workers), 0)
+	b.rows = nil
+	b.flush()
+	assert.Equal(t, len(b.rows), 0)
 	b.Leave(b.now)
-	rows := b.flush().Workers
-	assert.Equal(t, len(rows), 1)
-	assert.Equal(t, rows[0].ID, dead)
-	assert.Assert(t, rows[0].Until.After(start.Add(4*time.Second)) && rows[0].Until.Before(start.Add(4200*time.Millisecond)), "%v", rows[0].Until.Sub(start))
+	b.flush()
+	assert.Equal(t, len(b.rows), 1)
+	assert.Equal(t, b.rows[0].ID, dead)
+	until := b.rows[0].Until
+	assert.Assert(t, until.After(start.Add(4*time.Second)) && until.Before(start.Add(4200*time.Millisecond)), "%v", until.Sub(start))
 }
 
 func TestLateEntryDoesNotTakeAWorkerForLost(t *testing.T) {
@@ -389,3 +437,34 @@
 	}
 	t.Fatal("the task was not started again")
 }
+
+func TestLeaseIsNotExtendedWhileItsEndIsBeingStored(t *testing.T) {
+	cases := map[string]bool{"written": true, "failed": false}
+	for name, written := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 2, nil)
+			b.AddJob(b.now, job("a", step(1)), 9)
+			id := b.started()[0].Worker.ID
+			lease := func() time.Duration {
+				_, h, ok := b.HoldOrder(b.now, id, 0)
+				assert.Assert(t, ok)
+				return h.Until
+			}
+			b.pass(100 * time.Millisecond)
+			b.Silent(b.now, b.now, id, true, fmt.Errorf("no answer"))
+			b.Leave(b.now)
+			batch := b.Flush(b.now)
+			assert.Equal(t, len(batch.Workers), 1)
+			b.report(id, nil, nil)
+			assert.Equal(t, lease(), time.Duration(0))
+			if written {
+				b.Flushed(b.now, batch)
+			} else {
+				b.FlushFailed(b.now, batch)
+			}
+			assert.Equal(t, lease(), time.Duration(0))
+			b.flush()
+			assert.Assert(t, lease() > 0)
+		})
+	}
+}
--- a/core/cell/closing.go
+++ b/core/cell/closing.go
@@ -12,6 +12,7 @@
 	for id, w := range c.workers {
 		if w.closing != closing[id] {
 			w.closing = closing[id]
+			c.unplaceAll(w)
 			what := "worker reopened"
 			if w.closing {
 				what = "worker closing"
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -9,18 +9,20 @@
 	"bramleyrock/core/works"
 )
 
-// Decide returns the orders to give now.
+// Decide returns the orders to give now, and finds places for tasks that wait.
 func (c *Cell) Decide(now time.Time) []Order {
 	c.expire(now)
 	c.evacuate(now)
 	c.checkRows(now)
-	orders := c.repeat(now, nil)
-	settled := c.settle(now)
-	return c.place(now, settled, orders)
+	orders := c.repeat(now)
+	c.place(now)
+	return orders
 }
 
-// repeat returns the stops to give, and repeats unanswered orders.
-func (c *Cell) repeat(now time.Time, orders []Order) []Order {
+// repeat returns the starts whose place is stored, the stops, and unanswered
+// orders again.
+func (c *Cell) repeat(now time.Time) []Order {
+	var orders []Order
 	c.orphans = slices.DeleteFunc(c.orphans, func(r *run) bool { return r.worker.runs[r.id()] != r })
 	for _, r := range c.orphans {
 		if r.inFlight || now.Sub(r.orderedAt) < resendInterval || r.worker.silent {
@@ -36,7 +38,12 @@
 			continue
 		}
 		for _, r := range w.runs {
-			if r.state == starting && !r.inFlight && now.Sub(r.orderedAt) >= resendInterval {
+			switch {
+			case r.inFlight:
+			case r.state == placed && r.stored:
+				r.state = starting
+				orders = append(orders, c.startOrder(now, r))
+			case r.state == starting && now.Sub(r.orderedAt) >= resendInterval && w.fenced && r.answeredAt.IsZero():
 				orders = append(orders, c.startOrder(now, r))
 			}
 		}
@@ -75,10 +82,10 @@
 }
 
 // candidates returns the jobs with tasks that may start, best first.
-func (c *Cell) candidates(now time.Time, settled bool) []candidate {
+func (c *Cell) candidates(now time.Time) []candidate {
 	var list []candidate
 	for _, j := range c.jobs {
-		if j.state.Ended() || !settled && j.version <= c.settings.KnownVersion {
+		if j.state.Ended() {
 			continue
 		}
 		if !j.waits(now) {
@@ -162,28 +169,28 @@
 	return j.Accepted
 }
 
-// place starts as many tasks as there is room for.
-func (c *Cell) place(now time.Time, settled bool, orders []Order) []Order {
+// place finds places for as many tasks as there is room for. Their starts are
+// ordered once the places are stored.
+func (c *Cell) place(now time.Time) {
 	usable := c.usable(now)
 	if len(usable) == 0 {
-		return orders
+		return
 	}
-	for _, k := range c.candidates(now, settled) {
+	for _, k := range c.candidates(now) {
 		for _, s := range k.job.steps {
 			if s.left == 0 || !s.ready(now) {
 				continue
 			}
 			switch {
 			case s.Lasting:
-				orders, usable = c.placeLasting(now, s, usable, orders)
+				usable = c.placeLasting(now, s, usable)
 			case s.Gang:
-				orders = c.placeGang(now, s, usable, orders)
+				c.placeGang(now, s, usable)
 			default:
-				orders = c.placeStep(now, s, usable, orders)
+				c.placeStep(now, s, usable)
 			}
 		}
 	}
-	return orders
 }
 
 // usable returns the workers that may be given new work and have room for
@@ -213,11 +220,11 @@
 // which it may be away.
 const closingPatience = 1200 * time.Millisecond
 
-// placeLasting starts the tasks of a step that lasts. While one of them finds
+// placeLasting places the tasks of a step that lasts. While one of them finds
 // no room, the worker with the most room is kept free of other tasks, because
 // smaller ones would take whatever becomes free there. It returns the workers
 // that are left for others.
-func (c *Cell) placeLasting(now time.Time, s *step, usable []*worker, orders []Order) ([]Order, []*worker) {
+func (c *Cell) placeLasting(now time.Time, s *step, usable []*worker) []*worker {
 	for _, t := range s.tasks {
 		if t.done || t.current != nil || !c.mayTry(now, t) {
 			continue
@@ -227,12 +234,12 @@
 			w = c.choose(now, t, c.closingWorkers(now))
 		}
 		if w != nil {
-			orders = append(orders, c.start(now, t, w, c.nextRun(t)))
+			c.start(now, t, w, c.nextRun(t))
 			continue
 		}
-		return orders, c.reserve(s, usable)
+		return c.reserve(s, usable)
 	}
-	return orders, usable
+	return usable
 }
 
 func laterOf(a, b time.Time) time.Time {
@@ -271,19 +278,18 @@
 	return slices.Delete(slices.Clone(usable), best, best+1)
 }
 
-// placeStep starts the step's waiting tasks where there is room.
-func (c *Cell) placeStep(now time.Time, s *step, usable []*worker, orders []Order) []Order {
+// placeStep places the step's waiting tasks where there is room.
+func (c *Cell) placeStep(now time.Time, s *step, usable []*worker) {
 	for _, t := range s.tasks {
 		if t.done || t.current != nil || !c.mayTry(now, t) {
 			continue
 		}
 		w := c.choose(now, t, usable)
 		if w == nil {
-			return orders
+			return
 		}
-		orders = append(orders, c.start(now, t, w, c.nextRun(t)))
+		c.start(now, t, w, c.nextRun(t))
 	}
-	return orders
 }
 
 // restartDelay is the time before a lasting task that ended is started again,
@@ -300,22 +306,24 @@
 	return max(t.lastRun+1, int64(c.settings.Fence)*runsPerFence)
 }
 
-// start begins a run of the task on the worker.
-func (c *Cell) start(now time.Time, t *task, w *worker, number int64) Order {
+// start places a run of the task on the worker.
+func (c *Cell) start(now time.Time, t *task, w *worker, number int64) {
 	t.lastRun = number
-	r := &run{key: t.key, number: number, task: t, worker: w, room: t.step.Room(), state: starting}
+	r := &run{key: t.key, number: number, task: t, worker: w, room: t.step.Room(), state: placed}
 	t.current = r
 	w.add(r)
+	t.step.job.dirty = true
+	c.placed = append(c.placed, r)
+	c.touch(now, true)
 	c.stats.Started++
-	return c.startOrder(now, r)
 }
 
-// placeGang starts all members of a gang at once, or none.
-func (c *Cell) placeGang(now time.Time, s *step, usable []*worker, orders []Order) []Order {
+// placeGang places all members of a gang at once, or none.
+func (c *Cell) placeGang(now time.Time, s *step, usable []*worker) {
 	var number int64
 	for _, t := range s.tasks {
 		if t.current != nil {
-			return orders // members of the last run are not gone yet
+			return // members of the last run are not gone yet
 		}
 		number = max(number, c.nextRun(t))
 	}
@@ -332,14 +340,13 @@
 		w.used = w.used.Sub(s.Room())
 	}
 	if len(chosen) < len(s.tasks) {
-		return orders
+		return
 	}
 	saved := gangCheckpoint(s)
 	for i, t := range s.tasks {
 		t.checkpoint = saved
-		orders = append(orders, c.start(now, t, chosen[i], number))
+		c.start(now, t, chosen[i], number)
 	}
-	return orders
 }
 
 // gangCheckpoint returns a saved state of the gang's last run.
--- a/core/cell/doc.go
+++ b/core/cell/doc.go
@@ -9,9 +9,9 @@
 // run's end is listed, a stop of it was acknowledged, a report that was asked
 // for after its start lacks it, another life of the worker answers, or the
 // last lease that was sent to the worker has passed on the worker's clock.
-// After a change of owners, runs that the former owner started may exist on
-// workers that have not answered yet. Until all have answered, or the former
-// owner's last lease has passed, tasks of jobs that it knew wait.
+// The place of a run is stored before its start is ordered, so that the next
+// owner of the cell knows where every task may be: only those on workers that
+// do not answer wait for the end of a lease.
 //
 // # Usage
 //
@@ -23,6 +23,7 @@
 //		c.Answered(now, o, reply, err)
 //	}
 //	c.Report(now, sent, workerID, report)
+//	c.Silent(now, sent, workerID, true, err)
 //	batch := c.Flush(now)
 //	// Write the batch's rows in one transaction, then:
 //	c.Flushed(now, batch)
--- a/core/cell/flush.go
+++ b/core/cell/flush.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"bramleyrock/core/works"
@@ -30,11 +31,19 @@
 
 	seen  map[string]int64
 	ended []*job
-	more  bool
+	// placed holds the runs whose places the batch stores.
+	placed []*run
+	more   bool
 }
 
+// endEntries is the number of rows that change when a job ends.
+const endEntries = 4
+
 // FlushDue reports whether there is something to write now.
 func (c *Cell) FlushDue(now time.Time) bool {
+	if len(c.placed) > 0 && now.Sub(c.dirtySince) >= placeDelay {
+		return true
+	}
 	return !c.dirtySince.IsZero() && (c.urgent && now.Sub(c.dirtySince) >= urgentDelay || now.Sub(c.dirtySince) >= flushDelay)
 }
 
@@ -43,7 +52,9 @@
 func (c *Cell) Flush(now time.Time) *Batch {
 	c.flushing = true
 	b := &Batch{seen: map[string]int64{}}
-	for len(c.ended) > 0 && len(b.Writes) < maxWrites {
+	entries := 0
+	for len(c.ended) > 0 && entries < maxEntries {
+		entries += endEntries
 		j := c.ended[0]
 		c.ended = c.ended[1:]
 		j.dirty = false
@@ -54,17 +65,36 @@
 		})
 	}
 	b.more = len(c.ended) > 0
-	for _, j := range c.jobs {
+	write := func(j *job) {
 		if !j.dirty || j.state.Ended() {
-			continue
+			return
 		}
-		if len(b.Writes) >= maxWrites {
+		if entries >= maxEntries {
 			b.more = true
-			break
+			return
 		}
+		entries++
 		j.dirty, j.stored = false, true
 		b.Writes = append(b.Writes, Write{ID: j.ID, Progress: j.progress()})
 	}
+	for _, r := range c.placed {
+		if r.task != nil {
+			write(r.task.step.job)
+		}
+	}
+	for _, j := range c.jobs {
+		write(j)
+	}
+	c.placed = slices.DeleteFunc(c.placed, func(r *run) bool {
+		if r.task == nil || r.state != placed {
+			return true
+		}
+		if !r.task.step.job.dirty {
+			b.placed = append(b.placed, r)
+			return true
+		}
+		return false
+	})
 	c.flushWorkers(now, b)
 	if !b.more {
 		for id, w := range c.workers {
@@ -84,6 +114,9 @@
 		}
 	}
 	c.flushedWorkers(b)
+	for _, r := range b.placed {
+		r.stored = true
+	}
 	for _, j := range b.ended {
 		c.forget(j)
 		c.over[j.ID] = now
@@ -102,6 +135,7 @@
 	c.flushing = false
 	c.ended = append(b.ended, c.ended...)
 	c.dropped = append(b.OldWorkers, c.dropped...)
+	c.placed = append(b.placed, c.placed...)
 	for _, w := range b.Writes {
 		if j := c.jobs[w.ID]; j != nil && !w.Ended {
 			j.dirty = true
--- a/core/cell/former.go
+++ b/core/cell/former.go
@@ -1,14 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
 
-// former is a worker to which a former owner may have given orders.
-type former struct {
-	// until is when the last lease that it was given has passed for certain.
-	until time.Time
-	// stored is true if that time is in the worker's row.
-	stored bool
-}
+	rock "bramleyrock"
+)
 
 // WorkerRow is what is to be written about a worker that the cell orders.
 type WorkerRow struct {
@@ -23,6 +19,33 @@
 // is stored, so that a single lost answer needs no write.
 const boundDelay = 300 * time.Millisecond
 
+// addFormer adds a worker to which a former owner may have given orders. The
+// zero time means that the end of its lease is not known.
+func (c *Cell) addFormer(id string, until time.Time) {
+	w := c.newWorker(id)
+	w.recorded, w.boundStored = true, !until.IsZero()
+	w.formerUntil = until
+	if until.IsZero() {
+		w.formerUntil = c.settings.SettledAt
+	}
+}
+
+// expectRun notes that a former owner may have started the task's last run on
+// a worker. The worker's first answer tells whether it runs: orders that are
+// still under way to it carry an older fence and have no effect after that.
+func (c *Cell) expectRun(now time.Time, t *task, id string) {
+	w := c.workers[id]
+	if w == nil {
+		return // its row is gone, so its lease has passed
+	}
+	r := &run{
+		key: t.key, number: t.lastRun, task: t, worker: w, room: t.step.Room(), state: starting, stored: true,
+		orderedAt: now, answeredAt: now.Add(-time.Nanosecond),
+	}
+	t.current = r
+	w.add(r)
+}
+
 // Leave makes the next batch hold the ends of the leases of all workers that
 // do not answer, because the owner leaves.
 func (c *Cell) Leave(now time.Time) {
@@ -30,42 +53,19 @@
 	c.touch(now, true)
 }
 
-// settle reports whether all that a former owner started is accounted for:
-// each of its workers has answered, or its last lease has passed.
-func (c *Cell) settle(now time.Time) bool {
-	if c.settled {
-		return true
-	}
-	for id, f := range c.former {
-		w := c.workers[id]
-		if (w == nil || !w.fenced && !w.gone) && !now.After(f.until) {
-			return false
-		}
-	}
-	c.settled = true
-	if len(c.former) > 0 {
-		c.notes = append(c.notes, Note{What: "takeover settled", Detail: "all former workers answered, or their leases have passed"})
-	}
-	return true
-}
-
 // wantsRow returns the row that is to be written about a worker.
 func (c *Cell) wantsRow(now time.Time, w *worker) (WorkerRow, bool) {
 	r := WorkerRow{ID: w.id()}
 	switch {
 	case !w.recorded:
-		return r, true
+		return r, w.State == rock.WorkerReady
 	case w.boundStored:
 		return r, w.fenced && !w.silent
 	case w.gone:
 		return r, false
 	case !w.fenced:
-		f := c.former[r.ID]
-		if f == nil {
-			return r, false
-		}
-		r.Until = f.until
-		return r, true
+		r.Until = w.formerUntil
+		return r, !r.Until.IsZero()
 	case w.silent && (c.leaving || now.Sub(w.answeredAt) > quietLimit+boundDelay):
 		r.Until = w.lapsesAt()
 		return r, true
@@ -81,12 +81,6 @@
 			return
 		}
 	}
-	for id, f := range c.former {
-		if c.workers[id] == nil && (!f.stored || now.After(f.until)) {
-			c.touch(now, true)
-			return
-		}
-	}
 }
 
 // maxWorkerWrites bounds the rows of workers in a batch.
@@ -98,25 +92,18 @@
 	b.OldWorkers = c.dropped[:n:n]
 	c.dropped = c.dropped[n:]
 	b.more = b.more || len(c.dropped) > 0
-	room := func() bool {
-		ok := len(b.Workers)+len(b.OldWorkers) < maxWorkerWrites
-		b.more = b.more || !ok
-		return ok
-	}
 	for _, w := range c.workers {
-		if r, ok := c.wantsRow(now, w); ok && room() {
-			b.Workers = append(b.Workers, r)
+		r, ok := c.wantsRow(now, w)
+		if !ok {
+			continue
 		}
-	}
-	for id, f := range c.former {
-		switch {
-		case c.workers[id] != nil:
-		case now.After(f.until) && c.settled:
-			if room() {
-				b.OldWorkers = append(b.OldWorkers, id)
-			}
-		case !f.stored && room():
-			b.Workers = append(b.Workers, WorkerRow{id, f.until})
+		if len(b.Workers)+len(b.OldWorkers) >= maxWorkerWrites {
+			b.more = true
+			return
+		}
+		b.Workers = append(b.Workers, r)
+		if !r.Until.IsZero() {
+			w.boundStored = true // the write may take effect at any time from now on
 		}
 	}
 }
@@ -124,16 +111,8 @@
 // flushedWorkers notes that the rows of workers are stored.
 func (c *Cell) flushedWorkers(b *Batch) {
 	for _, r := range b.Workers {
-		if f := c.former[r.ID]; f != nil {
-			f.stored = true
-		}
 		if w := c.workers[r.ID]; w != nil {
 			w.recorded, w.boundStored = true, !r.Until.IsZero()
 		}
 	}
-	for _, id := range b.OldWorkers {
-		if c.workers[id] == nil {
-			delete(c.former, id)
-		}
-	}
 }
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -116,21 +116,28 @@
 	p := works.Progress{Begun: j.begun}
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
-			if t.done || len(t.failed) > 0 {
-				p.Tasks = append(p.Tasks, works.TaskProgress{
-					Occurrence: s.occurrence, Step: s.number, Index: t.name.Index,
-					Done: t.done, Failed: t.failed, Run: t.lastRun, Checkpoint: t.checkpoint,
-				})
+			if !t.done && len(t.failed) == 0 && t.current == nil {
+				continue
 			}
+			r := works.TaskProgress{
+				Occurrence: s.occurrence, Step: s.number, Index: t.name.Index,
+				Done: t.done, Failed: t.failed, Run: t.lastRun, Checkpoint: t.checkpoint,
+			}
+			if t.current != nil {
+				r.Run, r.Worker = t.current.number, t.current.worker.id()
+			}
+			p.Tasks = append(p.Tasks, r)
 		}
 	}
 	return p
 }
 
-// restore puts stored progress in force.
-func (j *job) restore(p works.Progress) {
+// restore puts stored progress in force and returns the tasks that may be
+// running, with the workers on which they may be.
+func (j *job) restore(p works.Progress) map[*task]string {
 	j.begun = j.begun || p.Begun
 	j.stored = true
+	places := map[*task]string{}
 	for _, r := range p.Tasks {
 		s := j.step(r.Occurrence, r.Step)
 		if s == nil || r.Index < 0 || r.Index >= len(s.tasks) {
@@ -140,7 +147,10 @@
 		t.failed, t.lastRun, t.checkpoint = r.Failed, r.Run, r.Checkpoint
 		if r.Done {
 			t.finish()
+		} else if r.Worker != "" {
+			places[t] = r.Worker
 		}
 	}
 	j.dirty = false
+	return places
 }
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -57,8 +57,8 @@
 	w.born, w.handled, w.stored, w.fenced = p.Born, 0, 0, false
 	w.maxUntil = p.Clock
 	for _, r := range w.runs {
-		if r.answeredAt.IsZero() && r.state == starting {
-			continue // its order may still arrive
+		if r.answeredAt.IsZero() && (r.state == starting || r.state == placed) {
+			continue // its order may still arrive, or is yet to be given
 		}
 		c.lose(now, r, "its worker restarted")
 	}
@@ -86,6 +86,8 @@
 	if r.task != nil && r.task.current == r {
 		r.task.checkpoint = newest(r.checkpoint, r.task.checkpoint)
 		r.task.endedAt = now
+		r.task.step.job.dirty = true
+		c.touch(now, false)
 	}
 	r.worker.remove(r)
 }
@@ -287,6 +289,7 @@
 		return
 	}
 	w.silent = true
+	c.unplaceAll(w)
 	c.note("worker silent", nil, fmt.Sprintf("worker %s, last answer %v ago: %v", id, now.Sub(w.answeredAt), err))
 }
 
@@ -295,11 +298,16 @@
 // lease has passed.
 func (c *Cell) expire(now time.Time) {
 	for _, w := range c.workers {
-		if len(w.runs) == 0 || !w.silent || !w.lapsed(w.unansweredAt) {
+		over := w.silent && w.lapsed(w.unansweredAt)
+		if !w.fenced {
+			over = now.After(w.formerUntil)
+		}
+		if !over {
 			continue
 		}
 		for _, r := range w.runs {
 			c.lose(now, r, fmt.Sprintf("its worker is silent for %v and the lease has passed", now.Sub(w.answeredAt)))
 		}
+		c.drop(now, w)
 	}
 }
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -11,6 +11,8 @@
 
 // The states of a run.
 const (
+	// placed is a run whose start may be ordered once its place is stored.
+	placed   runState = "placed"
 	starting runState = "starting"
 	running  runState = "running"
 	stopping runState = "stopping"
@@ -34,6 +36,8 @@
 	// unanswered is true once the answer to a start was lost.
 	unanswered bool
 	inFlight   bool
+	// stored is true once the run's place is stored.
+	stored     bool
 	checkpoint string
 	percent    int
 	figure     float64
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -6,12 +6,9 @@
 type Settings struct {
 	// Pool is the pool whose workers the cell orders.
 	Pool string
-	// Fence is the owner's epoch. It grows with every change of owners.
+	// Fence is the owner's epoch, the version of the platform's table at which
+	// it took the cell. It grows with every change of owners.
 	Fence uint64
-	// KnownVersion is the version of the platform's table at which the former
-	// owner could not start anything any more. It may have started tasks of
-	// jobs that were stored before.
-	KnownVersion uint64
 	// Hold is the lease that workers are given.
 	Hold time.Duration
 	// SettledAt is when the last lease that a former owner gave has passed on
@@ -48,9 +45,12 @@
 	flushDelay = 50 * time.Millisecond
 	// urgentDelay is how long the end of a job may wait for others.
 	urgentDelay = 20 * time.Millisecond
-	// maxWrites bounds the jobs in a batch, so that its rows and conditions
-	// stay below the platform's 100 in a transaction.
-	maxWrites = 18
+	// placeDelay is how long the place of a run may wait to be stored with
+	// those of others: it delays the run's start.
+	placeDelay = 5 * time.Millisecond
+	// maxEntries bounds the rows of jobs in a batch, so that all of its rows and
+	// conditions stay below the platform's 100 in a transaction.
+	maxEntries = 72
 	// runsPerFence is the number of run numbers that belong to a fence.
 	runsPerFence = 1 << 12
 )
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -38,6 +38,8 @@
 	// boundStored is true while that row holds the end of the worker's lease,
 	// which must not be extended then.
 	boundStored bool
+	// formerUntil is when every lease that a former owner gave has passed.
+	formerUntil time.Time
 	// handled is the last end that was taken in, stored the last that needs
 	// no more writes.
 	handled int64
--- a/core/works/progress.go
+++ b/core/works/progress.go
@@ -29,6 +29,8 @@
 	Run int64
 	// Checkpoint is the last saved state.
 	Checkpoint string
+	// Worker is where the run may be, or "".
+	Worker string
 }
 
 // Outcome is the end of a job, as its row keeps it.
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -165,7 +165,7 @@
 func (o *owner) build(former map[string]time.Time) {
 	s := &o.site.settings
 	c := cell.Settings{
-		Pool: o.pool, Fence: o.fence, KnownVersion: o.ownerVersion, Hold: s.Hold, Former: former,
+		Pool: o.pool, Fence: o.fence, Hold: s.Hold, Former: former,
 		Stop: s.Stop, Far: s.Far, Early: s.Early,
 	}
 	if !o.first {
@@ -204,7 +204,7 @@
 				o.log.WithError(err).WithField("row", r.Key()).Error("Progress cannot be read.")
 				continue
 			}
-			o.core.AddProgress(id, p)
+			o.core.AddProgress(now, id, p)
 		}
 	}
 	for _, r := range rows {
