Advised queues and filling tasks: tickets before places, pace beside serving tasks

Cause: the contracts in force name advice and sharing, which other deployments may use; nothing served them.

Change: a step of an advised queue is placed only on workers for which the adviser gave a ticket; filling tasks are slowed down while a serving task beside them comes near its target, and sped up again while none does.

--- a/cmd/bramleyrock/hosted.go
+++ b/cmd/bramleyrock/hosted.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	rock "bramleyrock"
 	"bramleyrock/core/group"
 	"bramleyrock/io/boot"
 	"bramleyrock/io/conf"
@@ -125,8 +126,13 @@
 // siteSettings translates the platform's settings.
 func siteSettings(p platform.Settings, log *logrus.Logger, m *meter.Meter) site.Settings {
 	b := p.Bounds
+	var adviser rock.Adviser
+	if p.AdviserAddress != "" {
+		adviser = platform.NewAdviser(p.AdviserAddress)
+	}
 	return site.Settings{
-		Name: p.Name + "@" + p.IP, Holder: p.Name, Zone: p.Zone, CPUShare: p.CPUShare,
+		Adviser: adviser,
+		Name:    p.Name + "@" + p.IP, Holder: p.Name, Zone: p.Zone, CPUShare: p.CPUShare,
 		Store: platform.NewStore(p.StoreAddress), Workers: platform.NewWorkers(), Hosts: platform.NewHostDuties(p.HostsAddress),
 		Outside: site.Outside{
 			OperatorTable: platform.OperatorTable, ConfigName: platform.ConfigName, WavePrefix: platform.WavePrefix,
--- a/core/cell/answered.go
+++ b/core/cell/answered.go
@@ -10,6 +10,9 @@
 // Answered takes in the answer to an order.
 func (c *Cell) Answered(now time.Time, o Order, p rock.Reply, err error) {
 	r := o.run
+	if o.Kind == OrderPace {
+		return // the next report tells the run's pace
+	}
 	r.inFlight = false
 	if r.worker.runs[r.id()] != r {
 		return // the run is over
@@ -51,6 +54,8 @@
 		w.restUntil = now.Add(fullRest)
 	case rock.RefusedLate:
 		w.clock, w.clockAt = p.Clock, now
+	case rock.RefusedTicket:
+		r.task.step.advice.until = time.Time{}
 	case rock.RefusedBusy:
 		w.restUntil = now.Add(busyRest)
 		c.watch.Note(now, w.health, true)
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -35,7 +35,11 @@
 	dropped []string
 	notes   []Note
 	demand  resize.Demand
-	stats   Stats
+	// questions is the number of questions to the adviser that are under way,
+	// asks those that are to be asked.
+	questions int
+	asks      []Order
+	stats     Stats
 }
 
 // New returns a cell that knows nothing yet.
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -468,3 +468,76 @@
 		})
 	}
 }
+
+func TestAdvisedStepRunsOnlyWithATicket(t *testing.T) {
+	b := newBench(t, 3, nil)
+	b.SetQueues([]works.Queue{{Name: "q", Pool: "tins", Attempts: 2, Advised: true}})
+	b.AddJob(b.now, job("a", step(2)), 9)
+	asks := b.Decide(b.now)
+	assert.Equal(t, len(asks), 1)
+	assert.Equal(t, asks[0].Kind, cell.OrderAdvise)
+	assert.Equal(t, asks[0].Step, "a.0.0")
+	assert.Equal(t, len(asks[0].Workers), 3)
+	assert.Equal(t, len(b.Decide(b.now)), 0, "one question at a time")
+	b.Advised(b.now, asks[0], []rock.Ticket{{Worker: "w1", Ticket: "t1"}}, 3*time.Second, nil)
+	s := b.started()
+	assert.Equal(t, len(s), 2)
+	for _, o := range s {
+		assert.Equal(t, o.Worker.ID+o.Start.Ticket, "w1t1")
+	}
+}
+
+func TestRefusedTicketIsAskedForAgain(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.SetQueues([]works.Queue{{Name: "q", Pool: "tins", Attempts: 2, Advised: true}})
+	b.AddJob(b.now, job("a", step(1)), 9)
+	b.Advised(b.now, b.Decide(b.now)[0], []rock.Ticket{{Worker: "w0", Ticket: "t1"}}, 3*time.Second, nil)
+	b.Decide(b.now)
+	b.flush()
+	o := b.Decide(b.now)[0]
+	b.Answered(b.now, o, rock.Reply{Refusal: rock.RefusedTicket, Clock: b.clock()}, nil)
+	again := b.Decide(b.now)
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Kind, cell.OrderAdvise)
+}
+
+func TestFillingTasksAreSlowedBesideAServingOne(t *testing.T) {
+	b := newBench(t, 1, nil)
+	serving := lastingStep(1, 0, 1000)
+	serving.Target = 100 * time.Millisecond
+	fill := lastingStep(1, 0, 1000)
+	fill.Fills = true
+	b.AddJob(b.now, job("serving", serving), 9)
+	b.AddJob(b.now, job("fill", fill), 9)
+	s := b.started()
+	assert.Equal(t, len(s), 2)
+	percent := 100
+	tail := 150.0
+	paced := func() {
+		b.pass(700 * time.Millisecond)
+		runs := running(s...)
+		for i, o := range s {
+			if o.Job == "serving" {
+				runs[i].Figure = tail
+			} else {
+				runs[i].Percent = percent
+			}
+		}
+		b.report("w0", runs, nil)
+		for _, o := range b.Decide(b.now) {
+			assert.Equal(t, o.Kind, cell.OrderPace)
+			assert.Equal(t, o.Job, "fill")
+			percent = o.Pace.Percent
+			b.Answered(b.now, o, rock.Reply{}, nil)
+		}
+	}
+	for range 5 {
+		paced()
+	}
+	assert.Assert(t, percent < 5, "%d", percent)
+	tail = 20
+	for range 8 {
+		paced()
+	}
+	assert.Equal(t, percent, 100)
+}
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -16,6 +16,8 @@
 	c.checkRows(now)
 	orders := c.repeat(now)
 	c.place(now)
+	orders = append(orders, c.asks...)
+	c.asks = nil
 	return orders
 }
 
@@ -37,6 +39,7 @@
 		if w.silent || w.gone {
 			continue
 		}
+		orders = c.paces(now, w, orders)
 		for _, r := range w.runs {
 			switch {
 			case r.inFlight:
@@ -70,7 +73,7 @@
 		Kind: OrderStart, Worker: r.worker.Worker, run: r, Job: j.ID, Queue: j.Queue,
 		Start: rock.StartOrder{
 			Task: r.key, Run: r.number, Payload: j.Spec.Payload, Until: r.worker.until(now, c.settings.Hold),
-			Fence: c.settings.Fence, Checkpoint: r.task.checkpoint,
+			Fence: c.settings.Fence, Checkpoint: r.task.checkpoint, Ticket: r.task.step.advice.tickets[r.worker.id()],
 		},
 	}
 }
@@ -178,7 +181,7 @@
 	}
 	for _, k := range c.candidates(now) {
 		for _, s := range k.job.steps {
-			if s.left == 0 || !s.ready(now) {
+			if s.left == 0 || !s.ready(now) || !c.advised(now, s, usable) {
 				continue
 			}
 			switch {
@@ -375,6 +378,9 @@
 		if s.MaxPerWorker > 0 && c.countOn(w, s) >= s.MaxPerWorker {
 			continue
 		}
+		if s.job.queue.Advised && s.advice.tickets[w.id()] == "" {
+			continue
+		}
 		cost := c.cost(now, t, w)
 		if best == nil || cost < bestCost {
 			best, bestCost = w, cost
@@ -397,6 +403,9 @@
 	if w.id() == t.failedOn {
 		cost++
 	}
+	if t.step.Fills && w.serves() {
+		cost += fillWeight
+	}
 	if t.step.Lasting {
 		return cost + c.packing(w)
 	}
@@ -417,6 +426,20 @@
 	return 1
 }
 
+// fillWeight is the cost of a worker with serving tasks for one that fills.
+const fillWeight = 1.0
+
+// serves reports whether a task with a target for its response times runs on
+// the worker.
+func (w *worker) serves() bool {
+	for _, r := range w.runs {
+		if r.task != nil && r.task.step.Target > 0 && !r.task.step.Fills {
+			return true
+		}
+	}
+	return false
+}
+
 // loadWeight is the cost of a full worker against an empty one, in units of
 // the slowdown: it only orders workers of about the same speed.
 const loadWeight = 0.3
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -36,6 +36,7 @@
 	number     int
 	tasks      []*task
 	left       int
+	advice     advice
 }
 
 // task is one task of a step.
--- a/core/cell/order.go
+++ b/core/cell/order.go
@@ -9,20 +9,29 @@
 const (
 	OrderStart OrderKind = "start"
 	OrderStop  OrderKind = "stop"
+	OrderPace  OrderKind = "pace"
+	// OrderAdvise is a question to the adviser, answered with [Cell.Advised].
+	OrderAdvise OrderKind = "advise"
 )
 
-// Order is an order to a worker. It must be answered with [Cell.Answered].
+// Order is an order to a worker, which must be answered with [Cell.Answered],
+// or a question to the adviser.
 type Order struct {
-	// Kind says which of Start and Stop is set.
+	// Kind says which of Start, Stop and Pace is set, or Step and Workers.
 	Kind   OrderKind
 	Worker rock.Worker
 	Start  rock.StartOrder
 	Stop   rock.StopOrder
+	Pace   rock.PaceOrder
+	// Step and Workers are those of a question to the adviser.
+	Step    string
+	Workers []string
 	// Why is the reason of a stop, for the log.
 	Why string
 	// Queue and Job name what the task belongs to; empty for an unknown task.
 	Queue string
 	Job   string
 
-	run *run
+	run  *run
+	step *step
 }
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -44,6 +44,7 @@
 		}
 	}
 	c.compare(now, sent, w, p)
+	c.steer(now, w)
 	if c.dirtySince.IsZero() && !c.flushing {
 		w.stored = w.handled
 	} else if w.stored < w.handled {
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -41,6 +41,7 @@
 	checkpoint string
 	percent    int
 	figure     float64
+	pacedAt    time.Time
 	// why is the reason of a stop.
 	why string
 }
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -48,6 +48,9 @@
 	health  *eject.Host
 	rack    string
 	pace    pace
+	// slowFill is by how many percent the filling tasks are slowed down.
+	slowFill  int
+	steeredAt time.Time
 }
 
 func (w *worker) id() string { return w.ID }
--- a/io/site/orders.go
+++ b/io/site/orders.go
@@ -26,14 +26,20 @@
 	sent := o.site.now()
 	var p rock.Reply
 	var err error
-	if d.Kind == cell.OrderStart {
+	switch d.Kind {
+	case cell.OrderAdvise:
+		o.ask(ctx, d)
+		return
+	case cell.OrderPace:
+		p, err = o.site.settings.Workers.Pace(ctx, d.Worker, d.Pace)
+	case cell.OrderStart:
 		p, err = o.site.settings.Workers.Start(ctx, d.Worker, d.Start)
 		o.site.meters.startTime.RecordDuration(o.site.now().Sub(sent))
 		o.site.meters.started.Inc(1)
 		if p.Refusal != rock.Taken {
 			o.site.meters.notStarted.Inc(1)
 		}
-	} else {
+	default:
 		p, err = o.site.settings.Workers.Stop(ctx, d.Worker, d.Stop)
 		o.site.meters.stopped.Inc(1)
 	}
@@ -46,6 +52,20 @@
 	})
 }
 
+// ask asks the adviser and takes in the answer.
+func (o *owner) ask(ctx context.Context, d cell.Order) {
+	var tickets []rock.Ticket
+	var valid time.Duration
+	err := fmt.Errorf("no adviser is configured")
+	if a := o.site.settings.Adviser; a != nil {
+		tickets, valid, err = a.Advise(ctx, d.Step, d.Workers)
+	}
+	o.post(ctx, func(now time.Time) {
+		o.core.Advised(now, d, tickets, valid, err)
+		o.changed = true
+	})
+}
+
 // logOrders writes a line for each job with orders.
 func (o *owner) logOrders(orders []cell.Order) {
 	type group struct {
@@ -64,8 +84,13 @@
 			order = append(order, g)
 		}
 		task, run := d.Start.Task, d.Start.Run
-		if d.Kind == cell.OrderStop {
+		switch d.Kind {
+		case cell.OrderStop:
 			task, run = d.Stop.Task, d.Stop.Run
+		case cell.OrderPace:
+			task, run = d.Pace.Task, d.Pace.Run
+		case cell.OrderAdvise:
+			task = d.Step
 		}
 		fmt.Fprintf(b, "%s/%d@%s ", strings.TrimPrefix(task, d.Job+"."), run, d.Worker.ID)
 	}
--- a/io/site/settings.go
+++ b/io/site/settings.go
@@ -25,6 +25,9 @@
 	Store rock.Store
 	// Workers gives orders to workers.
 	Workers rock.Workers
+	// Adviser knows where the steps of some queues may run; nil if there is
+	// none.
+	Adviser rock.Adviser
 	// Hosts changes hosts.
 	Hosts rock.HostDuties
 	// Outside tells where the operator's and the workers' rows are.
