Jobs handed in at the same time are stored together; old outcomes are swept

Cause: in a slow spell a part of the table takes five transactions a second, and each handed-in job was one.

Change: an entry stores the jobs of a cell that come while a write is under way in the next one. Outcomes are deleted once callers cannot ask for them any more.

--- a/io/site/desk.go
+++ b/io/site/desk.go
@@ -75,7 +75,7 @@
 	t.Require(key(name, cell, id+jobSuffix), 0)
 	t.Require(key(name, cell, id+outcomeSuffix), 0)
 	t.Put(key(name, cell, id+jobSuffix), value)
-	version, tries, err := s.store(ctx, begun, t)
+	version, tries, err := s.store(ctx, begun, cell, t)
 	took := s.now().Sub(begun)
 	s.meters.submitTime.RecordDuration(took)
 	line := s.log.WithFields(logrus.Fields{
@@ -110,11 +110,12 @@
 // store makes a write whose conditions hold only once, again and again until
 // its outcome is known or ctx ends. It says that the write was not made only
 // if none of its tries can have been.
-func (s *Site) store(ctx context.Context, begun time.Time, t rock.Transaction) (version uint64, tries int, err error) {
+func (s *Site) store(ctx context.Context, begun time.Time, cell string, t rock.Transaction) (version uint64, tries int, err error) {
 	var open error
+	g := s.gathererOf(cell)
 	for {
 		tries++
-		version, err = s.settings.Store.Apply(ctx, t)
+		version, err = g.store(ctx, s, t)
 		if ctx.Err() == nil {
 			s.heard(err)
 		}
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -85,6 +85,7 @@
 	o.refresh(o.site.now())
 	o.group.Go("follow jobs", func(ctx context.Context) error { return o.followJobs(ctx, jobs) })
 	o.group.Go("tend hosts", o.tend)
+	o.group.Go("sweep outcomes", o.sweep)
 	o.group.Go("decide", func(ctx context.Context) error {
 		defer o.group.Stop()
 		return o.loop(ctx)
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	rock "bramleyrock"
@@ -21,6 +22,11 @@
 	log      *logrus.Entry
 	meters   meters
 	lag      lag
+
+	// work holds the goroutines that outlive a caller's call.
+	work      *group.Group
+	gatherMu  sync.Mutex
+	gatherers map[string]*gatherer
 }
 
 // New returns an entry that does nothing yet.
@@ -31,6 +37,9 @@
 		me:       tenure.Owner{Name: s.Name, Session: fmt.Sprintf("%016x", rand.Uint64())},
 		log:      s.Log.WithField("part", "site"),
 		meters:   newMeters(s.Scope),
+
+		work:      group.New(context.Background()),
+		gatherers: map[string]*gatherer{},
 	}
 }
 
