--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -306,6 +306,9 @@
 		return rock.Worker{}, rock.HoldOrder{}, false
 	}
 	h := rock.HoldOrder{Fence: c.settings.Fence, SeenUpTo: w.stored, Wait: wait}
+	if w.unsure {
+		h.SeenUpTo, h.Wait = 0, 0
+	}
 	if w.fenced && !w.silent && !w.boundStored {
 		h.Until = w.until(now, c.settings.Hold)
 	}
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -541,3 +541,34 @@
 	}
 	assert.Equal(t, percent, 100)
 }
+
+func TestEndsAreNotNotedInAnotherLife(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.AddJob(b.now, job("a", step(2)), 9)
+	s := b.started()
+	b.pass(time.Second)
+	b.report("w0", running(s[1]), []rock.End{end(s[0], rock.EndDone)})
+	b.flush()
+	assert.Equal(t, b.seen("w0"), int64(1))
+	// The connection broke: the worker may have restarted under its id, and
+	// its new life numbers its ends from 1.
+	b.Silent(b.now, b.now, "w0", true, fmt.Errorf("connection reset"))
+	assert.Equal(t, b.seen("w0"), int64(0))
+	b.report("w0", running(s[1]), nil)
+	assert.Equal(t, b.seen("w0"), int64(1))
+}
+
+func TestLeaseOfFormerOwnerCountsAfterTheFirstAnswer(t *testing.T) {
+	b := takeover(t, 2, map[string]time.Time{"w0": {}, "w1": {}})
+	b.AddJob(b.now, job("a", step(1)), fence-1)
+	b.AddProgress(b.now, "a", works.Progress{Begun: true, Tasks: []works.TaskProgress{{Run: 5, Worker: "w1"}}})
+	b.pass(time.Millisecond)
+	b.report("w0", nil, nil)
+	b.report("w1", []rock.Run{{Task: "a.0.0.0", Run: 5}}, nil)
+	for b.now.Before(start.Add(4500 * time.Millisecond)) {
+		b.Silent(b.now, b.now, "w1", true, fmt.Errorf("no answer"))
+		b.report("w0", nil, nil)
+		assert.Equal(t, len(b.started()), 0, "at %v", b.now.Sub(start))
+		b.pass(100 * time.Millisecond)
+	}
+}
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -29,10 +29,10 @@
 		return
 	}
 	if !p.Born.IsZero() && !p.Born.Equal(w.born) {
-		c.reborn(now, w, p)
+		c.reborn(w, p)
 	}
 	w.clock, w.clockAt = p.Clock, now
-	w.answeredAt, w.silent = now, false
+	w.answeredAt, w.silent, w.unsure = now, false, false
 	if !w.fenced {
 		w.fenced = true
 		c.note("worker fenced", nil, fmt.Sprintf("worker %s fence %d runs %d ends %d", id, c.settings.Fence, len(p.Running), len(p.Ended)))
@@ -52,17 +52,19 @@
 	}
 }
 
-// reborn forgets what a worker's former life ran.
-func (c *Cell) reborn(now time.Time, w *worker, p rock.Report) {
+// reborns is added to the longest lease for orders that reach a new life after
+// its first report, as long as an order may be under way.
+const reborns = time.Second
+
+// reborn forgets what a worker's former life counted. What it ran is missing
+// from the report; a run that was confirmed after the report was asked for may
+// belong to the new life, and the next report tells.
+func (c *Cell) reborn(w *worker, p rock.Report) {
 	c.note("worker reborn", nil, fmt.Sprintf("worker %s born %v, before %v", w.id(), p.Born.UnixMilli(), w.born.UnixMilli()))
 	w.born, w.handled, w.stored, w.fenced = p.Born, 0, 0, false
-	w.maxUntil = p.Clock
-	for _, r := range w.runs {
-		if r.answeredAt.IsZero() && (r.state == starting || r.state == placed) {
-			continue // its order may still arrive, or is yet to be given
-		}
-		c.lose(now, r, "its worker restarted")
-	}
+	// Orders that were sent before may have reached the new life. Their ends
+	// of the lease are times of the former clock, which the worker cuts.
+	w.maxUntil = min(w.maxUntil, p.Clock+c.settings.MaxHold+reborns)
 }
 
 // Gone notes that the platform has ended a worker's life.
@@ -283,6 +285,7 @@
 	if w == nil || sent.Before(w.answeredAt) {
 		return
 	}
+	w.unsure = true
 	if certain {
 		w.unansweredAt = sent
 	}
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -11,6 +11,8 @@
 	Fence uint64
 	// Hold is the lease that workers are given.
 	Hold time.Duration
+	// MaxHold is the longest lease that workers grant.
+	MaxHold time.Duration
 	// SettledAt is when the last lease that a former owner gave has passed on
 	// every worker's clock.
 	SettledAt time.Time
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -26,6 +26,9 @@
 	// order had no answer.
 	answeredAt time.Time
 	silent     bool
+	// unsure is true after an unanswered order until the worker's next report:
+	// it may have restarted, and its ends are numbered anew then.
+	unsure bool
 	// unansweredAt is when the last order without an answer was sent.
 	unansweredAt time.Time
 	restUntil    time.Time
@@ -67,10 +70,11 @@
 	return now.After(w.lapsesAt())
 }
 
-// lapsesAt returns when every lease that was sent has passed for certain.
+// lapsesAt returns when every lease that was sent, by this owner or a former
+// one, has passed for certain.
 func (w *worker) lapsesAt() time.Time {
 	left := float64(w.maxUntil-w.clock) / clockRate
-	return w.clockAt.Add(max(0, time.Duration(left)))
+	return laterOf(w.formerUntil, w.clockAt.Add(max(0, time.Duration(left))))
 }
 
 // usable reports whether the worker may be given new work.
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -166,7 +166,7 @@
 func (o *owner) build(former map[string]time.Time) {
 	s := &o.site.settings
 	c := cell.Settings{
-		Pool: o.pool, Fence: o.fence, Hold: s.Hold, Former: former,
+		Pool: o.pool, Fence: o.fence, Hold: s.Hold, MaxHold: s.MaxHold, Former: former,
 		Stop: s.Stop, Far: s.Far, Early: s.Early,
 	}
 	if !o.first {
--- a/io/site/settings.go
+++ b/io/site/settings.go
@@ -34,6 +34,8 @@
 	Outside Outside
 	// Hold is the lease that workers are given.
 	Hold time.Duration
+	// MaxHold is the longest lease that workers grant.
+	MaxHold time.Duration
 	// Stop, Far, Early, Keep and HolderGap are bounds of the platform: the
 	// time that a stop takes, the slowdown away from data, how early a task
 	// may start, how long an ended job stays known, and the time between
