--- a/cmd/bramleyrock/hosted.go
+++ b/cmd/bramleyrock/hosted.go
@@ -100,6 +100,7 @@
 	last := group.New(context.Background())
 	last.Go("log", func(ctx context.Context) error { return lines.Copy(ctx, a.out) })
 	log.WithFields(logrus.Fields{"part": "hosted", "name": p.Name, "zone": p.Zone, "front": p.FrontAddress, "store": p.StoreAddress, "bounds": fmt.Sprintf("%+v", p.Bounds)}).Info("Entry starts.")
+	last.Go("count dropped lines", func(ctx context.Context) error { return countDropped(ctx, lines, m) })
 	err = serveHosted(ctx, h, p, s, m, log)
 	log.WithField("part", "hosted").WithField("error", fmt.Sprint(err)).WithField("lines_dropped", lines.Dropped()).Info("Entry stopped.")
 	last.Stop()
@@ -123,6 +124,25 @@
 	}
 }
 
+// countInterval is the time between updates of counts, below the 5 s at which
+// the platform fetches the metrics.
+const countInterval = time.Second
+
+// countDropped shows the number of dropped log lines until ctx ends.
+func countDropped(ctx context.Context, lines *logs.Bounded, m *meter.Meter) error {
+	t := time.NewTicker(countInterval)
+	defer t.Stop()
+	gauge := m.Scope().Gauge("log_lines_dropped")
+	for {
+		select {
+		case <-t.C:
+			gauge.Update(float64(lines.Dropped()))
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // siteSettings translates the platform's settings.
 func siteSettings(p platform.Settings, log *logrus.Logger, m *meter.Meter) site.Settings {
 	b := p.Bounds
--- a/core/cell/model_test.go
+++ b/core/cell/model_test.go
@@ -289,7 +289,7 @@
 	case m.random.IntN(40) == 0:
 		life := w.born
 		m.after(2*time.Second+time.Duration(m.random.Int64N(int64(4*time.Second))), func() {
-			if w.born == life { // an order that waits in a worker dies with it
+			if w.born.Equal(life) { // an order that waits in a worker dies with it
 				run()
 			}
 		})
@@ -385,7 +385,7 @@
 	w.extend(m, s.Until)
 	life := w.born
 	m.after(time.Duration(200+m.random.IntN(1500))*time.Millisecond, func() {
-		if !r.alive || w.born != life {
+		if !r.alive || !w.born.Equal(life) {
 			return
 		}
 		how := rock.EndDone
@@ -406,7 +406,7 @@
 	life := w.born
 	left := time.Duration(float64(until-w.clock(m.now)) / w.rate)
 	m.after(left+time.Millisecond, func() {
-		if w.born != life || w.clock(m.now) < w.until {
+		if !w.born.Equal(life) || w.clock(m.now) < w.until {
 			return
 		}
 		w.lapsedAt = m.now
@@ -455,7 +455,7 @@
 		m.after(50*time.Millisecond, func() { o.poll(w) })
 		return
 	}
-	if known := o.lives[w.id]; known != w.born {
+	if known := o.lives[w.id]; !known.Equal(w.born) {
 		o.lives[w.id] = w.born
 		if !known.IsZero() { // the connection to the former life breaks
 			o.core.Silent(m.now, sent, w.id, true, fmt.Errorf("connection reset"))
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -180,6 +180,7 @@
 		m.failed = append(m.failed, e.Run)
 	}
 	t.failedOn = w.id()
+	c.note("run failed", &run{key: e.Task, number: e.Run, worker: w, task: t}, fmt.Sprintf("failure %d of %d", len(t.failed), t.step.job.queue.Attempts))
 	j := t.step.job
 	j.dirty = true
 	if len(t.failed) >= j.queue.Attempts && !j.state.Ended() {
--- /dev/null
+++ b/core/rank/rank_test.go
@@ -0,0 +1,101 @@
+package rank_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"bramleyrock/core/rank"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// work returns a job of one step of a second, accepted that long ago.
+func work(age time.Duration) rank.Work {
+	return rank.Work{
+		Accepted: start.Add(-age), Chain: time.Second, Left: time.Second, Size: 10,
+		Objective: 600 * time.Millisecond, Stretch: 1.6,
+	}
+}
+
+func TestClass(t *testing.T) {
+	lasting := work(time.Hour)
+	lasting.Lasting = true
+	cases := map[string]struct {
+		work rank.Work
+		want rank.Class
+	}{
+		"new":                  {work(0), rank.InTime},
+		"just in time":         {work(1200 * time.Millisecond), rank.InTime},
+		"too late for the aim": {work(1300 * time.Millisecond), rank.Late},
+		"just of use":          {work(5600 * time.Millisecond), rank.Late},
+		"too late for all":     {work(5700 * time.Millisecond), rank.Hopeless},
+		"lasting, however old": {lasting, rank.Lasting},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, rank.Of(start, c.work).Class(), c.want) })
+	}
+}
+
+func TestPriorityGoesFirstWithinAClass(t *testing.T) {
+	urgent, normal := work(0), work(time.Second)
+	normal.Priority = 1
+	assert.Assert(t, rank.Of(start, urgent).Compare(rank.Of(start, normal)) < 0)
+	late := work(2 * time.Second)
+	assert.Assert(t, rank.Of(start, normal).Compare(rank.Of(start, late)) < 0)
+}
+
+// played is how a surge went.
+type played struct{ inTime, late, never int }
+
+// playSurge plays a queue on servers that each run one job of a second at a
+// time. Ten jobs a second come for two seconds to five servers, and then one
+// every other second. Order sorts those that wait.
+func playSurge(order func(now time.Time, jobs []rank.Work)) played {
+	const servers = 5
+	var waiting []rank.Work
+	var free [servers]time.Time
+	var p played
+	for tick := range 2000 {
+		now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
+		if tick < 200 && tick%10 == 0 || tick >= 200 && tick%200 == 0 {
+			w := work(0)
+			w.Accepted = now
+			waiting = append(waiting, w)
+		}
+		order(now, waiting)
+		for i := range free {
+			if len(waiting) == 0 || now.Before(free[i]) {
+				continue
+			}
+			w := waiting[0]
+			waiting = waiting[1:]
+			free[i] = now.Add(time.Second)
+			switch took := free[i].Sub(w.Accepted); {
+			case took <= w.Bound():
+				p.inTime++
+			case took <= 3*w.Bound():
+				p.late++
+			default:
+				p.never++
+			}
+		}
+	}
+	p.never += len(waiting)
+	return p
+}
+
+// In a surge of twice what the servers hold, the order serves more callers in
+// time than the order of arrival, and still completes the others while it is
+// of use to them.
+func TestSurgeServesMoreInTime(t *testing.T) {
+	ranked := playSurge(func(now time.Time, jobs []rank.Work) {
+		slices.SortStableFunc(jobs, func(a, b rank.Work) int { return rank.Of(now, a).Compare(rank.Of(now, b)) })
+	})
+	arrival := playSurge(func(time.Time, []rank.Work) {})
+	t.Logf("ranked %+v, by arrival %+v", ranked, arrival)
+	assert.Assert(t, ranked.inTime > arrival.inTime, "ranked %+v, by arrival %+v", ranked, arrival)
+	assert.Equal(t, ranked.never, 0)
+}
--- a/core/works/job.go
+++ b/core/works/job.go
@@ -35,6 +35,9 @@
 	if err := cbor.Unmarshal(data, &j); err != nil {
 		return Job{}, fmt.Errorf("decode job: %w", err)
 	}
+	// Times are encoded as fractions of a second, whose last digits are lost.
+	j.Accepted = j.Accepted.Round(time.Microsecond)
+	j.Spec.First = j.Spec.First.Round(time.Microsecond)
 	if err := j.Spec.Check(); err != nil {
 		return Job{}, fmt.Errorf("decode job %s: %w", j.ID, err)
 	}
--- /dev/null
+++ b/core/works/works_test.go
@@ -0,0 +1,101 @@
+package works_test
+
+import (
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/works"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestCheck(t *testing.T) {
+	ok := works.Step{Count: 1}
+	cases := map[string]struct {
+		spec works.Spec
+		want string
+	}{
+		"no steps":           {works.Spec{}, "no steps"},
+		"no tasks":           {works.Spec{Steps: []works.Step{{}}}, "step 0: 0 tasks"},
+		"after a later step": {works.Spec{Steps: []works.Step{{Count: 1, After: []int{1}}, ok}}, "depends on step 1"},
+		"after itself":       {works.Spec{Steps: []works.Step{{Count: 1, After: []int{0}}}}, "depends on step 0"},
+		"negative resources": {works.Spec{Steps: []works.Step{{Count: 1, Need: rock.Room{MemoryMB: -1}}}}, "negative"},
+		"no interval":        {works.Spec{Steps: []works.Step{ok}, Times: 2}, "interval"},
+		"long payload":       {works.Spec{Steps: []works.Step{ok}, Payload: string(make([]byte, works.MaxPayload+1))}, "payload"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.ErrorContains(t, c.spec.Check(), c.want) })
+	}
+}
+
+func TestRowsSurviveARoundTrip(t *testing.T) {
+	j := works.Job{
+		ID: "5c0e7a21d94b36f8", Queue: "q", Accepted: time.UnixMicro(1796371200123456).UTC(),
+		Spec: works.Spec{Payload: "p", Times: 2, First: time.UnixMilli(1796371200500).UTC(), Interval: time.Second, Steps: []works.Step{
+			{Count: 2, Need: rock.Room{MilliCores: 500, MemoryMB: 256}, Estimate: 900 * time.Millisecond},
+			{Count: 1, After: []int{0}, Lasting: true, MayMiss: 1, MaxPerWorker: 2, Label: "a", Rack: "r1"},
+		}},
+	}
+	data, err := works.EncodeJob(j)
+	assert.NilError(t, err)
+	got, err := works.DecodeJob(data)
+	assert.NilError(t, err)
+	got.Accepted, got.Spec.First = got.Accepted.UTC(), got.Spec.First.UTC()
+	assert.DeepEqual(t, got, j)
+	p := works.Progress{Begun: true, Tasks: []works.TaskProgress{{Step: 1, Index: 2, Failed: []int64{4, 9}, Run: 9, Checkpoint: "c", Worker: "w"}}}
+	data, err = works.EncodeProgress(p)
+	assert.NilError(t, err)
+	back, err := works.DecodeProgress(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, back, p)
+}
+
+func TestTaskName(t *testing.T) {
+	n := works.TaskName{Job: "5c0e7a21d94b36f8", Occurrence: 1, Step: 2, Index: 17}
+	assert.Equal(t, n.String(), "5c0e7a21d94b36f8.1.2.17")
+	got, err := works.ParseTaskName(n.String())
+	assert.NilError(t, err)
+	assert.Equal(t, got, n)
+	for _, bad := range []string{"", "a.1.2", "a.1.2.x", "a.1.2.-1", "a.1.2.3.4"} {
+		_, err := works.ParseTaskName(bad)
+		assert.Assert(t, err != nil, bad)
+	}
+}
+
+func TestLongestPrefixSelectsTheQueue(t *testing.T) {
+	c := works.Config{Queues: []works.Queue{
+		{Name: "short", Host: "h", Prefix: "/a/"}, {Name: "long", Host: "h", Prefix: "/a/b/"}, {Name: "other", Host: "i", Prefix: "/a/b/"},
+	}}
+	cases := map[string]struct{ host, path, queue, rest string }{
+		"short":        {"h", "/a/x", "short", "x"},
+		"long":         {"h", "/a/b/x", "long", "x"},
+		"other host":   {"i", "/a/b/x", "other", "x"},
+		"no such path": {"h", "/b/x", "", ""},
+		"no such host": {"j", "/a/x", "", ""},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			q, rest, _ := c.Find(k.host, k.path)
+			assert.Equal(t, q.Name, k.queue)
+			assert.Equal(t, rest, k.rest)
+		})
+	}
+}
+
+// FuzzDecodeJob checks that no row makes an entry fail, and that what is
+// accepted can be encoded again.
+func FuzzDecodeJob(f *testing.F) {
+	data, err := works.EncodeJob(works.Job{ID: "a", Spec: works.Spec{Steps: []works.Step{{Count: 1}}}})
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		j, err := works.DecodeJob(data)
+		if err != nil {
+			return
+		}
+		_, err = works.EncodeJob(j)
+		assert.NilError(t, err)
+	})
+}
--- a/io/site/desk.go
+++ b/io/site/desk.go
@@ -33,6 +33,7 @@
 	}
 	q, rest, ok := c.Find(host, path)
 	if !ok {
+		s.log.WithFields(logrus.Fields{"host": host, "path": path, "config": c.Version}).Info("No such queue.")
 		return q, "", rock.Fail("find queue", host+path, rock.NotFound, rock.NotRun)
 	}
 	return q, rest, nil
--- a/io/site/meters.go
+++ b/io/site/meters.go
@@ -21,7 +21,6 @@
 	commitTime tally.Histogram
 	taken      tally.Counter
 	lost       tally.Counter
-	dropped    tally.Gauge
 }
 
 // latencies are the bounds of the buckets of latency histograms, from a call
@@ -46,6 +45,5 @@
 		commitTime: s.Histogram("commit_latency", latencies),
 		taken:      s.Counter("cells_taken"),
 		lost:       s.Counter("cells_lost"),
-		dropped:    s.Gauge("log_lines_dropped"),
 	}
 }
--- a/io/site/steward.go
+++ b/io/site/steward.go
@@ -31,6 +31,8 @@
 	claimedAt map[string]time.Time
 	// said holds the waves whose state is written.
 	said map[string]bool
+	// announced holds the waves that are known to have a state.
+	announced map[string]bool
 	// departures holds the hosts that are about to leave the pool.
 	departures map[string]departure
 	// sole is true as long as no other holder can have given orders for the
@@ -46,7 +48,7 @@
 func (o *owner) tend(ctx context.Context) error {
 	u := &steward{
 		owner: o, since: map[string]time.Time{}, claimedAt: map[string]time.Time{},
-		said: map[string]bool{}, departures: map[string]departure{}, sole: o.sole, listedAt: o.site.now(),
+		said: map[string]bool{}, announced: map[string]bool{}, departures: map[string]departure{}, sole: o.sole, listedAt: o.site.now(),
 	}
 	for {
 		if err := pause(ctx, tendInterval); err != nil {
--- a/io/site/upkeep.go
+++ b/io/site/upkeep.go
@@ -45,6 +45,7 @@
 	for _, h := range hosts {
 		byName[h.Name] = h
 	}
+	u.announce(ctx, name)
 	changed := u.finish(w, &state, byName)
 	claimed, err := u.claim(ctx, w, &state, seen, hosts)
 	if err != nil {
@@ -212,6 +213,25 @@
 	return err
 }
 
+// announce tells the operator that a wave is under way, unless an owner has
+// told of it before.
+func (u *steward) announce(ctx context.Context, name string) {
+	if u.announced[name] {
+		return
+	}
+	o := u.owner
+	var t rock.Transaction
+	row := key(o.site.settings.Outside.StatusTable, "", o.site.settings.Outside.WavePrefix+name)
+	t.Require(row, 0)
+	t.Put(row, o.site.settings.Outside.EncodeWave(false))
+	_, err := o.site.settings.Store.Apply(ctx, t)
+	if err != nil && rock.ReasonOf(err) != rock.Conflict {
+		o.log.WithError(err).WithField("wave", name).Info("Wave cannot be announced yet.")
+		return
+	}
+	u.announced[name] = true
+}
+
 // say tells the operator how a wave stands.
 func (u *steward) say(ctx context.Context, name string, complete bool) error {
 	o := u.owner
