--- a/io/site/follow.go
+++ b/io/site/follow.go
@@ -13,8 +13,9 @@
 
 const (
 	// feedWait is how long a call waits for a change. A connection that has
-	// gone silent is noticed within this and the client's slack.
-	feedWait = 2 * time.Second
+	// gone silent is noticed within this and the client's slack, and a change
+	// of the configuration must be in force 2 s after it was made.
+	feedWait = 700 * time.Millisecond
 	// feedRetry is the time before a failed call is repeated.
 	feedRetry = 100 * time.Millisecond
 	// cellPoll is the time between readings of the cells' renewals, of which
--- a/io/site/keep.go
+++ b/io/site/keep.go
@@ -18,9 +18,11 @@
 	// takePenalty is how much later an entry takes a cell for each that it
 	// owns already, so that cells spread over the entries.
 	takePenalty = 250 * time.Millisecond
-	// slowPenalty is how much later an entry with no processor time takes a
-	// cell than one with a whole core.
-	slowPenalty = 400 * time.Millisecond
+	// enoughShare is the share of a core with which an entry can own the cell
+	// of a large pool, that of the hosts of today.
+	enoughShare = 0.4
+	// slowPenalty is how much later an entry with half of that takes a cell.
+	slowPenalty = time.Second
 )
 
 // keep takes cells that have no owner, until ctx ends.
@@ -54,7 +56,7 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(cell + "\x00" + s.me.Name)) // never fails
 	share := time.Duration(h.Sum32()%1000) * takeSpread / 1000
-	slow := time.Duration((1 - min(1, s.settings.CPUShare)) * float64(slowPenalty))
+	slow := time.Duration(max(0, enoughShare/max(s.settings.CPUShare, 0.01)-1) * float64(slowPenalty))
 	return share + slow + time.Duration(owned)*takePenalty
 }
 
