--- a/cmd/bramleyrock/hosted.go
+++ b/cmd/bramleyrock/hosted.go
@@ -152,7 +152,7 @@
 	}
 	return site.Settings{
 		Adviser: adviser,
-		Name:    p.Name + "@" + p.IP, Holder: p.Name, Zone: p.Zone, CPUShare: p.CPUShare,
+		Name:    p.Name + "@" + p.IP, Holder: p.Name, CPUShare: p.CPUShare,
 		Store: platform.NewStore(p.StoreAddress), Workers: platform.NewWorkers(), Hosts: platform.NewHostDuties(p.HostsAddress),
 		Outside: site.Outside{
 			OperatorTable: platform.OperatorTable, ConfigName: platform.ConfigName, WavePrefix: platform.WavePrefix,
@@ -160,7 +160,7 @@
 			DecodeConfig: platform.DecodeConfig, DecodeWorker: platform.DecodeWorker,
 			DecodeWave: platform.DecodeWave, EncodeWave: platform.EncodeWaveState,
 		},
-		Hold: min(b.MaxHold, maxLease), MaxHold: b.MaxHold, Stop: b.Stop, Far: b.Far, Early: b.Early, Keep: b.Keep, HolderGap: b.HolderGap, Grace: b.Grace,
+		Hold: min(b.MaxHold, maxLease), MaxHold: b.MaxHold, Stop: b.Stop, Far: b.Far, Early: b.Early, Keep: b.Keep, HolderGap: b.HolderGap,
 		Clock: boot.NewClock(time.Now()).Now, Log: log, Scope: m.Scope(),
 	}
 }
--- a/core/cell/answered.go
+++ b/core/cell/answered.go
@@ -60,7 +60,6 @@
 		w.restUntil = now.Add(busyRest)
 		c.watch.Note(now, w.health, true)
 	}
-	c.stats.Refused++
 	c.note("start refused", r, string(p.Refusal))
 	if r.unanswered {
 		c.stop(r, "an earlier copy of its refused start may still arrive")
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -39,7 +39,6 @@
 	// asks those that are to be asked.
 	questions int
 	asks      []Order
-	stats     Stats
 }
 
 // New returns a cell that knows nothing yet.
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -6,7 +6,6 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/rank"
-	"bramleyrock/core/works"
 )
 
 // Decide returns the orders to give now, and finds places for tasks that wait.
@@ -140,7 +139,7 @@
 	chain := c.chain(j)
 	w := rank.Work{
 		Accepted: j.Accepted, Priority: j.queue.Priority, Left: chain,
-		Begun: j.begun, Lasting: j.Spec.Lasting(),
+		Lasting:   j.Spec.Lasting(),
 		Objective: j.queue.Objective, Stretch: j.queue.Stretch,
 	}
 	n := len(j.Spec.Steps)
@@ -318,7 +317,6 @@
 	t.step.job.dirty = true
 	c.placed = append(c.placed, r)
 	c.touch(now, true)
-	c.stats.Started++
 }
 
 // placeGang places all members of a gang at once, or none.
@@ -454,21 +452,3 @@
 	}
 	return n
 }
-
-// Stats counts what the cell did.
-type Stats struct {
-	Started int64
-	Refused int64
-}
-
-// Stats returns the counts since the cell was made.
-func (c *Cell) Stats() Stats { return c.stats }
-
-// State returns the state of a live job.
-func (c *Cell) State(id string) (works.State, bool) {
-	j := c.jobs[id]
-	if j == nil {
-		return "", false
-	}
-	return j.state, true
-}
--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -21,8 +21,6 @@
 	// completed: Stretch times the chain, and Objective more.
 	Objective time.Duration
 	Stretch   float64
-	// Begun is true once a task has started.
-	Begun bool
 	// Lasting is true for a job that runs until it is cancelled.
 	Lasting bool
 }
--- a/io/site/settings.go
+++ b/io/site/settings.go
@@ -16,8 +16,6 @@
 	Name string
 	// Holder names the entry's host in orders about hosts.
 	Holder string
-	// Zone is the availability zone.
-	Zone string
 	// CPUShare is the share of a core that the entry may use; those with more
 	// own cells first.
 	CPUShare float64
@@ -45,8 +43,6 @@
 	Early     time.Duration
 	Keep      time.Duration
 	HolderGap time.Duration
-	// Grace is the time that a stop may take.
-	Grace time.Duration
 	// Clock returns the present time on a steady clock that counts
 	// suspensions.
 	Clock func() time.Time
