A held job is replaced under the lock

A reading of the held jobs after a lost answer (resyncJobs) replaced an item's job without the lock, while admit read it to count an organisation's jobs. Ruled out: the test's timeout; the process had ended with the race's report. Change: setJob replaces the job under the lock, in both places. Before: the new test reports the race in its first run. After: 3 runs and the whole package with -race pass. Conclusion: one way to replace a held job.

--- a/io/jobs/jobs.go
+++ b/io/jobs/jobs.go
@@ -149,6 +149,13 @@
 	s.held[i.job.ID()] = i
 }
 
+// setJob replaces the job of a held item. Calls read it under the lock.
+func (s *Jobs) setJob(i *item, j job.Job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i.job = j
+}
+
 // drop stops holding a job and frees its slot.
 func (s *Jobs) drop(i *item, outcome error) {
 	s.mu.Lock()
--- a/io/jobs/jobs_test.go
+++ b/io/jobs/jobs_test.go
@@ -109,6 +109,26 @@
 	assert.Equal(t, f.runs(id), 1)
 }
 
+// TestSubmissionsWhileHeldJobsAreReadAgain counts an organisation's jobs for its
+// quota while the entry reads them again after writes whose answers were lost.
+// The race detector sees a reader without the lock.
+func TestSubmissionsWhileHeldJobsAreReadAgain(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 8, nil)
+	limited := f.configuration(2, f.hosts)
+	limited.Limit("alpha", 2)
+	f.config.Set(limited)
+	e := f.start("e1")
+	for range 2 {
+		e.await(e.submit(fmt.Sprintf(long, false, longMS)), job.Running)
+	}
+	for range 200 {
+		f.depot.SetFaults(depot.Faults{LoseAnswers: 1})
+		assert.Equal(t, e.call("POST", "/v1/pools/tins/jobs", "alpha-token", `{"payload":1}`, nil), http.StatusTooManyRequests)
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
 func TestAllEntriesAreReplaced(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2, 8, nil)
--- a/io/jobs/session.go
+++ b/io/jobs/session.go
@@ -148,7 +148,8 @@
 			return err
 		}
 		if i, ok := s.find(ids[n]); ok && i.job.TaskID() == j.TaskID() {
-			i.job, i.version = j, row.Version()
+			i.version = row.Version()
+			s.setJob(i, j)
 			continue
 		}
 		// A claim or adoption whose answer was lost. The task of a claim was
--- a/io/jobs/settle.go
+++ b/io/jobs/settle.go
@@ -159,9 +159,7 @@
 func (s *Jobs) apply(c *change) {
 	c.item.version++
 	if c.next.State() == job.Running {
-		s.mu.Lock()
-		c.item.job = c.next
-		s.mu.Unlock()
+		s.setJob(c.item, c.next)
 		return
 	}
 	s.drop(c.item, c.outcome)
