An owner that hears no changes of its jobs starts nothing

Ruled out: the order of events in the owner; a change is taken in before the next decision once its call has answered. Change: the owner knows up to when its jobs are complete, by the sending time of the last answered call. Above 2.5 s nothing is placed or started. A start that is sent more than 0.5 s after its decision, as after a freeze, is not sent at all.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -35,6 +35,9 @@
 	dropped []string
 	notes   []Note
 	demand  resize.Demand
+	// deaf is true while nothing is started because the changes of jobs were
+	// not heard.
+	deaf bool
 	// questions is the number of questions to the adviser that are under way,
 	// asks those that are to be asked.
 	questions int
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -29,6 +29,9 @@
 	rows     []cell.WorkerRow
 }
 
+// Decide decides with all that is known of the jobs.
+func (b *bench) Decide(now time.Time) []cell.Order { return b.Cell.Decide(now, now) }
+
 func newBench(t *testing.T, workers int, change func(*cell.Settings)) *bench {
 	t.Helper()
 	s := cell.Settings{Pool: "tins", Fence: fence, Hold: 4 * time.Second, Stop: 400 * time.Millisecond, Far: 3}
@@ -572,3 +575,20 @@
 		b.pass(100 * time.Millisecond)
 	}
 }
+
+// TestNothingIsStartedWithoutNews decides with knowledge of the jobs that is too
+// old, before the place of a task is found and after it is stored.
+func TestNothingIsStartedWithoutNews(t *testing.T) {
+	const old = 2600 * time.Millisecond
+	b := newBench(t, 1, nil)
+	b.AddJob(b.now, job("j", step(1)), fence+1)
+	deaf := b.now.Add(-old)
+	b.Cell.Decide(b.now, deaf)
+	b.flush()
+	assert.Equal(t, len(b.progress), 0, "a place was found")
+	b.Decide(b.now)
+	b.flush()
+	assert.Equal(t, len(b.Cell.Decide(b.now, deaf)), 0)
+	b.Cancel(b.now, "j")
+	assert.Equal(t, len(b.Decide(b.now)), 0, "a cancelled job's task was started")
+}
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -9,20 +10,39 @@
 )
 
 // Decide returns the orders to give now, and finds places for tasks that wait.
-func (c *Cell) Decide(now time.Time) []Order {
+// Every change of the jobs up to the time heard was taken in. If that is too
+// long ago nothing is started, since a job may have been cancelled meanwhile.
+func (c *Cell) Decide(now, heard time.Time) []Order {
 	c.expire(now)
 	c.evacuate(now)
 	c.checkRows(now)
-	orders := c.repeat(now)
-	c.place(now)
+	fresh := c.hears(now, heard)
+	orders := c.repeat(now, fresh)
+	if fresh {
+		c.place(now)
+	}
 	orders = append(orders, c.asks...)
 	c.asks = nil
 	return orders
 }
 
-// repeat returns the starts whose place is stored, the stops, and unanswered
-// orders again.
-func (c *Cell) repeat(now time.Time) []Order {
+// hears reports whether the changes of jobs were heard recently.
+func (c *Cell) hears(now, heard time.Time) bool {
+	fresh := now.Sub(heard) <= heardLimit
+	if fresh == c.deaf {
+		c.deaf = !fresh
+		what := "starts stopped"
+		if fresh {
+			what = "starts resumed"
+		}
+		c.note(what, nil, fmt.Sprintf("changes of jobs were last heard %v ago", now.Sub(heard)))
+	}
+	return fresh
+}
+
+// repeat returns the stops, the starts whose place is stored if tasks may be
+// started, and unanswered orders again.
+func (c *Cell) repeat(now time.Time, mayStart bool) []Order {
 	var orders []Order
 	c.orphans = slices.DeleteFunc(c.orphans, func(r *run) bool { return r.worker.runs[r.id()] != r })
 	for _, r := range c.orphans {
@@ -41,7 +61,7 @@
 		orders = c.paces(now, w, orders)
 		for _, r := range w.runs {
 			switch {
-			case r.inFlight:
+			case r.inFlight || !mayStart:
 			case r.state == placed && r.stored:
 				r.state = starting
 				orders = append(orders, c.startOrder(now, r))
--- a/core/cell/model_test.go
+++ b/core/cell/model_test.go
@@ -206,7 +206,7 @@
 		m.log("%v", n)
 	}
 	o.core.SetWorkers(m.now, m.registered())
-	for _, d := range o.core.Decide(m.now) {
+	for _, d := range o.core.Decide(m.now, m.now) {
 		o.give(d)
 	}
 	if !o.committing && o.core.FlushDue(m.now) {
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -31,6 +31,10 @@
 	// clockRate is the least rate of a worker's clock: the platform states
 	// that it may be 2 % slow, with a margin for the reading of clocks.
 	clockRate = 0.975
+	// heardLimit is how old the knowledge of jobs may be for a task to be
+	// started. A cancelled job's tasks may start for 4 s, and 1.5 s are left
+	// for the order's way and for a process that runs late.
+	heardLimit = 2500 * time.Millisecond
 	// resendInterval is the time between repeats of an unanswered order,
 	// several times the way to the farthest worker.
 	resendInterval = 250 * time.Millisecond
--- a/io/site/follow.go
+++ b/io/site/follow.go
@@ -29,8 +29,9 @@
 	name string
 	// list reads the rows and returns the version from which to follow.
 	list func(ctx context.Context) (uint64, error)
-	// take takes in changes.
-	take func(rows []rock.Row)
+	// take takes in changes, which may be none: all that were made before the
+	// call was sent are known then.
+	take func(sent time.Time, rows []rock.Row)
 	// gap is the time between calls, so that many changes come at once.
 	gap time.Duration
 }
@@ -46,12 +47,11 @@
 			listed = err == nil
 		} else {
 			var c rock.Changes
+			sent := s.now()
 			c, err = s.settings.Store.Changes(ctx, t.name, version, feedWait)
 			if err == nil {
 				version = max(version, c.Version)
-				if len(c.Rows) > 0 {
-					t.take(c.Rows)
-				}
+				t.take(sent, c.Rows)
 			}
 		}
 		if ctx.Err() != nil {
@@ -86,11 +86,14 @@
 			s.takeOperator(c.Rows)
 			return c.Version, nil
 		},
-		take: s.takeOperator,
+		take: func(_ time.Time, rows []rock.Row) { s.takeOperator(rows) },
 	})
 }
 
 func (s *Site) takeOperator(rows []rock.Row) {
+	if len(rows) == 0 {
+		return
+	}
 	o := s.settings.Outside
 	for _, r := range rows {
 		_, name := splitKey(r.Key())
@@ -142,12 +145,14 @@
 			s.view.tell()
 			return c.Version, nil
 		},
-		take: func(rows []rock.Row) {
+		take: func(_ time.Time, rows []rock.Row) {
 			for _, r := range rows {
 				id, w := s.decodeWorker(r)
 				s.view.setWorker(id, w)
 			}
-			s.view.tell()
+			if len(rows) > 0 {
+				s.view.tell()
+			}
 		},
 		gap: workerPoll,
 	})
@@ -193,7 +198,7 @@
 			}
 			return version, nil
 		},
-		take: func(rows []rock.Row) { s.takeCells(rows) },
+		take: func(_ time.Time, rows []rock.Row) { s.takeCells(rows) },
 		gap:  cellPoll,
 	})
 }
--- a/io/site/orders.go
+++ b/io/site/orders.go
@@ -13,16 +13,21 @@
 // give gives orders to workers, each in a goroutine of its own.
 func (o *owner) give(orders []cell.Order) {
 	o.logOrders(orders)
+	decided := o.site.now()
 	for _, d := range orders {
 		o.group.Go("order", func(ctx context.Context) error {
-			o.order(ctx, d)
+			o.order(ctx, d, decided)
 			return nil
 		})
 	}
 }
 
+// orderPatience is how long after the decision a start may be sent. What was
+// decided may not hold any more when a process goes on after a freeze.
+const orderPatience = 500 * time.Millisecond
+
 // order gives one order and takes in the answer.
-func (o *owner) order(ctx context.Context, d cell.Order) {
+func (o *owner) order(ctx context.Context, d cell.Order, decided time.Time) {
 	sent := o.site.now()
 	var p rock.Reply
 	var err error
@@ -33,6 +38,11 @@
 	case cell.OrderPace:
 		p, err = o.site.settings.Workers.Pace(ctx, d.Worker, d.Pace)
 	case cell.OrderStart:
+		if late := sent.Sub(decided); late > orderPatience {
+			err = rock.Fail("start", d.Worker.ID, rock.Unavailable, rock.NotRun).Becausef("the entry runs %v late", late)
+			o.post(ctx, func(now time.Time) { o.core.Answered(now, d, p, err) })
+			return
+		}
 		p, err = o.site.settings.Workers.Start(ctx, d.Worker, d.Start)
 		o.site.meters.startTime.RecordDuration(o.site.now().Sub(sent))
 		o.site.meters.started.Inc(1)
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -68,6 +68,9 @@
 	pollers    map[string]bool
 	changed    bool
 	decidedAt  time.Time
+	// heardAt is the time up to which all changes of the cell's jobs are taken
+	// in.
+	heardAt time.Time
 	// spare is the number of the pool's hosts that could leave it now.
 	spare int
 }
@@ -148,6 +151,7 @@
 	if !mine {
 		return 0, fmt.Errorf("the cell has another owner")
 	}
+	o.heardAt = o.site.now()
 	jobs, err := o.site.settings.Store.List(ctx, o.table, o.cell, "", "")
 	if err != nil {
 		return 0, err
@@ -235,20 +239,29 @@
 				first = false
 				return version, nil
 			}
+			sent := o.site.now()
 			c, err := o.site.settings.Store.List(ctx, o.table, o.cell, "", "")
 			if err != nil {
 				return 0, err
 			}
-			o.post(ctx, func(now time.Time) { o.takeJobs(now, c.Rows) })
+			o.post(ctx, func(now time.Time) { o.heard(now, sent, c.Rows) })
 			return c.Version, nil
 		},
-		take: func(rows []rock.Row) {
-			o.post(ctx, func(now time.Time) { o.takeJobs(now, rows) })
+		take: func(sent time.Time, rows []rock.Row) {
+			o.post(ctx, func(now time.Time) { o.heard(now, sent, rows) })
 		},
 		gap: jobPoll,
 	})
 }
 
+// heard takes in rows of jobs. All changes up to that time are known then.
+func (o *owner) heard(now, upTo time.Time, rows []rock.Row) {
+	if len(rows) > 0 {
+		o.takeJobs(now, rows)
+	}
+	o.heardAt = upTo
+}
+
 // jobPoll is the time between readings of the cell's jobs, so that its own
 // writes and the jobs of a surge come together.
 const jobPoll = 30 * time.Millisecond
@@ -315,7 +328,7 @@
 func (o *owner) step(now time.Time) {
 	if now.Before(o.actUntil) && o.changed && now.Sub(o.decidedAt) >= decideGap {
 		o.changed, o.decidedAt = false, now
-		o.give(o.core.Decide(now))
+		o.give(o.core.Decide(now, o.heardAt))
 		o.poll()
 	}
 	o.logNotes()
