Entries that run late all the time give a cell up

Change: tenure.Strain averages how late the process runs. Above 0.18 s an owner releases one cell, 6 s after it took it at the earliest, and lets others go first. An entry that owns cells waits 0.15 s a cell (0.25 before), a weak one 1.2 s (1.0).

--- /dev/null
+++ b/core/tenure/strain.go
@@ -0,0 +1,63 @@
+package tenure
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// strainWindow is the time over which lateness is averaged: longer than the
+	// burst of work that follows a takeover.
+	strainWindow = 1500 * time.Millisecond
+	// strainLimit is the mean lateness from which an entry has too much to do.
+	// A processor quota alone makes timers up to 0.1 s late.
+	strainLimit = 180 * time.Millisecond
+	// maxLate and maxGap bound what one reading counts for, so that a freeze
+	// does not look like too much work.
+	maxLate = 600 * time.Millisecond
+	maxGap  = 350 * time.Millisecond
+	// SettleTime is how long an owner keeps a cell at least, so that entries
+	// which are all too weak do not pass it on all the time: a takeover costs
+	// about 0.3 s.
+	SettleTime = 6 * time.Second
+	// HandOverGap is the time between two cells that an entry gives up, in
+	// which its lateness shows what the first one has changed.
+	HandOverGap = 3 * time.Second
+	// Aversion is how much longer an entry leaves a cell that it gave up to
+	// others: longer than the weakest other entry waits.
+	Aversion = 2500 * time.Millisecond
+	// AversionTime is for how long it does so.
+	AversionTime = 10 * time.Second
+)
+
+// Strain is how late a process runs. The load it answers: the owner of a busy
+// cell that has too little processor time falls behind further and further,
+// while stronger entries that were away at the takeover are idle. The zero
+// value is ready to use.
+type Strain struct {
+	mean   float64
+	at     time.Time
+	gaveAt time.Time
+}
+
+// Note notes that the process was late by that much just now.
+func (s *Strain) Note(now time.Time, late time.Duration) {
+	keep := 0.0
+	if !s.at.IsZero() {
+		keep = math.Exp(-min(maxGap, now.Sub(s.at)).Seconds() / strainWindow.Seconds())
+	}
+	s.mean, s.at = s.mean*keep+min(maxLate, late).Seconds()*(1-keep), now
+}
+
+// Mean returns the mean lateness.
+func (s *Strain) Mean() time.Duration { return time.Duration(s.mean * float64(time.Second)) }
+
+// GiveUp reports whether a cell that was taken at that time should be given up
+// now, and notes that it is.
+func (s *Strain) GiveUp(now, taken time.Time) bool {
+	if s.Mean() < strainLimit || now.Sub(taken) < SettleTime || !s.gaveAt.IsZero() && now.Sub(s.gaveAt) < HandOverGap {
+		return false
+	}
+	s.gaveAt = now
+	return true
+}
--- a/io/site/keep.go
+++ b/io/site/keep.go
@@ -17,12 +17,12 @@
 	takeSpread = 200 * time.Millisecond
 	// takePenalty is how much later an entry takes a cell for each that it
 	// owns already, so that cells spread over the entries.
-	takePenalty = 250 * time.Millisecond
+	takePenalty = 150 * time.Millisecond
 	// enoughShare is the share of a core with which an entry can own the cell
 	// of a large pool, that of the hosts of today.
 	enoughShare = 0.4
 	// slowPenalty is how much later an entry with half of that takes a cell.
-	slowPenalty = time.Second
+	slowPenalty = 1200 * time.Millisecond
 )
 
 // keep takes cells that have no owner, until ctx ends.
@@ -45,7 +45,11 @@
 	action := tenure.Wait
 	s.view.withCell(cell, func(c *cellView) {
 		if !c.owned {
-			action = c.tenure.Next(now, s.me, since, s.delay(cell, s.view.owned))
+			delay := s.delay(cell, s.view.owned)
+			if !c.givenAt.IsZero() && now.Sub(c.givenAt) < tenure.AversionTime {
+				delay += tenure.Aversion
+			}
+			action = c.tenure.Next(now, s.me, since, delay)
 		}
 	})
 	return action == tenure.Take
@@ -101,7 +105,7 @@
 	}
 	s.meters.taken.Inc(1)
 	s.view.setOwned(cell, true)
-	o := &owner{site: s, cell: cell, pool: pool, table: jobTable(cell), actUntil: sent.Add(tenure.ActFor), events: make(chan func(time.Time), maxEvents), first: ownerVersion == 0, sole: ownerVersion == 0 || before.Name == s.me.Name}
+	o := &owner{site: s, cell: cell, pool: pool, table: jobTable(cell), actUntil: sent.Add(tenure.ActFor), events: make(chan func(time.Time), maxEvents), takenAt: s.now(), first: ownerVersion == 0, sole: ownerVersion == 0 || before.Name == s.me.Name}
 	o.log = s.log.WithField("cell", cell)
 	o.log.WithField("former", before.Name).WithField("former_version", ownerVersion).Info("Cell taken.")
 	g.Go("own cell "+cell, func(ctx context.Context) error {
--- a/io/site/lag.go
+++ b/io/site/lag.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"bramleyrock/core/tenure"
 )
 
 const (
@@ -18,6 +21,8 @@
 // lag watches how late the process runs.
 type lag struct {
 	lateAt atomic.Int64
+	mu     sync.Mutex
+	strain tenure.Strain
 }
 
 // watch notes when the process runs late, until ctx ends.
@@ -27,11 +32,24 @@
 		if err := pause(ctx, lagInterval); err != nil {
 			return err
 		}
-		if after := now(); after.Sub(before) > lagInterval+lagLimit {
+		after := now()
+		late := max(0, after.Sub(before)-lagInterval)
+		if late > lagLimit {
 			l.lateAt.Store(after.UnixNano())
 		}
+		l.mu.Lock()
+		l.strain.Note(after, late)
+		l.mu.Unlock()
 	}
 }
 
+// giveUp reports whether a cell that was taken at that time should be given up
+// because the process runs late all the time, and by how much it does.
+func (l *lag) giveUp(now, taken time.Time) (bool, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.strain.GiveUp(now, taken), l.strain.Mean()
+}
+
 // since reports whether the process has run late since that time.
 func (l *lag) since(t time.Time) bool { return l.lateAt.Load() >= t.UnixNano() }
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -65,9 +65,11 @@
 	committing bool
 	commitAt   time.Time
 	lost       string
-	pollers    map[string]bool
-	changed    bool
-	decidedAt  time.Time
+	// takenAt is when the cell was taken.
+	takenAt   time.Time
+	pollers   map[string]bool
+	changed   bool
+	decidedAt time.Time
 	// heardAt is the time up to which all changes of the cell's jobs are taken
 	// in.
 	heardAt time.Time
@@ -297,12 +299,29 @@
 		if o.lost != "" {
 			return nil
 		}
+		if o.givesUp(now) {
+			return nil
+		}
 		o.step(now)
 		o.wake(t, now)
 	}
 	return nil
 }
 
+// givesUp reports whether the cell is to be given up, so that an entry with
+// more processor time takes it.
+func (o *owner) givesUp(now time.Time) bool {
+	if o.committing {
+		return false // its outcome must be known for a release
+	}
+	yes, late := o.site.lag.giveUp(now, o.takenAt)
+	if yes {
+		o.site.view.withCell(o.cell, func(c *cellView) { c.givenAt = now })
+		o.log.WithField("late_ms", late.Milliseconds()).WithField("owned_ms", now.Sub(o.takenAt).Milliseconds()).Warn("Cell is given up, the entry runs late.")
+	}
+	return yes
+}
+
 // wake sets the ticker to the next time at which something is due.
 func (o *owner) wake(t *time.Ticker, now time.Time) {
 	next := tick
--- a/io/site/view.go
+++ b/io/site/view.go
@@ -39,6 +39,8 @@
 	beat   beat
 	beatAt time.Time
 	owned  bool
+	// givenAt is when this entry gave the cell up because it ran late.
+	givenAt time.Time
 }
 
 func newView() *view {
