Only owners follow workers, and weak entries read renewals less often

Ruled out: the owners' own writes and feeds, about a third of the calls. Change: an entry follows the workers only while it owns a cell and lists them when it takes one; one with under 0.4 of a core that owns none reads renewals each 0.6 s.

--- a/io/site/follow.go
+++ b/io/site/follow.go
@@ -32,15 +32,32 @@
 	// take takes in changes, which may be none: all that were made before the
 	// call was sent are known then.
 	take func(sent time.Time, rows []rock.Row)
-	// gap is the time between calls, so that many changes come at once.
-	gap time.Duration
+	// gap returns the time between calls, so that many changes come at once;
+	// nil stands for none.
+	gap func() time.Duration
+	// wanted reports whether the table is of use now; nil means always.
+	wanted func() bool
 }
 
+// every returns a gap that is always the same.
+func every(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
+// wantedPoll is the time between looks whether a table has become of use,
+// short against a takeover.
+const wantedPoll = 30 * time.Millisecond
+
 // follow follows the table until ctx ends.
 func (s *Site) follow(ctx context.Context, t table) error {
 	var version uint64
 	listed := false
 	for ctx.Err() == nil {
+		if t.wanted != nil && !t.wanted() {
+			listed = false
+			if err := pause(ctx, wantedPoll); err != nil {
+				break
+			}
+			continue
+		}
 		var err error
 		if !listed {
 			version, err = t.list(ctx)
@@ -58,7 +75,10 @@
 			break
 		}
 		s.heard(err)
-		wait := t.gap
+		wait := time.Duration(0)
+		if t.gap != nil {
+			wait = t.gap()
+		}
 		if err != nil {
 			wait = max(wait, feedRetry)
 			if rock.ReasonOf(err) == rock.Expired {
@@ -125,7 +145,8 @@
 	}
 }
 
-// followWorkers follows the registrations of workers.
+// followWorkers follows the registrations of workers while the entry owns a
+// cell: nobody else needs them.
 func (s *Site) followWorkers(ctx context.Context) error {
 	name := s.settings.Outside.WorkerTable
 	return s.follow(ctx, table{
@@ -154,7 +175,14 @@
 				s.view.tell()
 			}
 		},
-		gap: workerPoll,
+		gap: every(workerPoll),
+		wanted: func() bool {
+			owns := s.view.owns()
+			if !owns {
+				s.view.forgetWorkers()
+			}
+			return owns
+		},
 	})
 }
 
@@ -199,10 +227,23 @@
 			return version, nil
 		},
 		take: func(_ time.Time, rows []rock.Row) { s.takeCells(rows) },
-		gap:  cellPoll,
+		gap:  s.cellGap,
 	})
 }
 
+// idlePoll is the time between readings of the renewals by an entry that will
+// hardly own a cell: the calls of many such entries are most of all, and callers
+// ask for numbers of waiting jobs that are 2 s old at most.
+const idlePoll = 600 * time.Millisecond
+
+// cellGap returns the time between readings of the cells' renewals.
+func (s *Site) cellGap() time.Duration {
+	if s.settings.CPUShare < enoughShare && !s.view.owns() {
+		return idlePoll
+	}
+	return cellPoll
+}
+
 // readCell reads who owns a cell.
 func (s *Site) readCell(ctx context.Context, cell string) (uint64, error) {
 	c, err := s.settings.Store.List(ctx, cellTable, cell, beatName, ownerName+"\x00")
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -252,7 +252,7 @@
 		take: func(sent time.Time, rows []rock.Row) {
 			o.post(ctx, func(now time.Time) { o.heard(now, sent, rows) })
 		},
-		gap: jobPoll,
+		gap: every(jobPoll),
 	})
 }
 
--- a/io/site/view.go
+++ b/io/site/view.go
@@ -172,6 +172,20 @@
 	return slices.Sorted(maps.Keys(v.cells))
 }
 
+// owns reports whether the entry owns a cell.
+func (v *view) owns() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.owned > 0
+}
+
+// forgetWorkers notes that the registrations are not followed.
+func (v *view) forgetWorkers() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.readWorkers = false
+}
+
 // setOwned notes whether the entry owns the cell.
 func (v *view) setOwned(cell string, owned bool) {
 	v.mu.Lock()
