The margin for new jobs follows the load, and expiring jobs get turns

Load: a shortage of a second or two that nearly all jobs survive, and the jobs that a long surge leaves behind. Change: rank.Load gives a margin only if the new jobs need more of all workers than the time that they can wait, from 0.6 on, full from 1.0. One decision in seven places late jobs first that are within 1 s of their last chance.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -35,6 +35,8 @@
 	dropped []string
 	notes   []Note
 	demand  resize.Demand
+	// turns counts the decisions.
+	turns int
 	// deaf is true while nothing is started because the changes of jobs were
 	// not heard.
 	deaf bool
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -106,14 +106,18 @@
 // candidates returns the jobs with tasks that may start, best first.
 func (c *Cell) candidates(now time.Time) []candidate {
 	var list []candidate
+	var load rank.Load
 	for _, j := range c.jobs {
-		if j.state.Ended() {
+		if j.state.Ended() || !j.waits(now) {
 			continue
 		}
-		if !j.waits(now) {
-			continue
-		}
-		list = append(list, candidate{j, rank.Of(now, c.outlook(now, j))})
+		list = append(list, candidate{job: j})
+		load.Add(now, c.outlook(now, j))
+	}
+	c.turns++
+	t := rank.Turn{Margin: load.Margin(c.cores(now)), Expiring: c.turns%expiringTurns == 0}
+	for i := range list {
+		list[i].rank = rank.Of(now, c.outlook(now, list[i].job), t)
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		if n := a.rank.Compare(b.rank); n != 0 {
@@ -127,6 +131,17 @@
 	return list
 }
 
+// cores returns the number of cores of the usable workers.
+func (c *Cell) cores(now time.Time) float64 {
+	n := 0.0
+	for _, w := range c.workers {
+		if w.usable(now) {
+			n += float64(w.Room.MilliCores) / 1000
+		}
+	}
+	return n
+}
+
 // waits reports whether a task of the job waits to be started.
 func (j *job) waits(now time.Time) bool {
 	for _, s := range j.steps {
--- a/core/cell/load.go
+++ b/core/cell/load.go
@@ -45,11 +45,7 @@
 			}
 		}
 	}
-	for _, w := range c.workers {
-		if w.usable(now) {
-			l.Cores += float64(w.Room.MilliCores) / 1000
-		}
-	}
+	l.Cores = c.cores(now)
 	l.Want, l.Keep = c.demand.Want(now, ready, lasting)
 	return l
 }
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -35,6 +35,10 @@
 	// started. A cancelled job's tasks may start for 4 s, and 1.5 s are left
 	// for the order's way and for a process that runs late.
 	heardLimit = 2500 * time.Millisecond
+	// expiringTurns is the number of decisions of which one places expiring jobs
+	// first. About a seventh of the room halves the jobs that a surge
+	// starves; core/rank has the test.
+	expiringTurns = 7
 	// resendInterval is the time between repeats of an unanswered order,
 	// several times the way to the farthest worker.
 	resendInterval = 250 * time.Millisecond
--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -34,6 +34,9 @@
 const (
 	// Lasting jobs earn while they run.
 	Lasting Class = iota
+	// Expiring is late work that must be begun very soon to be of use, when it
+	// is its turn.
+	Expiring
 	// InTime is work that can be completed within its objective.
 	InTime
 	// Tight is new work that can only be completed within its objective if all
@@ -62,13 +65,22 @@
 	return time.Duration(max(1, w.Stretch)*float64(w.Chain)) + w.Objective
 }
 
-// beginMargin is the share of a job's expected time that must be left besides
-// that time for the job to be begun. The tasks of a step run side by side, and
-// the longest of eight takes about so much longer than the mean.
-const beginMargin = 0.35
+// expiry is how long before its last chance late work is Expiring: about as long
+// as it takes until its turn comes and room is found.
+const expiry = time.Second
+
+// Turn is what goes before what in one decision.
+type Turn struct {
+	// Margin is the share of its expected time that must be left besides that
+	// time for new work to be begun; see [Load.Margin].
+	Margin float64
+	// Expiring is true if expiring work goes first. Few turns should be such,
+	// since work that can be completed in time is worth more.
+	Expiring bool
+}
 
 // Of returns the rank of the work at that time.
-func Of(now time.Time, w Work) Rank {
+func Of(now time.Time, w Work, t Turn) Rank {
 	r := Rank{class: Lasting, priority: w.Priority, waits: !w.Begun, key: w.Accepted}
 	if w.Lasting {
 		return r
@@ -76,7 +88,7 @@
 	finish := now.Add(w.Left)
 	likely := finish
 	if !w.Begun {
-		likely = finish.Add(time.Duration(beginMargin * float64(w.Left)))
+		likely = finish.Add(time.Duration(t.Margin * float64(w.Left)))
 	}
 	due := w.Accepted.Add(w.Bound())
 	late := w.Accepted.Add(lateFactor * w.Bound())
@@ -87,6 +99,9 @@
 		r.class, r.key = Tight, due.Add(-w.Left)
 	case !likely.After(late):
 		r.class, r.key = Late, late.Add(-w.Left)
+		if t.Expiring && r.key.Sub(now) < expiry {
+			r.class = Expiring
+		}
 	default:
 		r.class = Hopeless
 	}
