Events are taken in at their time

The owner's loop took in all waiting events with the time at which the first was taken. An answer to a start was so dated before it came; a report that had been asked for in between looked newer than the answer and lacked the run. Ruled out: the stand-in's worker, which lists what runs; another owner (one fence). Change: each event is taken in at the time at which it is taken.

--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -284,9 +284,8 @@
 	for ctx.Err() == nil {
 		select {
 		case f := <-o.events:
-			now := o.site.now()
-			f(now)
-			o.drain(now)
+			f(o.site.now())
+			o.drain()
 		case <-t.C:
 			o.changed = true
 		case <-ctx.Done():
@@ -331,12 +330,13 @@
 	t.Reset(next)
 }
 
-// drain takes in the events that have come meanwhile.
-func (o *owner) drain(now time.Time) {
+// drain takes in the events that have come meanwhile, each at its time: an
+// answer must not be dated before it came.
+func (o *owner) drain() {
 	for range maxEvents {
 		select {
 		case f := <-o.events:
-			f(now)
+			f(o.site.now())
 		default:
 			return
 		}
