A soak of hosted entries as processes under faults from outside

Five entries run as processes against the stand-in, each with a relay between it and the table. Faults come in series and overlap: kills, freezes, planned stops, reloads, silent, reset and refused connections, bytes lost or late one way, a table that refuses, hangs, loses answers, is slow or deaf, dropped history, silent workers, changes of the configuration. Callers go on all the while. Every accepted job is completed, a refused one never runs, and the workers' judge sees no broken promise.

--- /dev/null
+++ b/cmd/bramleyrock/soak_test.go
@@ -0,0 +1,387 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"bramleyrock/core/group"
+	"bramleyrock/io/fakes/relay"
+	"bramleyrock/platform/stand"
+
+	"gotest.tools/v3/assert"
+)
+
+// The soak's flags: by hand, more and other seeds are played.
+var (
+	soakSeeds = flag.Int("soak.seeds", 1, "number of seeds that the soak plays")
+	soakFirst = flag.Uint64("soak.first", 1, "first seed of the soak")
+	soakLogs  = flag.String("soak.logs", "", "directory for the logs of broken seeds")
+)
+
+// soakRegressions are the seeds that failed once, and why. They are played in
+// every run, but a seed gives the faults only and not the timing of processes.
+var soakRegressions = map[uint64]string{
+	3: "answers to starts were dated before they came, a task was started twice",
+}
+
+// The sizes of a soak.
+const (
+	soakEntries = 5
+	// soakTime is the time in which faults come.
+	soakTime = 12 * time.Second
+	// soakGap is the longest time between faults; they last up to soakLast, so
+	// that some overlap.
+	soakGap  = 1200 * time.Millisecond
+	soakLast = 4 * time.Second
+	// soakSettle is the time in which all accepted jobs are completed once the
+	// faults are over: a takeover, the longest lease and the work.
+	soakSettle = 40 * time.Second
+)
+
+// soakEntry is an entry as a process of its own, with its link to the table.
+type soakEntry struct {
+	soak    *soak
+	name    string
+	link    *relay.Relay
+	client  stand.Client
+	args    []string
+	log     *os.File
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+}
+
+// soak is one run of processes under faults from outside.
+type soak struct {
+	t       *testing.T
+	random  *rand.Rand
+	p       *stand.Platform
+	entries []*soakEntry
+	group   *group.Group
+	binary  string
+
+	mu sync.Mutex
+	// accepted holds the paths of accepted jobs, refused the ids of those of
+	// which every answer said that they were not stored.
+	accepted []string
+	refused  []string
+	// story is what was done, for the log of a broken seed.
+	story []string
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func newSoak(t *testing.T, seed uint64) *soak {
+	t.Helper()
+	binary, err := buildRace()
+	assert.NilError(t, err)
+	short := func(string, string) (time.Duration, string) { return 200 * time.Millisecond, "done" }
+	p, err := stand.Start(stand.Layout{Pools: map[string]int{"tins": 4, "lids": 4}, Standby: 2, Seed: seed, Duration: short})
+	assert.NilError(t, err)
+	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 2)), p: p, group: group.New(context.Background()), binary: binary}
+	p.Configure(1, stand.Queue{Name: "tins", Prefix: "/tins/", Pool: "tins"}, stand.Queue{Name: "lids", Prefix: "/lids/", Pool: "lids"})
+	dir := t.TempDir()
+	if *soakLogs != "" {
+		dir = filepath.Join(*soakLogs, fmt.Sprint(seed))
+		assert.NilError(t, os.MkdirAll(dir, 0o755))
+	}
+	for i := range soakEntries {
+		s.add(dir, fmt.Sprint("e", i))
+	}
+	t.Cleanup(s.close)
+	return s
+}
+
+func (s *soak) add(dir, name string) {
+	s.t.Helper()
+	link, err := relay.New(s.p.StoreAddress())
+	assert.NilError(s.t, err)
+	front := freePort(s.t)
+	text := strings.Replace(s.p.Settings(name, "127.0.0.1", front, freePort(s.t)), s.p.StoreAddress(), link.Address(), 1)
+	path := filepath.Join(dir, name+".conf")
+	assert.NilError(s.t, os.WriteFile(path, []byte(text), 0o600))
+	log, err := os.Create(filepath.Join(dir, name+".log"))
+	assert.NilError(s.t, err)
+	e := &soakEntry{
+		soak: s, name: name, link: link, log: log,
+		client: stand.Client{Address: fmt.Sprint("127.0.0.1:", front)},
+		args:   []string{"hosted", "--config", path, "--metrics-port", fmt.Sprint(freePort(s.t))},
+	}
+	s.entries = append(s.entries, e)
+	e.start()
+}
+
+// start starts the entry's process.
+func (e *soakEntry) start() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	command := exec.Command(e.soak.binary, e.args...)
+	command.Env = append(os.Environ(), "GORACE=halt_on_error=1 exitcode=66")
+	command.Stdout, command.Stderr = e.log, e.log
+	assert.NilError(e.soak.t, command.Start())
+	ended := make(chan struct{})
+	e.command, e.ended = command, ended
+	e.soak.group.Go("wait for "+e.name, func(context.Context) error {
+		defer close(ended)
+		if _ = command.Wait(); command.ProcessState.ExitCode() == 66 {
+			e.soak.t.Errorf("%s: the race detector found a race", e.name)
+		}
+		return nil
+	})
+}
+
+// signal sends a signal to the entry's process, if it runs.
+func (e *soakEntry) signal(sig syscall.Signal) chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.ended:
+	default:
+		_ = e.command.Process.Signal(sig) // the process may be ending by itself
+	}
+	return e.ended
+}
+
+func (s *soak) close() {
+	for _, e := range s.entries {
+		<-e.signal(syscall.SIGKILL)
+		e.link.Close()
+		_ = e.log.Close()
+	}
+	_ = s.p.Close()
+	s.group.Stop()
+	_ = s.group.Wait()
+	if s.t.Failed() {
+		s.t.Logf("done:\n%s", strings.Join(s.story, "\n"))
+	}
+}
+
+// fault is a disturbance that ends after a while.
+type fault struct {
+	name string
+	do   func(s *soak, e *soakEntry) (undo func())
+}
+
+// linkFault sets what an entry's link to the table does with the bytes of a
+// direction.
+func linkFault(name string, d relay.Direction, m relay.Mode) fault {
+	return fault{name, func(_ *soak, e *soakEntry) func() {
+		e.link.Set(d, m)
+		return func() {
+			e.link.Set(d, relay.Pass)
+			e.link.Cut() // bytes were lost on its connections
+		}
+	}}
+}
+
+// storeFault makes the table misbehave for all entries.
+func storeFault(f stand.Fault) fault {
+	return fault{"store " + string(f), func(s *soak, _ *soakEntry) func() {
+		s.p.Store().Fail(f)
+		return func() { s.p.Store().Fail(stand.Healthy) }
+	}}
+}
+
+var soakFaults = []fault{
+	{"kill and restart", func(_ *soak, e *soakEntry) func() {
+		<-e.signal(syscall.SIGKILL)
+		return e.start
+	}},
+	{"freeze", func(_ *soak, e *soakEntry) func() {
+		e.signal(syscall.SIGSTOP)
+		return func() { e.signal(syscall.SIGCONT) }
+	}},
+	{"planned stop and restart", func(s *soak, e *soakEntry) func() {
+		ended := e.signal(syscall.SIGTERM)
+		return func() {
+			select {
+			case <-ended:
+			case <-time.After(10 * time.Second):
+				s.t.Errorf("%s did not stop", e.name)
+				<-e.signal(syscall.SIGKILL)
+			}
+			e.start()
+		}
+	}},
+	{"reload", func(_ *soak, e *soakEntry) func() {
+		e.signal(syscall.SIGHUP)
+		return func() {}
+	}},
+	{"silent connections", func(_ *soak, e *soakEntry) func() {
+		e.link.Silence()
+		return func() {}
+	}},
+	{"reset connections", func(_ *soak, e *soakEntry) func() {
+		e.link.Cut()
+		return func() {}
+	}},
+	{"refused connections", func(_ *soak, e *soakEntry) func() {
+		e.link.Refuse(true)
+		e.link.Cut()
+		return func() { e.link.Refuse(false) }
+	}},
+	linkFault("requests lost", relay.Calls, relay.Drop),
+	linkFault("answers lost", relay.Answers, relay.Drop),
+	linkFault("answers late", relay.Answers, relay.Stall),
+	storeFault(stand.Refuse), storeFault(stand.Hang), storeFault(stand.LoseAnswers), storeFault(stand.Delay), storeFault(stand.Deaf),
+	{"history dropped", func(s *soak, _ *soakEntry) func() {
+		s.p.Store().Forget()
+		return func() {}
+	}},
+	{"silent worker", func(s *soak, _ *soakEntry) func() {
+		all := s.p.Workers("tins")
+		if len(all) == 0 {
+			return func() {}
+		}
+		w := all[s.random.IntN(len(all))]
+		w.Silence(true)
+		return func() { w.Silence(false) }
+	}},
+	{"configuration change", func(s *soak, _ *soakEntry) func() {
+		s.p.Configure(int(time.Now().UnixMilli()), stand.Queue{Name: "tins", Prefix: "/tins/", Pool: "tins"}, stand.Queue{Name: "lids", Prefix: "/lids/", Pool: "lids"})
+		return func() {}
+	}},
+}
+
+// disturb makes faults come, in series and overlapping, until the time is over.
+// No entry, and not the table, has two at once.
+func (s *soak) disturb(ctx context.Context) {
+	g := group.New(ctx)
+	var mu sync.Mutex
+	busy := map[string]bool{}
+	for end := time.Now().Add(soakTime); time.Now().Before(end); time.Sleep(time.Duration(s.random.Int64N(int64(soakGap)))) {
+		f, e := soakFaults[s.random.IntN(len(soakFaults))], s.entries[s.random.IntN(soakEntries)]
+		lasts := time.Duration(s.random.Int64N(int64(soakLast)))
+		on := e.name
+		if strings.HasPrefix(f.name, "store") {
+			on = "store"
+		}
+		mu.Lock()
+		taken := busy[on]
+		busy[on] = true
+		mu.Unlock()
+		if taken {
+			continue
+		}
+		s.story = append(s.story, fmt.Sprintf("%s %s on %s for %v", time.Now().UTC().Format(time.RFC3339Nano), f.name, on, lasts))
+		undo := f.do(s, e)
+		g.Go(f.name, func(context.Context) error {
+			time.Sleep(lasts)
+			undo()
+			mu.Lock()
+			defer mu.Unlock()
+			busy[on] = false
+			return nil
+		})
+	}
+	assert.NilError(s.t, g.Wait())
+}
+
+// call hands jobs in until ctx ends, each at several entries if need be, and
+// cancels some.
+func (s *soak) call(ctx context.Context, caller uint64, random *rand.Rand) {
+	for n := uint64(0); ctx.Err() == nil; n++ {
+		pool := []string{"tins", "lids"}[random.IntN(2)]
+		id := fmt.Sprintf("%016x", caller<<32|n)
+		s.p.Judge().Expect(id, pool, false)
+		s.p.Judge().Chain(id+".0.1.0", id+".0.0.0", id+".0.0.1")
+		path, stored, unsure := "/"+pool+"/"+id, false, false
+		for range 6 {
+			status := s.entries[random.IntN(soakEntries)].client.Submit(ctx, path, "p",
+				stand.Step{Count: 2, MilliCores: 1000, MemMb: 10, EstimateMs: 200}, stand.Step{Count: 1, MilliCores: 1000, MemMb: 10, After: []int{0}})
+			if stored = status == http.StatusOK; stored || ctx.Err() != nil {
+				break
+			}
+			unsure = unsure || status != http.StatusServiceUnavailable
+			time.Sleep(50 * time.Millisecond)
+		}
+		s.mu.Lock()
+		switch {
+		case stored:
+			s.accepted = append(s.accepted, path)
+		case !unsure && ctx.Err() == nil:
+			s.refused = append(s.refused, id)
+		}
+		s.mu.Unlock()
+		time.Sleep(time.Duration(random.IntN(150)) * time.Millisecond)
+	}
+}
+
+// state returns the state of a job as any entry shows it.
+func (s *soak) state(path string) string {
+	state := ""
+	for _, e := range s.entries {
+		if state = e.client.State(context.Background(), path); state == "completed" {
+			break
+		}
+	}
+	return state
+}
+
+// settle waits until all accepted jobs are completed.
+func (s *soak) settle() {
+	deadline := time.Now().Add(soakSettle)
+	for _, path := range s.accepted {
+		for s.state(path) != "completed" {
+			if time.Now().After(deadline) {
+				s.t.Errorf("accepted job %s is %q", path, s.state(path))
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+// TestSoak runs entries as processes and disturbs them from outside, while
+// callers hand jobs in. Every accepted job is completed once, one that was
+// refused never runs, and workers see no order that breaks a promise.
+func TestSoak(t *testing.T) {
+	seeds := slices.Sorted(maps.Keys(soakRegressions))
+	for n := range uint64(*soakSeeds) {
+		seeds = append(seeds, *soakFirst+n)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			s := newSoak(t, seed)
+			ctx, cancel := context.WithCancel(t.Context())
+			callers := group.New(ctx)
+			for caller := range uint64(4) {
+				random := rand.New(rand.NewPCG(seed, 10+caller))
+				callers.Go("call", func(ctx context.Context) error {
+					s.call(ctx, caller+1, random)
+					return nil
+				})
+			}
+			s.disturb(ctx)
+			cancel()
+			assert.NilError(t, callers.Wait())
+			s.settle()
+			for _, id := range s.refused {
+				assert.Check(t, !s.p.Judge().Begun(id), "refused job %s has run", id)
+			}
+			assert.DeepEqual(t, s.p.Judge().Broken(), []string(nil))
+			assert.Assert(t, len(s.accepted) > 0)
+			t.Logf("%d jobs accepted, %d refused, %d tasks started", len(s.accepted), len(s.refused), s.p.Judge().Starts())
+		})
+	}
+}
