Orders for hosts are sent only while the ownership is proved

Cause: the steward asked the owner's loop for the token, and sent orders with it however much later.

Ruled out: the distance between holders, which the new holder kept (3.3 s after it saw the host).

Change: the situation carries the time until which the ownership is proved, and orders are not sent after it.

Before: TestHostOrdersNeedOwnership failed for moves and maintenance; after: passes.

--- a/io/site/move.go
+++ b/io/site/move.go
@@ -103,18 +103,21 @@
 
 // depart moves the hosts that are empty, some at a time.
 func (u *steward) depart(ctx context.Context, mine []rock.FleetHost) error {
-	ready, token, err := u.emptied(ctx, mine)
+	ready, s, err := u.emptied(ctx, mine)
 	if err != nil {
 		return err
 	}
 	for len(ready) > 0 {
+		if !u.owner.site.now().Before(s.until) {
+			return errNotProved // the process was frozen, or the moves take long
+		}
 		n := min(len(ready), movesAtOnce)
 		g := group.New(ctx)
 		for _, h := range ready[:n] {
 			to := u.departures[h.Name].to
 			delete(u.departures, h.Name)
 			delete(u.since, h.Name) // whatever becomes of the order, the host may come back under another holder
-			g.Go("move host", func(ctx context.Context) error { return u.orderMove(ctx, h, to, token) })
+			g.Go("move host", func(ctx context.Context) error { return u.orderMove(ctx, h, to, s.token) })
 		}
 		ready = ready[n:]
 		if err := g.Wait(); err != nil {
@@ -128,9 +131,9 @@
 // 14 ms, and the platform takes 64 a second from all entries.
 const movesAtOnce = 4
 
-// emptied returns the departing hosts that nothing runs on, and the token for
-// their orders.
-func (u *steward) emptied(ctx context.Context, mine []rock.FleetHost) ([]rock.FleetHost, uint64, error) {
+// emptied returns the departing hosts that nothing runs on, and the situation in
+// which they are.
+func (u *steward) emptied(ctx context.Context, mine []rock.FleetHost) ([]rock.FleetHost, situation, error) {
 	var leaving []rock.FleetHost
 	var ids []string
 	for _, h := range mine {
@@ -140,16 +143,16 @@
 		}
 	}
 	if len(leaving) == 0 {
-		return nil, 0, nil
+		return nil, situation{}, nil
 	}
 	s, err := u.ask(ctx, ids)
 	if err != nil {
-		return nil, 0, err
+		return nil, s, err
 	}
 	return slices.DeleteFunc(leaving, func(h rock.FleetHost) bool {
 		w := s.hosts[h.Worker]
 		return h.Worker != "" && (w.Runs > 0 || w.Usable)
-	}), s.token, nil
+	}), s, nil
 }
 
 // orderMove orders the move of one host.
--- a/io/site/steward.go
+++ b/io/site/steward.go
@@ -156,10 +156,16 @@
 	})
 }
 
+// errNotProved means that an order may not be given because another entry may own
+// the cell.
+var errNotProved = errors.New("the ownership is not proved")
+
 // situation is what the cell knows of its workers and its load.
 type situation struct {
 	mayAct bool
-	token  uint64
+	// until is the time until which orders may be given with the token.
+	until time.Time
+	token uint64
 	load   cell.Load
 	hosts  map[string]cell.Occupancy
 }
@@ -169,7 +175,7 @@
 	answers := make(chan situation, 1)
 	o := u.owner
 	o.post(ctx, func(now time.Time) {
-		s := situation{mayAct: now.Before(o.actUntil), token: o.beatVersion, load: o.core.Load(now), hosts: map[string]cell.Occupancy{}}
+		s := situation{mayAct: now.Before(o.actUntil), until: o.actUntil, token: o.beatVersion, load: o.core.Load(now), hosts: map[string]cell.Occupancy{}}
 		for _, id := range workers {
 			s.hosts[id] = o.core.Occupancy(now, id)
 		}
@@ -178,7 +184,7 @@
 	select {
 	case s := <-answers:
 		if !s.mayAct {
-			return s, fmt.Errorf("the ownership is not proved")
+			return s, errNotProved
 		}
 		return s, nil
 	case <-ctx.Done():
--- a/io/site/upkeep.go
+++ b/io/site/upkeep.go
@@ -159,6 +159,9 @@
 		if !u.empty(name, s.hosts[h.Worker]) || !u.mayOrder(name) {
 			continue
 		}
+		if !o.site.now().Before(s.until) {
+			return ordered, errNotProved
+		}
 		p, err := o.site.settings.Hosts.Maintain(ctx, rock.Holder{Name: o.site.settings.Holder, Token: s.token}, name, w.Number)
 		line := o.log.WithField("host", name).WithField("wave", w.Number).WithField("token", s.token).WithField("runs", s.hosts[h.Worker].Runs)
 		if err != nil {
