Hosts are ordered for the demand that will be there when they arrive

Cause: in a surge the hosts of the other pools came too late.

Change: the trend of the rate is carried on 4.2 s, beyond a tenth of the mean, which is noise; pools below their floor get two hosts a plan, so that they do not take the moves that the surging pool needs; the floor is lower when no pool has surged for 15 s.

--- a/core/cell/load.go
+++ b/core/cell/load.go
@@ -15,6 +15,8 @@
 	// again soon, in cores.
 	Want float64
 	Keep float64
+	// Rate is the mean rate at which work has arrived lately, in cores.
+	Rate float64
 }
 
 // Load returns what the cell has to do and with what.
@@ -47,6 +49,7 @@
 	}
 	l.Cores = c.cores(now)
 	l.Want, l.Keep = c.demand.Want(now, ready, lasting)
+	l.Rate = c.demand.Mean(now)
 	return l
 }
 
--- a/core/resize/demand.go
+++ b/core/resize/demand.go
@@ -12,9 +12,14 @@
 	// slowWindow is the time over which the rate is taken that the other is
 	// compared with.
 	slowWindow = 1800 * time.Millisecond
-	// trend is how far the difference of the two rates is carried on: a host
-	// that is sent now arrives after 1.5 s.
-	trend = 1.0
+	// trend is how far the difference of the two rates is carried on. A steady
+	// rise makes it 1.2 s of that rise, and the first rate is 0.6 s late, so
+	// this looks 4.2 s ahead: a host that is sent now is there after 2 s, and a
+	// surge that goes on rising needs more when it is.
+	trend = 4.0
+	// noise is the share of the mean rate that the difference must exceed:
+	// arrivals are uneven.
+	noise = 0.1
 	// readyTime is the time in which the work that can run at once should be
 	// done, about the duration of a task.
 	readyTime = 1200 * time.Millisecond
@@ -64,9 +69,12 @@
 // cores: the present rate, and more if it rises.
 func (d *Demand) Rate(now time.Time) float64 {
 	fast, slow := d.fast.now(now, fastWindow), d.slow.now(now, slowWindow)
-	return fast + trend*max(0, fast-slow)
+	return fast + trend*max(0, fast-(1+noise)*slow)
 }
 
+// Mean returns the rate at which work has arrived lately, in cores.
+func (d *Demand) Mean(now time.Time) float64 { return d.slow.now(now, slowWindow) }
+
 // Want returns the cores that the pool needs, and those that it may need again
 // soon. Ready is the work that could run at once, in core-seconds; lasting are
 // the cores of tasks that last.
--- a/core/resize/plan.go
+++ b/core/resize/plan.go
@@ -37,6 +37,13 @@
 	// keeps at least: the first jobs of its surge run there until hosts have
 	// moved. Figures of the ways tried are in docs/design/platform.md.
 	floorShare = 0.55
+	// calmShare takes the place of floorShare while the site is calm: hosts on
+	// standby cost nothing, and a surge that begins finds them there.
+	calmShare = 0.2
+	// floorStep is how many hosts a pool gets in one plan because it is below its
+	// floor. The platform takes 64 moves a second, and a surge that ends the calm
+	// needs most of them.
+	floorStep = 2
 	// slack is how many hosts more than it needs a pool keeps before it sends
 	// one to standby, so that hosts do not go to and fro.
 	slack = 1
@@ -58,7 +65,7 @@
 
 // targets returns how many hosts each pool should have: what it needs, or a
 // share of what there is in proportion to it.
-func targets(pools []Pool) *plan {
+func targets(pools []Pool, calm bool) *plan {
 	total, active := 0, 0
 	for _, p := range pools {
 		total += p.Hosts
@@ -67,7 +74,11 @@
 		}
 	}
 	l := &plan{target: map[string]int{}}
-	l.floor = max(MinHosts, int(floorShare*float64(total)/float64(max(1, active))))
+	share := floorShare
+	if calm {
+		share = calmShare
+	}
+	l.floor = max(MinHosts, int(share*float64(total)/float64(max(1, active))))
 	need := 0
 	for _, p := range pools {
 		need += l.hostsFor(p, p.Want)
@@ -78,6 +89,9 @@
 		if need > total && !p.Standby {
 			n = l.floor + max(0, total-floor)*(n-l.floor)/max(1, need-floor)
 		}
+		if n == l.floor {
+			n = min(n, max(MinHosts, p.Hosts+floorStep))
+		}
 		l.target[p.Name] = n
 	}
 	return l
@@ -85,10 +99,11 @@
 
 // Plan returns the moves that bring each pool what it needs, as far as the
 // others can spare it. Pools with the greatest lack go first. Hosts on standby
-// are used first, because they need not be emptied.
-func Plan(pools []Pool) []Move {
+// are used first, because they need not be emptied. While the site is calm,
+// pools keep fewer hosts.
+func Plan(pools []Pool, calm bool) []Move {
 	order := slices.Clone(pools)
-	l := targets(order)
+	l := targets(order, calm)
 	excess := func(p Pool) int { return p.Hosts - l.target[p.Name] }
 	slices.SortFunc(order, func(a, b Pool) int {
 		if n := excess(b) - excess(a); n != 0 {
--- a/core/resize/plan_test.go
+++ b/core/resize/plan_test.go
@@ -63,7 +63,7 @@
 		},
 	}
 	for name, c := range cases {
-		t.Run(name, func(t *testing.T) { assert.DeepEqual(t, resize.Plan(c.pools), c.want) })
+		t.Run(name, func(t *testing.T) { assert.DeepEqual(t, resize.Plan(c.pools, false), c.want) })
 	}
 }
 
--- a/io/site/move.go
+++ b/io/site/move.go
@@ -66,7 +66,7 @@
 	}
 	spare := len(mine)
 	o.post(o.group.Context(), func(time.Time) { o.spare = spare })
-	pools := o.site.view.pools(hosts, o.pool, s.load, spare)
+	pools, calm := o.site.view.pools(now, hosts, o.pool, s.load, spare)
 	free := slices.DeleteFunc(slices.Clone(mine), func(h rock.FleetHost) bool { return u.departures[h.Name].to != "" })
 	slices.SortFunc(free, func(a, b rock.FleetHost) int {
 		if n := s.hosts[a.Worker].Runs - s.hosts[b.Worker].Runs; n != 0 {
@@ -75,7 +75,7 @@
 		return compareNames(a, b)
 	})
 	under := len(u.departures)
-	for _, m := range resize.Plan(pools) {
+	for _, m := range resize.Plan(pools, calm) {
 		if m.From != o.pool {
 			continue
 		}
@@ -174,31 +174,39 @@
 }
 
 // pools describes all pools for the plan: the own one as its owner knows it,
-// the others as their owners last told.
-func (v *view) pools(hosts []rock.FleetHost, own string, load cell.Load, spare int) []resize.Pool {
+// the others as their owners last told. It also reports whether the site is calm.
+func (v *view) pools(now time.Time, hosts []rock.FleetHost, own string, load cell.Load, spare int) ([]resize.Pool, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.config == nil {
-		return nil
+		return nil, false
+	}
+	total, active := 0.0, 0
+	for _, h := range hosts {
+		total += float64(h.Room.MilliCores) / 1000
+	}
+	for _, p := range v.config.Pools {
+		if !p.Standby {
+			active++
+		}
 	}
 	var pools []resize.Pool
 	for _, p := range v.config.Pools {
-		r := resize.Pool{Name: p.Name, Standby: p.Standby}
-		cores := 0.0
+		r := resize.Pool{Name: p.Name, Standby: p.Standby, HostCores: total / float64(max(1, len(hosts)))}
+		rate := 0.0
 		for _, h := range hosts {
 			if h.Pool == p.Name && (h.Phase == rock.HostUp || h.Phase == rock.HostMoving || h.Phase == rock.HostInUpkeep) {
 				r.Hosts++
 			}
-			cores += float64(h.Room.MilliCores) / 1000
 		}
-		r.HostCores = cores / float64(max(1, len(hosts)))
 		if c := v.cells[cellOf(p.Name)]; c != nil {
-			r.Want, r.Keep, r.Spare = c.beat.Want, c.beat.Keep, c.beat.Spare
+			r.Want, r.Keep, r.Spare, rate = c.beat.Want, c.beat.Keep, c.beat.Spare, c.beat.Rate
 		}
 		if p.Name == own {
-			r.Want, r.Keep, r.Spare = load.Want, load.Keep, spare
+			r.Want, r.Keep, r.Spare, rate = load.Want, load.Keep, spare, load.Rate
 		}
+		v.activity.Note(now, rate, total/float64(max(1, active)))
 		pools = append(pools, r)
 	}
-	return pools
+	return pools, v.activity.Calm(now)
 }
--- a/io/site/view.go
+++ b/io/site/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/resize"
 	"bramleyrock/core/tenure"
 	"bramleyrock/core/works"
 )
@@ -29,7 +30,9 @@
 	answeredSince time.Time
 	answeredAt    time.Time
 	stopping      bool
-	listeners     []func()
+	// activity is of use to the owners of cells only.
+	activity  resize.Activity
+	listeners []func()
 }
 
 // cellView is what the entry knows of a cell.
