Callers are refused at once while the table does not answer

Cause: an entry that is cut off from the table sent each hand-in to it and held the caller until its deadline, without an answer whether the job was accepted. Its clients could not try another entry in time.

Change: once the table has not answered for 1.2 s, or has failed for 0.25 s, a hand-in and a question about a job are refused without a call. Such a job is not stored by that entry, so the refusal is true.

Ruled out: refusing after an unanswered write, which may have been made.

Before: TestCallersAreRefusedWhileTheTableIsSilent failed (the call was made); after: passes.

--- a/io/site/desk.go
+++ b/io/site/desk.go
@@ -17,6 +17,10 @@
 	// submitPatience is how long a job is held while the platform refuses the
 	// write: a short burst of refusals, a fraction of any objective.
 	submitPatience = 250 * time.Millisecond
+	// tablePatience is how long the table may be silent before callers are
+	// refused at once: a waiting call is answered within feedWait, and a slow
+	// answer takes up to 0.3 s.
+	tablePatience = feedWait + 500*time.Millisecond
 	// storeRest is the Retry-After while the platform does not answer: its
 	// outages last for seconds.
 	storeRest = time.Second
@@ -63,8 +67,24 @@
 	return nil
 }
 
+// reach returns a failure if the table has not answered for so long that a
+// caller would wait for it in vain. Another entry may reach it.
+func (s *Site) reach(op, id string) error {
+	now := s.now()
+	silent, failing := s.view.silence(now)
+	if silent <= submitPatience || !failing && silent <= tablePatience {
+		return nil
+	}
+	s.meters.refused.Inc(1)
+	s.log.WithFields(logrus.Fields{"job": id, "call": op, "silent_ms": silent.Milliseconds(), "failing": failing}).Info("Call refused, the table does not answer.")
+	return rock.Fail(op, "job "+id, rock.Unavailable, rock.NotRun).RetryIn(storeRest).Becausef("the platform's table has not answered for %v", silent)
+}
+
 // Submit stores a job.
 func (s *Site) Submit(ctx context.Context, q works.Queue, id string, spec works.Spec) error {
+	if err := s.reach("submit", id); err != nil {
+		return err
+	}
 	begun := s.now()
 	cell := cellOf(q.Pool)
 	value, err := works.EncodeJob(works.Job{ID: id, Queue: q.Name, Accepted: begun, Spec: spec})
@@ -171,6 +191,9 @@
 
 // State returns the state of a job.
 func (s *Site) State(ctx context.Context, q works.Queue, id string) (works.State, error) {
+	if err := s.reach("read", id); err != nil {
+		return "", err
+	}
 	r, err := s.readJob(ctx, q, id)
 	switch {
 	case err != nil:
--- /dev/null
+++ b/io/site/desk_test.go
@@ -0,0 +1,85 @@
+package site
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/works"
+	"bramleyrock/io/logs"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+)
+
+// deadStore answers no call before its caller gives up, and counts them.
+type deadStore struct {
+	rock.Store
+	calls int
+}
+
+func (d *deadStore) Apply(ctx context.Context, _ rock.Transaction) (uint64, error) {
+	d.calls++
+	<-ctx.Done()
+	return 0, rock.Fail("apply", "table", rock.Unsettled, rock.MayHaveRun).Because(ctx.Err())
+}
+
+func (d *deadStore) List(ctx context.Context, _, _, _, _ string) (rock.Changes, error) {
+	d.calls++
+	<-ctx.Done()
+	return rock.Changes{}, rock.Fail("list", "table", rock.Unsettled, rock.MayHaveRun).Because(ctx.Err())
+}
+
+// TestCallersAreRefusedWhileTheTableIsSilent hands a job in while the table has not
+// answered for some time. Waiting for it would hold the caller until its deadline,
+// without an answer whether the job was accepted; another entry may reach the
+// table.
+func TestCallersAreRefusedWhileTheTableIsSilent(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		silent  time.Duration
+		failed  bool // the last call failed
+		refused bool
+	}{
+		"answers":                       {0, false, false},
+		"has just failed":               {100 * time.Millisecond, true, false},
+		"has failed for a while":        {500 * time.Millisecond, true, true},
+		"an answer is due":              {700 * time.Millisecond, false, false},
+		"has not answered for too long": {2 * time.Second, false, true},
+	}
+	calls := map[string]func(ctx context.Context, s *Site) error{
+		"submit": func(ctx context.Context, s *Site) error {
+			return s.Submit(ctx, works.Queue{Name: "q", Pool: "a"}, "0123456789abcdef", works.Spec{Steps: []works.Step{{Count: 1}}})
+		},
+		"state": func(ctx context.Context, s *Site) error {
+			_, err := s.State(ctx, works.Queue{Name: "q", Pool: "a"}, "0123456789abcdef")
+			return err
+		},
+	}
+	for kind, call := range calls {
+		for name, c := range cases {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				t.Parallel()
+				clock := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+				store := &deadStore{}
+				s := New(Settings{Clock: func() time.Time { return clock }, Store: store, Log: logs.Discard(), Scope: tally.NoopScope})
+				s.view.answered(clock.Add(-c.silent), true)
+				if c.failed {
+					s.view.answered(clock, false)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+				defer cancel()
+				err := call(ctx, s)
+				assert.Assert(t, err != nil)
+				assert.Equal(t, store.calls == 0, c.refused, "%d calls, %v", store.calls, err)
+				if c.refused {
+					assert.Equal(t, rock.VerdictOf(err), rock.NotRun)
+					assert.Equal(t, rock.ReasonOf(err), rock.Unavailable)
+				}
+				s.work.Stop()
+				assert.NilError(t, s.work.Wait())
+			})
+		}
+	}
+}
--- a/io/site/view.go
+++ b/io/site/view.go
@@ -152,6 +152,14 @@
 	return !was
 }
 
+// silence returns how long the platform has not answered, and whether its last
+// call failed.
+func (v *view) silence(now time.Time) (silent time.Duration, failing bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return now.Sub(v.answeredAt), v.answeredSince.IsZero()
+}
+
 // since returns since when the platform has answered.
 func (v *view) since() time.Time {
 	v.mu.Lock()
