--- a/core/retry/doc.go
+++ b/core/retry/doc.go
@@ -18,4 +18,6 @@
 //		// Try again, on another host than h.Tried().
 //	}
 //	return rock.Answer{}, h.Failure(err)
+//
+// [Patience] bounds the wait for the answer of a single call.
 package retry
--- /dev/null
+++ b/core/retry/patience.go
@@ -0,0 +1,56 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// leastPatience is the shortest time that an answer is waited for: several
+	// times that of a call across zones, and as long as a process with a fraction
+	// of a core may run late.
+	leastPatience = 300 * time.Millisecond
+	// patienceFactor is how many times the longest recent call an answer is waited
+	// for.
+	patienceFactor = 3
+	// patienceDecay is the share of the longest recent call that is left after
+	// another one: it is forgotten after some tens of calls.
+	patienceDecay = 0.92
+)
+
+// Patience is how long to wait for the answer of a service whose calls take
+// milliseconds as a rule, but may be slow for a while, and whose answers may be
+// lost. It grows with the calls that were answered lately, and doubles with each
+// that was not. It is safe for concurrent use.
+type Patience struct {
+	// Most is the longest time to wait.
+	Most time.Duration
+
+	mu      sync.Mutex
+	longest time.Duration
+}
+
+// Limit returns how long to wait for an answer now.
+func (p *Patience) Limit() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limit()
+}
+
+func (p *Patience) limit() time.Duration {
+	return min(p.Most, max(leastPatience, patienceFactor*p.longest))
+}
+
+// Answered notes that a call was answered after that time.
+func (p *Patience) Answered(took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.longest = max(took, time.Duration(patienceDecay*float64(p.longest)))
+}
+
+// Missed notes that a call was not answered within the limit that was waited.
+func (p *Patience) Missed(waited time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.longest = max(p.longest, min(p.Most, 2*waited)/patienceFactor)
+}
--- /dev/null
+++ b/core/retry/patience_test.go
@@ -0,0 +1,35 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"bramleyrock/core/retry"
+
+	"gotest.tools/v3/assert"
+)
+
+// An answer that is lost costs a fraction of a second while calls are fast, and no
+// call of a slow spell is given up for good.
+func TestPatience(t *testing.T) {
+	const most = 1200 * time.Millisecond
+	p := retry.Patience{Most: most}
+	for range 100 {
+		p.Answered(10 * time.Millisecond)
+	}
+	assert.Assert(t, p.Limit() < 500*time.Millisecond, "%v for calls of 10 ms", p.Limit())
+	tries := 0
+	for p.Limit() < 600*time.Millisecond {
+		p.Missed(p.Limit())
+		tries++
+	}
+	assert.Assert(t, tries <= 2, "%d tries until a call of 600 ms is waited for", tries)
+	for range 50 {
+		p.Missed(p.Limit())
+	}
+	assert.Equal(t, p.Limit(), most)
+	for range 200 {
+		p.Answered(10 * time.Millisecond)
+	}
+	assert.Assert(t, p.Limit() < 500*time.Millisecond, "%v after the slow spell", p.Limit())
+}
