Jobs are handed in to parts of their own

Cause: the platform makes the transactions of a part one after another, and all rows of a cell were in one part. A transaction whose caller had given up was made all the same, and delayed the next ones. At the height of a surge 200 jobs and 50 commits a second are close to the 300 that a part takes.

Ruled out: longer waits (the queue of a part holds a second at most).

Change: job and cancel rows are spread over 32 parts of the cell by the job's id. Outcomes stay with the owner's condition; the job's row is marked after that, and the mark is swept before the outcome.

--- a/core/cell/flush.go
+++ b/core/cell/flush.go
@@ -37,7 +37,7 @@
 }
 
 // endEntries is the number of rows that change when a job ends.
-const endEntries = 4
+const endEntries = 2
 
 // FlushDue reports whether there is something to write now.
 func (c *Cell) FlushDue(now time.Time) bool {
--- a/io/site/commit.go
+++ b/io/site/commit.go
@@ -38,6 +38,7 @@
 			o.beatVersion = version
 			o.actUntil = sent.Add(tenure.ActFor)
 			o.core.Flushed(now, b)
+			o.retire(b)
 		})
 		return nil
 	})
@@ -126,12 +127,8 @@
 		return err
 	}
 	t.Put(key(o.table, o.cell, w.ID+outcomeSuffix), value)
-	t.Delete(key(o.table, o.cell, w.ID+jobSuffix))
 	if w.HadProgress {
 		t.Delete(key(o.table, o.cell, w.ID+progressSuffix))
 	}
-	if w.HadCancel {
-		t.Delete(key(o.table, o.cell, w.ID+cancelSuffix))
-	}
 	return nil
 }
--- a/io/site/desk.go
+++ b/io/site/desk.go
@@ -93,10 +93,10 @@
 	}
 	var t rock.Transaction
 	name := jobTable(cell)
-	t.Require(key(name, cell, id+jobSuffix), 0)
-	t.Require(key(name, cell, id+outcomeSuffix), 0)
-	t.Put(key(name, cell, id+jobSuffix), value)
-	version, tries, err := s.store(ctx, begun, cell, t)
+	part := intakePart(cell, id)
+	t.Require(key(name, part, id+jobSuffix), 0)
+	t.Put(key(name, part, id+jobSuffix), value)
+	version, tries, err := s.store(ctx, begun, part, t)
 	took := s.now().Sub(begun)
 	s.meters.submitTime.RecordDuration(took)
 	line := s.log.WithFields(logrus.Fields{
@@ -131,9 +131,9 @@
 // store makes a write whose conditions hold only once, again and again until
 // its outcome is known or ctx ends. It says that the write was not made only
 // if none of its tries can have been.
-func (s *Site) store(ctx context.Context, begun time.Time, cell string, t rock.Transaction) (version uint64, tries int, err error) {
+func (s *Site) store(ctx context.Context, begun time.Time, part string, t rock.Transaction) (version uint64, tries int, err error) {
 	var open error
-	g := s.gathererOf(cell)
+	g := s.gathererOf(part)
 	for {
 		tries++
 		version, err = g.store(ctx, s, t)
@@ -162,17 +162,33 @@
 	job, progress, outcome *rock.Row
 }
 
-// readJob reads the rows of a job.
-func (s *Site) readJob(ctx context.Context, q works.Queue, id string) (rows, error) {
+// ended reports whether the job's row says that there is an outcome.
+func (r rows) ended() bool { return r.job != nil && hasEnded(r.job.Value()) }
+
+// readJob reads the rows of a job: as it was handed in only if the cell does not
+// know it, or always if handed is true.
+func (s *Site) readJob(ctx context.Context, q works.Queue, id string, handed bool) (rows, error) {
 	cell := cellOf(q.Pool)
+	var r rows
+	err := s.readPart(ctx, cell, cell, id, &r)
+	if err == nil && (handed || r.progress == nil && r.outcome == nil) {
+		err = s.readPart(ctx, cell, intakePart(cell, id), id, &r)
+	}
+	if err == nil && r.ended() && r.outcome == nil {
+		err = s.readPart(ctx, cell, cell, id, &r) // it has ended in between
+	}
+	return r, err
+}
+
+// readPart adds the rows of a job that a part holds.
+func (s *Site) readPart(ctx context.Context, cell, part, id string, r *rows) error {
 	// The suffixes sort between a slash and the character after it.
-	c, err := s.settings.Store.List(ctx, jobTable(cell), cell, id+"/", id+"0")
+	c, err := s.settings.Store.List(ctx, jobTable(cell), part, id+"/", id+"0")
 	if ctx.Err() == nil {
 		s.heard(err)
 	}
-	var r rows
 	if err != nil {
-		return r, rock.Fail("read", "job "+id, rock.Unavailable, rock.NotRun).RetryIn(storeRest).Because(err)
+		return rock.Fail("read", "job "+id, rock.Unavailable, rock.NotRun).RetryIn(storeRest).Because(err)
 	}
 	for i := range c.Rows {
 		row := &c.Rows[i]
@@ -186,7 +202,7 @@
 			r.outcome = row
 		}
 	}
-	return r, nil
+	return nil
 }
 
 // State returns the state of a job.
@@ -194,7 +210,7 @@
 	if err := s.reach("read", id); err != nil {
 		return "", err
 	}
-	r, err := s.readJob(ctx, q, id)
+	r, err := s.readJob(ctx, q, id, false)
 	switch {
 	case err != nil:
 		s.log.WithError(err).WithField("job", id).Info("State is not known.")
@@ -207,7 +223,7 @@
 		return o.State, nil
 	case r.progress != nil:
 		return works.Running, nil
-	case r.job != nil:
+	case r.job != nil && !r.ended():
 		return works.Queued, nil
 	}
 	s.log.WithField("job", id).WithField("queue", q.Name).Info("No such job.")
@@ -218,7 +234,7 @@
 func (s *Site) Cancel(ctx context.Context, q works.Queue, id string) error {
 	line := s.log.WithField("job", id).WithField("queue", q.Name)
 	for {
-		r, err := s.readJob(ctx, q, id)
+		r, err := s.readJob(ctx, q, id, true)
 		if err != nil {
 			if pause(ctx, submitRetry) != nil {
 				line.WithError(err).Info("Cancellation refused.")
@@ -230,14 +246,14 @@
 			line.Info("Cancellation of an ended job.")
 			return nil
 		}
-		if r.job == nil {
+		if r.job == nil || r.ended() {
 			line.Info("Cancellation of an unknown job.")
 			return rock.Fail("cancel", "job "+id, rock.Expired, rock.NotRun)
 		}
 		cell := cellOf(q.Pool)
 		var t rock.Transaction
 		t.Require(r.job.Key(), r.job.Version())
-		t.Put(key(jobTable(cell), cell, id+cancelSuffix), []byte{1})
+		t.Put(key(jobTable(cell), intakePart(cell, id), id+cancelSuffix), []byte{1})
 		_, err = s.settings.Store.Apply(ctx, t)
 		if ctx.Err() == nil {
 			s.heard(err)
@@ -266,7 +282,7 @@
 	if s.now().Sub(told) <= waitingAge {
 		return n, nil
 	}
-	c, err := s.settings.Store.List(ctx, jobTable(cell), cell, "", "")
+	c, err := s.listJobs(ctx, cell)
 	if ctx.Err() == nil {
 		s.heard(err)
 	}
@@ -285,6 +301,9 @@
 		id, suffix := splitJobName(name)
 		switch suffix {
 		case jobSuffix:
+			if hasEnded(rows[i].Value()) {
+				continue
+			}
 			j, err := works.DecodeJob(rows[i].Value())
 			waiting[id] = err == nil && j.Queue == queue && j.Spec.Times == 0
 		case progressSuffix, outcomeSuffix:
--- a/io/site/doc.go
+++ b/io/site/doc.go
@@ -8,15 +8,20 @@
 // about the time that a message of its own would take, and needs no second
 // path that can fail.
 //
-// Rows, with the cell as the part of the table:
+// Rows, with the cell as the part of the table, so that all that an owner writes
+// is conditioned on its ownership:
 //
 //	cells  owner     who owns the cell
 //	cells  beat      the last renewal, with the cell's load
 //	cells  w/ID      a worker to which the cell's owner may have given orders
-//	jobs-N ID/j      an accepted job
+//	jobs-N ID/s      the progress of a job
+//	jobs-N ID/d      its outcome, in place of its progress
+//
+// The rows that any entry writes are spread over other parts, since the platform
+// makes the transactions of a part one after another:
+//
+//	jobs-N ID/j      an accepted job, or a mark once it has ended
 //	jobs-N ID/c      the caller's wish to end it
-//	jobs-N ID/s      its progress
-//	jobs-N ID/d      its outcome, in place of the others
 //
 // # Usage
 //
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -75,6 +75,9 @@
 	heardAt time.Time
 	// spare is the number of the pool's hosts that could leave it now.
 	spare int
+	// retired holds the jobs whose outcomes are stored and whose rows are to be
+	// marked.
+	retired []retiredJob
 }
 
 // run owns the cell until ctx ends or the cell is lost.
@@ -91,6 +94,7 @@
 	o.group.Go("follow jobs", func(ctx context.Context) error { return o.followJobs(ctx, jobs) })
 	o.group.Go("tend hosts", o.tend)
 	o.group.Go("sweep outcomes", o.sweep)
+	o.group.Go("retire jobs", o.retireJobs)
 	o.group.Go("decide", func(ctx context.Context) error {
 		defer o.group.Stop()
 		return o.loop(ctx)
@@ -154,7 +158,7 @@
 		return 0, fmt.Errorf("the cell has another owner")
 	}
 	o.heardAt = o.site.now()
-	jobs, err := o.site.settings.Store.List(ctx, o.table, o.cell, "", "")
+	jobs, err := o.site.listJobs(ctx, o.cell)
 	if err != nil {
 		return 0, err
 	}
@@ -188,14 +192,22 @@
 
 // takeJobs takes in rows of jobs.
 func (o *owner) takeJobs(now time.Time, rows []rock.Row) {
+	ended := o.ended(rows)
 	for _, r := range rows {
 		part, name := splitKey(r.Key())
-		if part != o.cell || !r.Exists() {
+		if cellOfPart(part) != o.cell || !r.Exists() {
 			continue
 		}
 		id, suffix := splitJobName(name)
 		switch suffix {
 		case jobSuffix:
+			if hasEnded(r.Value()) {
+				continue
+			}
+			if ended[id] {
+				o.retired = append(o.retired, retiredJob{id: id, cancelled: true})
+				continue
+			}
 			j, err := works.DecodeJob(r.Value())
 			if err != nil {
 				o.log.WithError(err).WithField("row", r.Key()).Error("Job cannot be read.")
@@ -216,13 +228,25 @@
 	}
 	for _, r := range rows {
 		part, name := splitKey(r.Key())
-		if id, suffix := splitJobName(name); part == o.cell && r.Exists() && suffix == cancelSuffix {
+		if id, suffix := splitJobName(name); cellOfPart(part) == o.cell && r.Exists() && suffix == cancelSuffix {
 			o.core.Cancel(now, id)
 		}
 	}
 	o.changed = true
 }
 
+// ended returns the jobs of which the rows hold an outcome.
+func (o *owner) ended(rows []rock.Row) map[string]bool {
+	ended := map[string]bool{}
+	for _, r := range rows {
+		part, name := splitKey(r.Key())
+		if id, suffix := splitJobName(name); part == o.cell && r.Exists() && suffix == outcomeSuffix {
+			ended[id] = true
+		}
+	}
+	return ended
+}
+
 // post hands an event to the loop.
 func (o *owner) post(ctx context.Context, f func(now time.Time)) {
 	select {
@@ -242,7 +266,7 @@
 				return version, nil
 			}
 			sent := o.site.now()
-			c, err := o.site.settings.Store.List(ctx, o.table, o.cell, "", "")
+			c, err := o.site.listJobs(ctx, o.cell)
 			if err != nil {
 				return 0, err
 			}
--- /dev/null
+++ b/io/site/retire.go
@@ -0,0 +1,86 @@
+package site
+
+import (
+	"context"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/cell"
+)
+
+const (
+	// retireInterval is the time between the cleanings of ended jobs, so that
+	// many are cleaned in one transaction.
+	retireInterval = 2 * time.Second
+	// retireRows bounds the jobs that are cleaned at once: each has two rows, of
+	// the platform's 100 in a transaction.
+	retireRows = 45
+)
+
+// retiredJob is a job whose outcome is stored.
+type retiredJob struct {
+	id string
+	// cancelled is true if its caller's wish to end it may be stored.
+	cancelled bool
+}
+
+// retire notes the jobs of a stored batch that have ended.
+func (o *owner) retire(b *cell.Batch) {
+	for _, w := range b.Writes {
+		if w.Ended {
+			o.retired = append(o.retired, retiredJob{w.ID, w.HadCancel})
+		}
+	}
+}
+
+// retireJobs marks the rows of jobs that have ended, until ctx ends. A marked row is
+// kept, since the same job may be handed in again. What is not marked now is by the
+// next owner, who finds the outcome.
+func (o *owner) retireJobs(ctx context.Context) error {
+	for {
+		if err := pause(ctx, retireInterval); err != nil {
+			return nil
+		}
+		answers := make(chan []retiredJob, 1)
+		o.post(ctx, func(time.Time) {
+			answers <- o.retired
+			o.retired = nil
+		})
+		select {
+		case jobs := <-answers:
+			o.mark(ctx, jobs)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// mark marks the rows of the jobs as ended; those that cannot be are tried again.
+func (o *owner) mark(ctx context.Context, jobs []retiredJob) {
+	parts := map[string][]retiredJob{}
+	for _, j := range jobs {
+		part := intakePart(o.cell, j.id)
+		parts[part] = append(parts[part], j)
+	}
+	var failed []retiredJob
+	for part, list := range parts {
+		for len(list) > 0 {
+			n := min(len(list), retireRows)
+			var t rock.Transaction
+			for _, j := range list[:n] {
+				t.Put(key(o.table, part, j.id+jobSuffix), endedMark)
+				if j.cancelled {
+					t.Delete(key(o.table, part, j.id+cancelSuffix))
+				}
+			}
+			if _, err := o.site.settings.Store.Apply(ctx, t); err != nil {
+				o.log.WithError(err).WithField("part", part).WithField("jobs", n).Info("Ended jobs are not marked yet.")
+				failed = append(failed, list[:n]...)
+			}
+			list = list[n:]
+		}
+	}
+	if len(failed) > 0 {
+		o.post(ctx, func(time.Time) { o.retired = append(failed, o.retired...) })
+	}
+}
--- a/io/site/rows.go
+++ b/io/site/rows.go
@@ -34,6 +34,38 @@
 	return fmt.Sprintf("jobs-%d", h.Sum32()%jobTables)
 }
 
+// intakeParts is the number of parts over which the jobs of a cell are spread. In
+// a slow spell of the platform a part makes a few transactions a second, and a
+// surge brings 200 jobs a second to a cell.
+const intakeParts = 32
+
+// intakeMark separates the cell from the number in the name of an intake part. No
+// cell's name holds it, since it is escaped there.
+const intakeMark = "#"
+
+// intakePart returns the part with the row of a job as it was handed in.
+func intakePart(cell, id string) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // never fails
+	return intakeName(cell, int(h.Sum32()%intakeParts))
+}
+
+func intakeName(cell string, number int) string {
+	return fmt.Sprintf("%s%s%d", cell, intakeMark, number)
+}
+
+// cellOfPart returns the cell to which a part belongs.
+func cellOfPart(part string) string {
+	cell, _, _ := strings.Cut(part, intakeMark)
+	return cell
+}
+
+// endedMark takes the place of a job in its row once its outcome is stored.
+var endedMark = []byte{0}
+
+// hasEnded reports whether the value of a job's row says that it has an outcome.
+func hasEnded(value []byte) bool { return len(value) <= len(endedMark) }
+
 // key returns the key of a row.
 func key(table, part, name string) string { return table + "/" + part + "/" + name }
 
--- a/io/site/steward.go
+++ b/io/site/steward.go
@@ -166,8 +166,8 @@
 	// until is the time until which orders may be given with the token.
 	until time.Time
 	token uint64
-	load   cell.Load
-	hosts  map[string]cell.Occupancy
+	load  cell.Load
+	hosts map[string]cell.Occupancy
 }
 
 // ask asks the owner's loop for the situation.
--- a/io/site/submit.go
+++ b/io/site/submit.go
@@ -12,9 +12,9 @@
 // conditions and a row, of the platform's 100.
 const gatherRows = 30
 
-// gatherer stores the jobs of a cell that are handed in at about the same time
+// gatherer stores the jobs of a part that are handed in at about the same time
 // in one transaction: while one is under way, those that come wait for the
-// next. A slow spell of the table leaves a cell a few transactions a second.
+// next. A slow spell of the table leaves a part a few transactions a second.
 type gatherer struct {
 	mu      sync.Mutex
 	busy    bool
@@ -116,14 +116,14 @@
 // gatherTimeout bounds the storing of a batch, of the 3 s that callers wait.
 const gatherTimeout = 2 * time.Second
 
-// gathererOf returns the gatherer of a cell.
-func (s *Site) gathererOf(cell string) *gatherer {
+// gathererOf returns the gatherer of a part.
+func (s *Site) gathererOf(part string) *gatherer {
 	s.gatherMu.Lock()
 	defer s.gatherMu.Unlock()
-	g := s.gatherers[cell]
+	g := s.gatherers[part]
 	if g == nil {
 		g = &gatherer{}
-		s.gatherers[cell] = g
+		s.gatherers[part] = g
 	}
 	return g
 }
--- a/io/site/sweep.go
+++ b/io/site/sweep.go
@@ -31,29 +31,43 @@
 			o.log.WithError(err).Info("Outcomes are not swept now.")
 			continue
 		}
-		old := o.old(o.site.now(), c.Rows)
-		for len(old) > 0 {
-			n := min(len(old), sweepRows)
-			var t rock.Transaction
-			t.Require(key(cellTable, o.cell, ownerName), o.ownerVersion)
-			for _, k := range old[:n] {
-				t.Delete(k)
+		for part, ids := range o.old(o.site.now(), c.Rows) {
+			if err := o.sweepPart(ctx, part, ids); err != nil {
+				o.log.WithError(err).WithField("part", part).Info("Outcomes are not swept now.")
 			}
-			if _, err := o.site.settings.Store.Apply(ctx, t); err != nil {
-				o.log.WithError(err).Info("Outcomes are not swept now.")
-				break
-			}
-			old = old[n:]
 		}
 	}
 }
 
-// old returns the keys of the outcomes that are too old to be kept.
-func (o *owner) old(now time.Time, rows []rock.Row) []string {
-	var keys []string
+// sweepPart deletes the rows of jobs of one intake part, and then their outcomes: a
+// job without an outcome would be taken for one that has not ended.
+func (o *owner) sweepPart(ctx context.Context, part string, ids []string) error {
+	for len(ids) > 0 {
+		n := min(len(ids), sweepRows)
+		var handed, outcomes rock.Transaction
+		outcomes.Require(key(cellTable, o.cell, ownerName), o.ownerVersion)
+		for _, id := range ids[:n] {
+			handed.Delete(key(o.table, part, id+jobSuffix))
+			outcomes.Delete(key(o.table, o.cell, id+outcomeSuffix))
+		}
+		if _, err := o.site.settings.Store.Apply(ctx, handed); err != nil {
+			return err
+		}
+		if _, err := o.site.settings.Store.Apply(ctx, outcomes); err != nil {
+			return err
+		}
+		ids = ids[n:]
+	}
+	return nil
+}
+
+// old returns the jobs whose outcomes are too old to be kept, by intake part.
+func (o *owner) old(now time.Time, rows []rock.Row) map[string][]string {
+	jobs := map[string][]string{}
 	for i := range rows {
 		_, name := splitKey(rows[i].Key())
-		if _, suffix := splitJobName(name); suffix != outcomeSuffix {
+		id, suffix := splitJobName(name)
+		if suffix != outcomeSuffix {
 			continue
 		}
 		outcome, err := works.DecodeOutcome(rows[i].Value())
@@ -62,8 +76,9 @@
 			continue
 		}
 		if now.Sub(outcome.At) > keepFactor*o.site.settings.Keep {
-			keys = append(keys, rows[i].Key())
+			part := intakePart(o.cell, id)
+			jobs[part] = append(jobs[part], id)
 		}
 	}
-	return keys
+	return jobs
 }
