Cells are taken over by entries that hear renewals, whatever else fails

Cause: a challenger had to have had every call answered for 1.15 s.

Ruled out: taking over without that condition, since an entry that has just regained the table has not heard the renewals yet.

Change: the condition is on the calls that read the renewals.

--- a/io/site/follow.go
+++ b/io/site/follow.go
@@ -37,6 +37,8 @@
 	gap func() time.Duration
 	// wanted reports whether the table is of use now; nil means always.
 	wanted func() bool
+	// noted is told the outcome of each call; nil means that nobody is.
+	noted func(err error)
 }
 
 // every returns a gap that is always the same.
@@ -75,6 +77,9 @@
 			break
 		}
 		s.heard(err)
+		if t.noted != nil {
+			t.noted(err)
+		}
 		wait := time.Duration(0)
 		if t.gap != nil {
 			wait = t.gap()
@@ -226,11 +231,15 @@
 			}
 			return version, nil
 		},
-		take: func(_ time.Time, rows []rock.Row) { s.takeCells(rows) },
-		gap:  s.cellGap,
+		take:  func(_ time.Time, rows []rock.Row) { s.takeCells(rows) },
+		gap:   s.cellGap,
+		noted: s.renewalsHeard,
 	})
 }
 
+// renewalsHeard notes the outcome of a call that reads the cells' renewals.
+func (s *Site) renewalsHeard(err error) { s.view.heardRenewals(s.now(), answers(err)) }
+
 // idlePoll is the time between readings of the renewals by an entry that will
 // hardly own a cell: the calls of many such entries are most of all, and callers
 // ask for numbers of waiting jobs that are 2 s old at most.
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -67,7 +67,7 @@
 // heard notes the outcome of a call to the platform's table. A refusal of the
 // table itself is an answer.
 func (s *Site) heard(err error) {
-	ok := err == nil || rock.ReasonOf(err) == rock.Conflict || rock.ReasonOf(err) == rock.Expired
+	ok := answers(err)
 	if s.view.answered(s.now(), ok) {
 		if ok {
 			s.log.Info("Platform table regained.")
@@ -77,6 +77,11 @@
 	}
 }
 
+// answers reports whether the outcome of a call is an answer of the table.
+func answers(err error) bool {
+	return err == nil || rock.ReasonOf(err) == rock.Conflict || rock.ReasonOf(err) == rock.Expired
+}
+
 // pause waits for d or the end of ctx.
 func pause(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
--- a/io/site/view.go
+++ b/io/site/view.go
@@ -29,6 +29,8 @@
 	// answeredAt when it last did.
 	answeredSince time.Time
 	answeredAt    time.Time
+	// renewalsSince is since when the renewals of cells have been heard.
+	renewalsSince time.Time
 	stopping      bool
 	// activity is of use to the owners of cells only.
 	activity  resize.Activity
@@ -160,11 +162,24 @@
 	return now.Sub(v.answeredAt), v.answeredSince.IsZero()
 }
 
-// since returns since when the platform has answered.
+// heardRenewals notes whether the platform answered a call about the renewals of
+// cells.
+func (v *view) heardRenewals(now time.Time, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case !ok:
+		v.renewalsSince = time.Time{}
+	case v.renewalsSince.IsZero():
+		v.renewalsSince = now
+	}
+}
+
+// since returns since when the renewals of cells have been heard.
 func (v *view) since() time.Time {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.answeredSince
+	return v.renewalsSince
 }
 
 // withCell calls f with what is known of a cell, if it is configured.
