The row of a worker that comes back is not deleted

Cause: the registration of a worker lapses and comes back (an outage of the table does that to all of them). Its row is to be deleted when it lapses; while the deletion waited behind others, or had to be made again, the worker came back, and its row was written and deleted in one transaction. The next owner takes tasks on a worker without a row for over and starts them again.

Change: the deletion is dropped when the worker is back.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	rock "bramleyrock"
@@ -204,8 +205,10 @@
 	c.orphans = append(c.orphans, r)
 }
 
-// newWorker adds a worker of which only the id is known.
+// newWorker adds a worker of which only the id is known. If it was dropped a while
+// ago, its row is written anew in place of being deleted.
 func (c *Cell) newWorker(id string) *worker {
+	c.dropped = slices.DeleteFunc(c.dropped, func(d string) bool { return d == id })
 	w := &worker{Worker: rock.Worker{ID: id}, runs: map[runKey]*run{}, health: c.watch.Join(id)}
 	c.workers[id] = w
 	return w
--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -27,6 +27,8 @@
 	outcomes map[string]works.State
 	progress map[string]works.Progress
 	rows     []cell.WorkerRow
+	// stored holds the workers that have a row.
+	stored map[string]bool
 }
 
 // Decide decides with all that is known of the jobs.
@@ -38,7 +40,7 @@
 	if change != nil {
 		change(&s)
 	}
-	b := &bench{Cell: cell.New(s), t: t, now: start, ends: map[string]int64{}, outcomes: map[string]works.State{}, progress: map[string]works.Progress{}}
+	b := &bench{Cell: cell.New(s), t: t, now: start, ends: map[string]int64{}, outcomes: map[string]works.State{}, progress: map[string]works.Progress{}, stored: map[string]bool{}}
 	b.SetQueues([]works.Queue{{Name: "q", Pool: "tins", Attempts: 2, Stretch: 1.6, Objective: 600 * time.Millisecond}})
 	for i := range workers {
 		b.known = append(b.known, rock.Worker{
@@ -83,6 +85,12 @@
 		}
 	}
 	b.rows = append(b.rows, batch.Workers...)
+	for _, r := range batch.Workers {
+		b.stored[r.ID] = true
+	}
+	for _, id := range batch.OldWorkers {
+		delete(b.stored, id)
+	}
 	b.Flushed(b.now, batch)
 }
 
@@ -272,7 +280,7 @@
 		Pool: "tins", Fence: fence, Hold: 4 * time.Second, Stop: 400 * time.Millisecond,
 		SettledAt: start.Add(5 * time.Second), Former: formerUntil,
 	}
-	b := &bench{Cell: cell.New(s), t: t, now: start, ends: map[string]int64{}, outcomes: map[string]works.State{}, progress: map[string]works.Progress{}}
+	b := &bench{Cell: cell.New(s), t: t, now: start, ends: map[string]int64{}, outcomes: map[string]works.State{}, progress: map[string]works.Progress{}, stored: map[string]bool{}}
 	b.SetQueues([]works.Queue{{Name: "q", Pool: "tins", Attempts: 2, Stretch: 1.6, Objective: 600 * time.Millisecond}})
 	for i := range workers {
 		b.known = append(b.known, rock.Worker{
--- a/core/cell/flush.go
+++ b/core/cell/flush.go
@@ -134,7 +134,11 @@
 func (c *Cell) FlushFailed(now time.Time, b *Batch) {
 	c.flushing = false
 	c.ended = append(b.ended, c.ended...)
-	c.dropped = append(b.OldWorkers, c.dropped...)
+	for _, id := range b.OldWorkers {
+		if c.workers[id] == nil { // it may have come back meanwhile
+			c.dropped = append(c.dropped, id)
+		}
+	}
 	c.placed = append(b.placed, c.placed...)
 	for _, w := range b.Writes {
 		if j := c.jobs[w.ID]; j != nil && !w.Ended {
