Callers are sent away for as long as an outage has lasted

Ruled out: holding callers until the table answers, which told them nothing.

Change: Retry-After is the time for which the table has not answered, 1 to 3 s.

Before: TestCallersAreRefusedWhileTheTableIsSilent failed (1 s after 2 s and after a minute); after: passes.

--- a/io/site/desk.go
+++ b/io/site/desk.go
@@ -21,9 +21,11 @@
 	// refused at once: a waiting call is answered within feedWait, and a slow
 	// answer takes up to 0.3 s.
 	tablePatience = feedWait + 500*time.Millisecond
-	// storeRest is the Retry-After while the platform does not answer: its
-	// outages last for seconds.
+	// storeRest is the least Retry-After while the platform does not answer, and
+	// longRest the greatest: its outages last for seconds, and callers try only a
+	// few times.
 	storeRest = time.Second
+	longRest  = 3 * time.Second
 	// readyPatience is how long the platform may be silent before the entry
 	// asks the balancer for no more connections.
 	readyPatience = time.Second
@@ -77,7 +79,8 @@
 	}
 	s.meters.refused.Inc(1)
 	s.log.WithFields(logrus.Fields{"job": id, "call": op, "silent_ms": silent.Milliseconds(), "failing": failing}).Info("Call refused, the table does not answer.")
-	return rock.Fail(op, "job "+id, rock.Unavailable, rock.NotRun).RetryIn(storeRest).Becausef("the platform's table has not answered for %v", silent)
+	rest := min(longRest, max(storeRest, silent)) // an outage that has lasted goes on for as long
+	return rock.Fail(op, "job "+id, rock.Unavailable, rock.NotRun).RetryIn(rest).Becausef("the platform's table has not answered for %v", silent)
 }
 
 // Submit stores a job.
--- a/io/site/desk_test.go
+++ b/io/site/desk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -41,12 +42,15 @@
 		silent  time.Duration
 		failed  bool // the last call failed
 		refused bool
+		// rest is the Retry-After: with few tries a caller must outlast the outage.
+		rest time.Duration
 	}{
-		"answers":                       {0, false, false},
-		"has just failed":               {100 * time.Millisecond, true, false},
-		"has failed for a while":        {500 * time.Millisecond, true, true},
-		"an answer is due":              {700 * time.Millisecond, false, false},
-		"has not answered for too long": {2 * time.Second, false, true},
+		"answers":                       {0, false, false, 0},
+		"has just failed":               {100 * time.Millisecond, true, false, 0},
+		"has failed for a while":        {500 * time.Millisecond, true, true, time.Second},
+		"an answer is due":              {700 * time.Millisecond, false, false, 0},
+		"has not answered for too long": {2 * time.Second, false, true, 2 * time.Second},
+		"is down":                       {time.Minute, true, true, 3 * time.Second},
 	}
 	calls := map[string]func(ctx context.Context, s *Site) error{
 		"submit": func(ctx context.Context, s *Site) error {
@@ -76,6 +80,9 @@
 				if c.refused {
 					assert.Equal(t, rock.VerdictOf(err), rock.NotRun)
 					assert.Equal(t, rock.ReasonOf(err), rock.Unavailable)
+					var f *rock.Failure
+					assert.Assert(t, errors.As(err, &f))
+					assert.Equal(t, f.RetryAfter(), c.rest)
 				}
 				s.work.Stop()
 				assert.NilError(t, s.work.Wait())
