--- a/core/resize/demand.go
+++ b/core/resize/demand.go
@@ -8,28 +8,28 @@
 const (
 	// fastWindow is the time over which the rate of arrivals is taken: short
 	// against a surge of 4 s, long against the 20 ms between its jobs.
-	fastWindow = 400 * time.Millisecond
+	fastWindow = 600 * time.Millisecond
 	// slowWindow is the time over which the rate is taken that the other is
 	// compared with.
-	slowWindow = 1200 * time.Millisecond
+	slowWindow = 1800 * time.Millisecond
 	// trend is how far the difference of the two rates is carried on. A steady
-	// rise makes it 0.8 s of that rise, and the first rate is 0.4 s late, so
-	// this looks 3.6 s ahead: a host that is sent now is there after 2 s, and a
+	// rise makes it 1.2 s of that rise, and the first rate is 0.6 s late, so
+	// this looks 4.2 s ahead: a host that is sent now is there after 2 s, and a
 	// surge that goes on rising needs more when it is.
-	trend = 5.0
+	trend = 4.0
 	// noise is the share of the mean rate that the difference must exceed:
 	// arrivals are uneven.
 	noise = 0.1
 	// readyTime is the time in which the work that can run at once should be
-	// done, about the time in which a job should be completed.
-	readyTime = 2 * time.Second
+	// done, about the duration of a task.
+	readyTime = 1200 * time.Millisecond
 	// fallTime is the time in which a demand that is over is forgotten: a host
 	// that has moved may not move again for 3 s, so one that is sent to standby
 	// is of no use to the next surge.
 	fallTime = 6 * time.Second
 	// headroom is the capacity wanted for a unit of demand. Tasks do not fit
 	// a host exactly, and jobs come unevenly.
-	headroom = 1.3
+	headroom = 1.15
 )
 
 // rate is a decaying sum of arrivals.
