--- a/io/site/move.go
+++ b/io/site/move.go
@@ -10,6 +10,7 @@
 	"bramleyrock/core/cell"
 	"bramleyrock/core/group"
 	"bramleyrock/core/resize"
+	"bramleyrock/core/works"
 
 	"github.com/sirupsen/logrus"
 )
@@ -181,18 +182,10 @@
 	if v.config == nil {
 		return nil, false
 	}
-	total, active := 0.0, 0
-	for _, h := range hosts {
-		total += float64(h.Room.MilliCores) / 1000
-	}
-	for _, p := range v.config.Pools {
-		if !p.Standby {
-			active++
-		}
-	}
+	hostCores, evenCores := cores(v.config.Pools, hosts)
 	var pools []resize.Pool
 	for _, p := range v.config.Pools {
-		r := resize.Pool{Name: p.Name, Standby: p.Standby, HostCores: total / float64(max(1, len(hosts)))}
+		r := resize.Pool{Name: p.Name, Standby: p.Standby, HostCores: hostCores}
 		rate := 0.0
 		for _, h := range hosts {
 			if h.Pool == p.Name && (h.Phase == rock.HostUp || h.Phase == rock.HostMoving || h.Phase == rock.HostInUpkeep) {
@@ -205,8 +198,23 @@
 		if p.Name == own {
 			r.Want, r.Keep, r.Spare, rate = load.Want, load.Keep, spare, load.Rate
 		}
-		v.activity.Note(now, rate, total/float64(max(1, active)))
+		v.activity.Note(now, rate, evenCores)
 		pools = append(pools, r)
 	}
 	return pools, v.activity.Calm(now)
 }
+
+// cores returns the mean number of cores of a host, and the number that each pool
+// would have if all but those on standby had the same.
+func cores(pools []works.Pool, hosts []rock.FleetHost) (host, even float64) {
+	total, active := 0.0, 0
+	for _, h := range hosts {
+		total += float64(h.Room.MilliCores) / 1000
+	}
+	for _, p := range pools {
+		if !p.Standby {
+			active++
+		}
+	}
+	return total / float64(max(1, len(hosts))), total / float64(max(1, active))
+}
