--- a/cmd/bramleyrock/soak_test.go
+++ b/cmd/bramleyrock/soak_test.go
@@ -32,11 +32,18 @@
 	soakLogs  = flag.String("soak.logs", "", "directory for the logs of broken seeds")
 )
 
+// regression is a seed that failed once.
+type regression struct {
+	// faults is the number of soakFaults that there were, from which the seed drew.
+	faults int
+	why    string
+}
+
 // soakRegressions are the seeds that failed once, and why. They are played in
 // every run, but a seed gives the faults only and not the timing of processes.
-var soakRegressions = map[uint64]string{
-	3:    "answers to starts were dated before they came, a task was started twice",
-	5003: "the first owner of a cell ordered a host that another had just moved in",
+var soakRegressions = map[uint64]regression{
+	3:    {18, "answers to starts were dated before they came, a task was started twice"},
+	5003: {18, "the first owner of a cell ordered a host that another had just moved in"},
 }
 
 // The sizes of a soak.
@@ -74,8 +81,11 @@
 	entries []*soakEntry
 	group   *group.Group
 	binary  string
+	faults  []fault
 
 	mu sync.Mutex
+	// links holds the links to workers, by the addresses at which they register.
+	links map[string]*relay.Relay
 	// accepted holds the paths of accepted jobs, refused the ids of those of
 	// which every answer said that they were not stored.
 	accepted []string
@@ -97,9 +107,18 @@
 	binary, err := buildRace()
 	assert.NilError(t, err)
 	short := func(string, string) (time.Duration, string) { return 200 * time.Millisecond, "done" }
-	p, err := stand.Start(stand.Layout{Pools: map[string]int{"tins": 4, "lids": 4}, Standby: 2, Seed: seed, Duration: short})
+	s := &soak{
+		t: t, random: rand.New(rand.NewPCG(seed, 2)), group: group.New(context.Background()), binary: binary,
+		links: map[string]*relay.Relay{}, faults: soakFaults,
+	}
+	if r, ok := soakRegressions[seed]; ok {
+		s.faults = soakFaults[:r.faults]
+	}
+	p, err := stand.Start(stand.Layout{
+		Pools: map[string]int{"tins": 4, "lids": 4}, Standby: 2, Seed: seed, Duration: short, Through: s.through,
+	})
 	assert.NilError(t, err)
-	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 2)), p: p, group: group.New(context.Background()), binary: binary}
+	s.p = p
 	p.Configure(1, stand.Queue{Name: "tins", Prefix: "/tins/", Pool: "tins"}, stand.Queue{Name: "lids", Prefix: "/lids/", Pool: "lids"})
 	dir := t.TempDir()
 	if *soakLogs != "" {
@@ -113,6 +132,30 @@
 	return s
 }
 
+// through puts a link before a worker.
+func (s *soak) through(address string) (string, error) {
+	link, err := relay.New(address)
+	if err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.links[link.Address()] = link
+	return link.Address(), nil
+}
+
+// workerLink returns the link to one of the workers that live, or nil.
+func (s *soak) workerLink() *relay.Relay {
+	all := append(s.p.Workers("tins"), s.p.Workers("lids")...)
+	if len(all) == 0 {
+		return nil
+	}
+	w := all[s.random.IntN(len(all))]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.links[w.Address()]
+}
+
 func (s *soak) add(dir, name string) {
 	s.t.Helper()
 	link, err := relay.New(s.p.StoreAddress())
@@ -170,6 +213,9 @@
 		_ = e.log.Close()
 	}
 	_ = s.p.Close()
+	for _, link := range s.links {
+		link.Close()
+	}
 	s.group.Stop()
 	_ = s.group.Wait()
 	if s.t.Failed() {
@@ -195,6 +241,28 @@
 	}}
 }
 
+// workerFault does something to the link to a worker, for all entries.
+func workerFault(name string, do func(link *relay.Relay) (undo func())) fault {
+	return fault{name, func(s *soak, _ *soakEntry) func() {
+		link := s.workerLink()
+		if link == nil {
+			return func() {}
+		}
+		return do(link)
+	}}
+}
+
+// workerLinkFault sets what the link to a worker does with the bytes of a direction.
+func workerLinkFault(name string, d relay.Direction, m relay.Mode) fault {
+	return workerFault(name, func(link *relay.Relay) func() {
+		link.Set(d, m)
+		return func() {
+			link.Set(d, relay.Pass)
+			link.Cut() // bytes were lost on its connections
+		}
+	})
+}
+
 // storeFault makes the table misbehave for all entries.
 func storeFault(f stand.Fault) fault {
 	return fault{"store " + string(f), func(s *soak, _ *soakEntry) func() {
@@ -203,6 +271,7 @@
 	}}
 }
 
+// soakFaults are all faults; new ones go to the end, since seeds draw by number.
 var soakFaults = []fault{
 	{"kill and restart", func(_ *soak, e *soakEntry) func() {
 		<-e.signal(syscall.SIGKILL)
@@ -262,6 +331,19 @@
 		s.p.Configure(int(time.Now().UnixMilli()), stand.Queue{Name: "tins", Prefix: "/tins/", Pool: "tins"}, stand.Queue{Name: "lids", Prefix: "/lids/", Pool: "lids"})
 		return func() {}
 	}},
+	workerLinkFault("orders lost", relay.Calls, relay.Drop),
+	workerLinkFault("orders late", relay.Calls, relay.Stall),
+	workerLinkFault("answers of a worker lost", relay.Answers, relay.Drop),
+	workerLinkFault("answers of a worker late", relay.Answers, relay.Stall),
+	workerFault("silent connections to a worker", func(link *relay.Relay) func() {
+		link.Silence()
+		return func() {}
+	}),
+	workerFault("reset connections to a worker", func(link *relay.Relay) func() {
+		link.Cut()
+		return func() {}
+	}),
+	storeFault(stand.SlowParts),
 }
 
 // disturb makes faults come, in series and overlapping, until the time is over.
@@ -271,7 +353,7 @@
 	var mu sync.Mutex
 	busy := map[string]bool{}
 	for end := time.Now().Add(soakTime); time.Now().Before(end); time.Sleep(time.Duration(s.random.Int64N(int64(soakGap)))) {
-		f, e := soakFaults[s.random.IntN(len(soakFaults))], s.entries[s.random.IntN(soakEntries)]
+		f, e := s.faults[s.random.IntN(len(s.faults))], s.entries[s.random.IntN(soakEntries)]
 		lasts := time.Duration(s.random.Int64N(int64(soakLast)))
 		on := e.name
 		if strings.HasPrefix(f.name, "store") {
