--- a/core/resize/doc.go
+++ b/core/resize/doc.go
@@ -5,6 +5,7 @@
 // move takes 1.5 s and costs about as much as a host that idles for that time,
 // so hosts follow the work: they come from standby and from pools with more
 // than they need, and go to standby when nobody has needed them for a while.
+// They are ordered for the demand that is expected when they arrive.
 //
 // All owners of cells make the same plan from what the cells tell of
 // themselves, and each moves only the hosts of its own pool.
@@ -14,5 +15,7 @@
 //	var d resize.Demand
 //	d.Arrive(now, coreSeconds)
 //	want, keep := d.Want(now, readyWork, lastingCores)
-//	moves := resize.Plan(pools)
+//	var a resize.Activity
+//	a.Note(now, d.Mean(now), evenCores)
+//	moves := resize.Plan(pools, a.Calm(now))
 package resize
