Hosts wait in the pool whose turn is next

Cause: every pool kept 0.55 of an even share of the hosts at all times, although queues surge by turns.

Ruled out: that hosts cannot leave for lasting tasks. They hold 18 to 32 hosts of a pool (at most one task of a step on a worker), below the former floor.

Change: a cell's renewal tells how long ago its pool surged. The pool whose last surge is longest ago, or those that have not surged yet, keep 0.7 of an even share (2.0 together), the others 0.2. The demand that is over is forgotten in 4 s (6 s before), a site is calm after 10 s without a surge (15 s), and the trend of arrivals is carried on five times (four). An owner goes on from what the former one told.

--- a/core/resize/activity.go
+++ b/core/resize/activity.go
@@ -9,26 +9,39 @@
 	surgeShare = 0.3
 	// calmTime is how long no pool may have surged for the site to be calm. The
 	// surges of a site last up to 10 s and follow each other without pause.
-	calmTime = 15 * time.Second
+	calmTime = 10 * time.Second
 )
 
-// Activity remembers when a pool of the site last had a surge. The zero value is
-// ready to use.
+// Activity remembers when a pool last had a surge. The zero value is ready to
+// use.
 type Activity struct {
-	// surgedAt is when the last surge was noted; before one is, it is the time of
-	// the first note.
-	surgedAt time.Time
+	// since is the time of the last surge; before one is known, it is the time
+	// of the first note.
+	since  time.Time
+	surged bool
 }
 
-// Note notes the mean rate at which work arrives at a pool, in cores, and the
+// Note notes the mean rate at which work arrives at the pool, in cores, and the
 // number of cores that each pool would have if all had the same.
 func (a *Activity) Note(now time.Time, rate, even float64) {
-	if a.surgedAt.IsZero() || even > 0 && rate >= surgeShare*even {
-		a.surgedAt = now
+	switch {
+	case even > 0 && rate >= surgeShare*even:
+		a.since, a.surged = now, true
+	case a.since.IsZero():
+		a.since = now
 	}
 }
 
-// Calm reports whether no pool has had a surge for a while.
-func (a *Activity) Calm(now time.Time) bool {
-	return !a.surgedAt.IsZero() && now.Sub(a.surgedAt) > calmTime
+// Resume continues what another owner of the pool has told of it.
+func (a *Activity) Resume(now time.Time, rest time.Duration, surged bool) {
+	a.since, a.surged = now.Add(-rest), surged
+}
+
+// Rest returns how long ago the pool's last surge was. If surged is false none is
+// known, and rest is how long the pool is known.
+func (a *Activity) Rest(now time.Time) (rest time.Duration, surged bool) {
+	if a.since.IsZero() {
+		return 0, false
+	}
+	return now.Sub(a.since), a.surged
 }
--- a/core/resize/demand.go
+++ b/core/resize/demand.go
@@ -14,9 +14,9 @@
 	slowWindow = 1800 * time.Millisecond
 	// trend is how far the difference of the two rates is carried on. A steady
 	// rise makes it 1.2 s of that rise, and the first rate is 0.6 s late, so
-	// this looks 4.2 s ahead: a host that is sent now is there after 2 s, and a
-	// surge that goes on rising needs more when it is.
-	trend = 4.0
+	// this looks 5.4 s ahead: a host that is sent now is there after 2 s, and the
+	// platform takes 64 moves a second, fewer than a large pool needs in a rise.
+	trend = 5.0
 	// noise is the share of the mean rate that the difference must exceed:
 	// arrivals are uneven.
 	noise = 0.1
@@ -26,7 +26,7 @@
 	// fallTime is the time in which a demand that is over is forgotten: a host
 	// that has moved may not move again for 3 s, so one that is sent to standby
 	// is of no use to the next surge.
-	fallTime = 6 * time.Second
+	fallTime = 4 * time.Second
 	// headroom is the capacity wanted for a unit of demand. Tasks do not fit
 	// a host exactly, and jobs come unevenly.
 	headroom = 1.15
--- a/core/resize/doc.go
+++ b/core/resize/doc.go
@@ -5,7 +5,8 @@
 // move takes 1.5 s and costs about as much as a host that idles for that time,
 // so hosts follow the work: they come from standby and from pools with more
 // than they need, and go to standby when nobody has needed them for a while.
-// They are ordered for the demand that is expected when they arrive.
+// They are ordered for the demand that is expected when they arrive, and the pool
+// whose turn is next keeps more of them than those that have surged of late.
 //
 // All owners of cells make the same plan from what the cells tell of
 // themselves, and each moves only the hosts of its own pool.
@@ -17,5 +18,6 @@
 //	want, keep := d.Want(now, readyWork, lastingCores)
 //	var a resize.Activity
 //	a.Note(now, d.Mean(now), evenCores)
-//	moves := resize.Plan(pools, a.Calm(now))
+//	rest, surged := a.Rest(now)
+//	moves := resize.Plan(pools)
 package resize
--- a/io/site/beat.go
+++ b/io/site/beat.go
@@ -21,10 +21,12 @@
 	// again soon, in cores.
 	Want float64 `cbor:"4,keyasint,omitempty"`
 	Keep float64 `cbor:"6,keyasint,omitempty"`
-	// Rate is the mean rate at which work has arrived lately, in cores.
-	Rate float64 `cbor:"8,keyasint,omitempty"`
 	// Spare is the number of the pool's hosts that could leave it now.
 	Spare int `cbor:"5,keyasint,omitempty"`
+	// RestMS is how many milliseconds ago the pool's last surge was, or how long
+	// the pool is known if Surged is false: no surge is known then.
+	RestMS int64 `cbor:"8,keyasint,omitempty"`
+	Surged bool  `cbor:"9,keyasint,omitempty"`
 }
 
 func encode(v any) ([]byte, error) {
--- a/io/site/commit.go
+++ b/io/site/commit.go
@@ -89,7 +89,11 @@
 	t.Require(key(cellTable, o.cell, ownerName), o.ownerVersion)
 	t.Require(key(cellTable, o.cell, beatName), o.beatVersion)
 	l := o.core.Load(now)
-	value, err := encode(beat{Told: true, Waiting: l.Waiting, Work: l.Work, Cores: l.Cores, Want: l.Want, Keep: l.Keep, Rate: l.Rate, Spare: o.spare})
+	rest, surged := o.activity.Rest(now)
+	value, err := encode(beat{
+		Told: true, Waiting: l.Waiting, Work: l.Work, Cores: l.Cores, Want: l.Want, Keep: l.Keep, Spare: o.spare,
+		RestMS: rest.Milliseconds(), Surged: surged,
+	})
 	if err != nil {
 		return t, err
 	}
--- a/io/site/keep.go
+++ b/io/site/keep.go
@@ -7,6 +7,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/group"
+	"bramleyrock/core/resize"
 	"bramleyrock/core/tenure"
 )
 
@@ -69,9 +70,13 @@
 	var ownerVersion, beatVersion uint64
 	var before tenure.Owner
 	var pool string
+	var activity resize.Activity
 	s.view.withCell(cell, func(c *cellView) {
 		ownerVersion, beatVersion = c.tenure.Versions()
 		before, pool = c.tenure.Owner(), c.pool
+		if c.beat.Told {
+			activity.Resume(c.beatAt, time.Duration(c.beat.RestMS)*time.Millisecond, c.beat.Surged)
+		}
 	})
 	value, err := encode(s.me)
 	if err != nil {
@@ -105,7 +110,7 @@
 	}
 	s.meters.taken.Inc(1)
 	s.view.setOwned(cell, true)
-	o := &owner{site: s, cell: cell, pool: pool, table: jobTable(cell), actUntil: sent.Add(tenure.ActFor), events: make(chan func(time.Time), maxEvents), takenAt: s.now(), first: ownerVersion == 0}
+	o := &owner{site: s, cell: cell, pool: pool, table: jobTable(cell), actUntil: sent.Add(tenure.ActFor), events: make(chan func(time.Time), maxEvents), takenAt: s.now(), first: ownerVersion == 0, activity: activity}
 	o.log = s.log.WithField("cell", cell)
 	o.log.WithField("former", before.Name).WithField("former_version", ownerVersion).Info("Cell taken.")
 	g.Go("own cell "+cell, func(ctx context.Context) error {
--- a/io/site/move.go
+++ b/io/site/move.go
@@ -7,7 +7,6 @@
 	"time"
 
 	rock "bramleyrock"
-	"bramleyrock/core/cell"
 	"bramleyrock/core/group"
 	"bramleyrock/core/resize"
 	"bramleyrock/core/works"
@@ -66,8 +65,21 @@
 		}
 	}
 	spare := len(mine)
-	o.post(o.group.Context(), func(time.Time) { o.spare = spare })
-	pools, calm := o.site.view.pools(now, hosts, o.pool, s.load, spare)
+	config := o.site.view.current()
+	if config == nil {
+		return
+	}
+	hostCores, evenCores := cores(config.Pools, hosts)
+	u.activity.Note(now, s.load.Rate, evenCores)
+	activity := u.activity
+	o.post(o.group.Context(), func(time.Time) { o.spare, o.activity = spare, activity })
+	pools := o.site.view.pools(now, hosts, hostCores)
+	for i := range pools {
+		if p := &pools[i]; p.Name == o.pool {
+			p.Want, p.Keep, p.Spare = s.load.Want, s.load.Keep, spare
+			p.Rest, p.Surged = activity.Rest(now)
+		}
+	}
 	free := slices.DeleteFunc(slices.Clone(mine), func(h rock.FleetHost) bool { return u.departures[h.Name].to != "" })
 	slices.SortFunc(free, func(a, b rock.FleetHost) int {
 		if n := s.hosts[a.Worker].Runs - s.hosts[b.Worker].Runs; n != 0 {
@@ -76,7 +88,7 @@
 		return compareNames(a, b)
 	})
 	under := len(u.departures)
-	for _, m := range resize.Plan(pools, calm) {
+	for _, m := range resize.Plan(pools) {
 		if m.From != o.pool {
 			continue
 		}
@@ -174,34 +186,25 @@
 	return nil
 }
 
-// pools describes all pools for the plan: the own one as its owner knows it,
-// the others as their owners last told. It also reports whether the site is calm.
-func (v *view) pools(now time.Time, hosts []rock.FleetHost, own string, load cell.Load, spare int) ([]resize.Pool, bool) {
+// pools describes all pools for the plan, as their owners last told.
+func (v *view) pools(now time.Time, hosts []rock.FleetHost, hostCores float64) []resize.Pool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.config == nil {
-		return nil, false
-	}
-	hostCores, evenCores := cores(v.config.Pools, hosts)
 	var pools []resize.Pool
 	for _, p := range v.config.Pools {
 		r := resize.Pool{Name: p.Name, Standby: p.Standby, HostCores: hostCores}
-		rate := 0.0
 		for _, h := range hosts {
 			if h.Pool == p.Name && (h.Phase == rock.HostUp || h.Phase == rock.HostMoving || h.Phase == rock.HostInUpkeep) {
 				r.Hosts++
 			}
 		}
-		if c := v.cells[cellOf(p.Name)]; c != nil {
-			r.Want, r.Keep, r.Spare, rate = c.beat.Want, c.beat.Keep, c.beat.Spare, c.beat.Rate
-		}
-		if p.Name == own {
-			r.Want, r.Keep, r.Spare, rate = load.Want, load.Keep, spare, load.Rate
+		if c := v.cells[cellOf(p.Name)]; c != nil && c.beat.Told {
+			r.Want, r.Keep, r.Spare = c.beat.Want, c.beat.Keep, c.beat.Spare
+			r.Rest, r.Surged = time.Duration(c.beat.RestMS)*time.Millisecond+now.Sub(c.beatAt), c.beat.Surged
 		}
-		v.activity.Note(now, rate, evenCores)
 		pools = append(pools, r)
 	}
-	return pools, v.activity.Calm(now)
+	return pools
 }
 
 // cores returns the mean number of cores of a host, and the number that each pool
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -9,6 +9,7 @@
 	rock "bramleyrock"
 	"bramleyrock/core/cell"
 	"bramleyrock/core/group"
+	"bramleyrock/core/resize"
 	"bramleyrock/core/tenure"
 	"bramleyrock/core/works"
 
@@ -73,6 +74,8 @@
 	heardAt time.Time
 	// spare is the number of the pool's hosts that could leave it now.
 	spare int
+	// activity tells of the pool's surges.
+	activity resize.Activity
 	// retired holds the jobs whose outcomes are stored and whose rows are to be
 	// marked.
 	retired []retiredJob
--- a/io/site/steward.go
+++ b/io/site/steward.go
@@ -11,6 +11,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/cell"
+	"bramleyrock/core/resize"
 )
 
 // tendInterval is the time between looks at the pool's hosts, a fraction of
@@ -36,6 +37,8 @@
 	announced map[string]bool
 	// departures holds the hosts that are about to leave the pool.
 	departures map[string]departure
+	// activity tells of the pool's surges.
+	activity resize.Activity
 	// listedAt is when the hosts were last listed.
 	listedAt time.Time
 	// ending holds the workers whose end was ordered, and their hosts. An order
@@ -51,7 +54,7 @@
 func newSteward(o *owner) *steward {
 	return &steward{
 		owner: o, since: map[string]time.Time{}, claimedAt: map[string]time.Time{},
-		said: map[string]bool{}, announced: map[string]bool{}, ending: map[string]string{}, departures: map[string]departure{}, listedAt: o.site.now(),
+		said: map[string]bool{}, announced: map[string]bool{}, ending: map[string]string{}, departures: map[string]departure{}, activity: o.activity, listedAt: o.site.now(),
 	}
 }
 
--- a/io/site/view.go
+++ b/io/site/view.go
@@ -7,7 +7,6 @@
 	"time"
 
 	rock "bramleyrock"
-	"bramleyrock/core/resize"
 	"bramleyrock/core/tenure"
 	"bramleyrock/core/works"
 )
@@ -32,9 +31,7 @@
 	// renewalsSince is since when the renewals of cells have been heard.
 	renewalsSince time.Time
 	stopping      bool
-	// activity is of use to the owners of cells only.
-	activity  resize.Activity
-	listeners []func()
+	listeners     []func()
 }
 
 // cellView is what the entry knows of a cell.
