Jobs are handed in to another part while theirs is down

Cause: the platform's table may be down in part.

Ruled out: moving the row later. A caller waits for the acknowledgement.

Change: a job's row may be in any of three parts. One that did not answer is tried last for 1.5 s, and no part is waited for longer than 0.7 s. The owner takes two rows of a job for one, remembers ended jobs as long as outcomes are kept (15 s before), also those of former owners, and marks all rows of a job. Readers look in all three parts before they say that there is no such job. Outcomes are swept in larger transactions.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -28,9 +28,8 @@
 	urgent     bool
 	ended      []*job
 	// placed holds the runs whose place is not stored yet.
-	placed []*run
-	// over holds the jobs that have ended and when their end was stored.
-	over    map[string]time.Time
+	placed  []*run
+	over    memory
 	leaving bool
 	// dropped lists workers whose rows are to be deleted.
 	dropped []string
@@ -54,7 +53,6 @@
 		queues:   map[string]works.Queue{},
 		jobs:     map[string]*job{},
 		workers:  map[string]*worker{},
-		over:     map[string]time.Time{},
 		watch:    eject.NewWatch(eject.Settings{}),
 		times:    map[timeKey]*runTime{},
 	}
@@ -119,10 +117,10 @@
 var defaultQueue = works.Queue{Attempts: 2, Stretch: 2, Objective: time.Second}
 
 // AddJob adds an accepted job whose row has that version. A job that is known
-// is ignored, also for a while after it has ended: a listing may be older than
-// the write that ended it.
+// is ignored, also after it has ended: a listing may be older than the write that
+// ended it, and a caller may hand the job in again.
 func (c *Cell) AddJob(now time.Time, j works.Job, version uint64) {
-	if c.jobs[j.ID] != nil || !c.over[j.ID].IsZero() {
+	if c.jobs[j.ID] != nil || c.over.has(j.ID) {
 		return
 	}
 	q, ok := c.queues[j.Queue]
--- a/core/cell/flush.go
+++ b/core/cell/flush.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -119,17 +118,10 @@
 	}
 	for _, j := range b.ended {
 		c.forget(j)
-		c.over[j.ID] = now
-	}
-	if len(b.ended) > 0 {
-		maps.DeleteFunc(c.over, func(_ string, t time.Time) bool { return now.Sub(t) > overMemory })
+		c.Remember(now, j.ID)
 	}
 }
 
-// overMemory is how long an ended job is remembered: several times the longest
-// that a listing can be under way.
-const overMemory = 15 * time.Second
-
 // FlushFailed notes that the batch was not stored, as far as is known.
 func (c *Cell) FlushFailed(now time.Time, b *Batch) {
 	c.flushing = false
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -25,6 +25,8 @@
 	Far float64
 	// Early is how long before its time a task may start.
 	Early time.Duration
+	// Remember is how long jobs that have ended are remembered.
+	Remember time.Duration
 }
 
 const (
--- a/io/site/desk.go
+++ b/io/site/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	rock "bramleyrock"
@@ -94,12 +95,7 @@
 	if err != nil {
 		return rock.Fail("submit", "job "+id, rock.BadInput, rock.NotRun).Because(err)
 	}
-	var t rock.Transaction
-	name := jobTable(cell)
-	part := intakePart(cell, id)
-	t.Require(key(name, part, id+jobSuffix), 0)
-	t.Put(key(name, part, id+jobSuffix), value)
-	version, tries, err := s.store(ctx, begun, part, t)
+	version, tries, err := s.store(ctx, begun, cell, id, value)
 	took := s.now().Sub(begun)
 	s.meters.submitTime.RecordDuration(took)
 	line := s.log.WithFields(logrus.Fields{
@@ -131,24 +127,30 @@
 	return 0
 }
 
-// store makes a write whose conditions hold only once, again and again until
-// its outcome is known or ctx ends. It says that the write was not made only
-// if none of its tries can have been.
-func (s *Site) store(ctx context.Context, begun time.Time, part string, t rock.Transaction) (version uint64, tries int, err error) {
+// store stores a job as it was handed in, again and again until the outcome is
+// known or ctx ends. It says that the job is not stored only if none of its tries
+// can have stored it. Each try takes another part: the owner of the cell takes
+// two rows of a job for one.
+func (s *Site) store(ctx context.Context, begun time.Time, cell, id string, value []byte) (version uint64, tries int, err error) {
 	var open error
-	g := s.gathererOf(part)
+	table := jobTable(cell)
 	for {
+		part := s.suspects.order(s.now(), intakeParts(cell, id))[0]
 		tries++
-		version, err = g.store(ctx, s, t)
+		var t rock.Transaction
+		t.Require(key(table, part, id+jobSuffix), 0)
+		t.Put(key(table, part, id+jobSuffix), value)
+		version, err = s.storeIn(ctx, part, t)
 		if ctx.Err() == nil {
 			s.heard(err)
+			s.suspects.note(s.now(), part, answers(err))
 		}
 		switch {
 		case err == nil || rock.ReasonOf(err) == rock.Conflict:
 			return version, tries, err
 		case rock.VerdictOf(err) != rock.NotRun:
 			open = err
-		case open == nil && s.now().Sub(begun) > submitPatience:
+		case open == nil && s.now().Sub(begun) > submitPatience && tries >= intakeChoices:
 			return 0, tries, err
 		}
 		if pause(ctx, submitRetry) != nil {
@@ -160,6 +162,18 @@
 	}
 }
 
+// storeIn makes the write of a job together with others of its part.
+func (s *Site) storeIn(ctx context.Context, part string, t rock.Transaction) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, intakePatience)
+	defer cancel()
+	return s.gathererOf(part).store(ctx, s, t)
+}
+
+// intakePatience is how long a job waits for one part to store it, of the 3 s that
+// callers wait: in a slow spell a part makes a transaction in 0.2 s, and a job may
+// come behind another batch.
+const intakePatience = 700 * time.Millisecond
+
 // rows are the rows of a job.
 type rows struct {
 	job, progress, outcome *rock.Row
@@ -175,7 +189,7 @@
 	var r rows
 	err := s.readPart(ctx, cell, cell, id, &r)
 	if err == nil && (handed || r.progress == nil && r.outcome == nil) {
-		err = s.readPart(ctx, cell, intakePart(cell, id), id, &r)
+		err = s.readHanded(ctx, cell, id, &r)
 	}
 	if err == nil && r.ended() && r.outcome == nil {
 		err = s.readPart(ctx, cell, cell, id, &r) // it has ended in between
@@ -183,6 +197,25 @@
 	return r, err
 }
 
+// readHanded adds the row of a job as it was handed in. It fails if the row was not
+// found and a part that may hold it cannot be read.
+func (s *Site) readHanded(ctx context.Context, cell, id string, r *rows) error {
+	var failed error
+	for _, part := range s.suspects.order(s.now(), intakeParts(cell, id)) {
+		err := s.readPart(ctx, cell, part, id, r)
+		if ctx.Err() == nil {
+			s.suspects.note(s.now(), part, err == nil)
+		}
+		if r.job != nil {
+			return nil
+		}
+		if err != nil {
+			failed = err
+		}
+	}
+	return failed
+}
+
 // readPart adds the rows of a job that a part holds.
 func (s *Site) readPart(ctx context.Context, cell, part, id string, r *rows) error {
 	// The suffixes sort between a slash and the character after it.
@@ -253,10 +286,9 @@
 			line.Info("Cancellation of an unknown job.")
 			return rock.Fail("cancel", "job "+id, rock.Expired, rock.NotRun)
 		}
-		cell := cellOf(q.Pool)
 		var t rock.Transaction
 		t.Require(r.job.Key(), r.job.Version())
-		t.Put(key(jobTable(cell), intakePart(cell, id), id+cancelSuffix), []byte{1})
+		t.Put(strings.TrimSuffix(r.job.Key(), jobSuffix)+cancelSuffix, []byte{1})
 		_, err = s.settings.Store.Apply(ctx, t)
 		if ctx.Err() == nil {
 			s.heard(err)
--- a/io/site/listing.go
+++ b/io/site/listing.go
@@ -29,7 +29,7 @@
 		return nil
 	}
 	g := group.New(ctx)
-	for i := range intakeParts {
+	for i := range intakeSpread {
 		g.Go("list jobs", func(ctx context.Context) error { return read(ctx, intakeName(cell, i)) })
 	}
 	if err := g.Wait(); err != nil {
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -79,6 +79,9 @@
 	// retired holds the jobs whose outcomes are stored and whose rows are to be
 	// marked.
 	retired []retiredJob
+	// strays holds the parts with rows of live jobs besides those that are tried
+	// first.
+	strays map[string][]string
 }
 
 // run owns the cell until ctx ends or the cell is lost.
@@ -178,13 +181,14 @@
 	s := &o.site.settings
 	c := cell.Settings{
 		Pool: o.pool, Fence: o.fence, Hold: s.Hold, MaxHold: s.MaxHold, Former: former,
-		Stop: s.Stop, Far: s.Far, Early: s.Early,
+		Stop: s.Stop, Far: s.Far, Early: s.Early, Remember: keepFactor * s.Keep,
 	}
 	if !o.first {
 		c.SettledAt = o.site.now().Add(time.Duration(float64(s.Hold)*leaseStretch) + formerSlack)
 	}
 	o.core = cell.New(c)
 	o.core.SetQueues(o.site.view.queues())
+	o.strays = map[string][]string{}
 }
 
 // leaseStretch is how much longer a lease may last by the entry's clock: a
@@ -193,7 +197,9 @@
 
 // takeJobs takes in rows of jobs.
 func (o *owner) takeJobs(now time.Time, rows []rock.Row) {
-	ended := o.ended(rows)
+	for id := range o.ended(rows) {
+		o.core.Remember(now, id)
+	}
 	for _, r := range rows {
 		part, name := splitKey(r.Key())
 		if cellOfPart(part) != o.cell || !r.Exists() {
@@ -205,8 +211,11 @@
 			if hasEnded(r.Value()) {
 				continue
 			}
-			if ended[id] {
-				o.retired = append(o.retired, retiredJob{id: id, cancelled: true})
+			if part != intakeParts(o.cell, id)[0] {
+				o.strays[id] = append(o.strays[id], part)
+			}
+			if o.core.Over(id) {
+				o.retireJob(id, true)
 				continue
 			}
 			j, err := works.DecodeJob(r.Value())
--- a/io/site/retire.go
+++ b/io/site/retire.go
@@ -22,13 +22,27 @@
 	id string
 	// cancelled is true if its caller's wish to end it may be stored.
 	cancelled bool
+	// parts holds the parts with its row.
+	parts []string
+}
+
+// retireJob notes that a job has an outcome, so that its rows are to be marked.
+func (o *owner) retireJob(id string, cancelled bool) {
+	parts := intakeParts(o.cell, id)[:1]
+	for _, p := range o.strays[id] {
+		if p != parts[0] {
+			parts = append(parts, p)
+		}
+	}
+	delete(o.strays, id)
+	o.retired = append(o.retired, retiredJob{id: id, cancelled: cancelled, parts: parts})
 }
 
 // retire notes the jobs of a stored batch that have ended.
 func (o *owner) retire(b *cell.Batch) {
 	for _, w := range b.Writes {
 		if w.Ended {
-			o.retired = append(o.retired, retiredJob{w.ID, w.HadCancel})
+			o.retireJob(w.ID, w.HadCancel)
 		}
 	}
 }
@@ -59,8 +73,9 @@
 func (o *owner) mark(ctx context.Context, jobs []retiredJob) {
 	parts := map[string][]retiredJob{}
 	for _, j := range jobs {
-		part := intakePart(o.cell, j.id)
-		parts[part] = append(parts[part], j)
+		for _, part := range j.parts {
+			parts[part] = append(parts[part], j)
+		}
 	}
 	var failed []retiredJob
 	for part, list := range parts {
@@ -75,7 +90,9 @@
 			}
 			if _, err := o.site.settings.Store.Apply(ctx, t); err != nil {
 				o.log.WithError(err).WithField("part", part).WithField("jobs", n).Info("Ended jobs are not marked yet.")
-				failed = append(failed, list[:n]...)
+				for _, j := range list[:n] {
+					failed = append(failed, retiredJob{id: j.id, cancelled: j.cancelled, parts: []string{part}})
+				}
 			}
 			list = list[n:]
 		}
--- a/io/site/rows.go
+++ b/io/site/rows.go
@@ -34,20 +34,31 @@
 	return fmt.Sprintf("jobs-%d", h.Sum32()%jobTables)
 }
 
-// intakeParts is the number of parts over which the jobs of a cell are spread. In
+// intakeSpread is the number of parts over which the jobs of a cell are spread. In
 // a slow spell of the platform a part makes a few transactions a second, and a
 // surge brings 200 jobs a second to a cell.
-const intakeParts = 32
+const intakeSpread = 32
 
 // intakeMark separates the cell from the number in the name of an intake part. No
 // cell's name holds it, since it is escaped there.
 const intakeMark = "#"
 
-// intakePart returns the part with the row of a job as it was handed in.
-func intakePart(cell, id string) string {
+// intakeChoices is the number of parts in any of which a job may be stored as it
+// was handed in: the platform's table may be down in part.
+const intakeChoices = 3
+
+// intakeParts returns the parts in any of which the row of a job may be, the one
+// that is tried first before the others.
+func intakeParts(cell, id string) []string {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id)) // never fails
-	return intakeName(cell, int(h.Sum32()%intakeParts))
+	n := h.Sum32()
+	first, stride := n%intakeSpread, 1+2*(n/intakeSpread%(intakeSpread/2)) // an odd stride meets no part twice
+	parts := make([]string, 0, intakeChoices)
+	for i := range uint32(intakeChoices) {
+		parts = append(parts, intakeName(cell, int((first+i*stride)%intakeSpread)))
+	}
+	return parts
 }
 
 func intakeName(cell string, number int) string {
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -27,6 +27,7 @@
 	work      *group.Group
 	gatherMu  sync.Mutex
 	gatherers map[string]*gatherer
+	suspects  suspects
 }
 
 // New returns an entry that does nothing yet.
--- /dev/null
+++ b/io/site/suspects.go
@@ -0,0 +1,51 @@
+package site
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// suspectTime is how long a part that did not answer is tried last: outages of
+// parts last for seconds, and a part that is up again is found by then.
+const suspectTime = 1500 * time.Millisecond
+
+// suspects remembers the parts of the table that did not answer lately. The zero
+// value is ready to use, and safe for concurrent use.
+type suspects struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+// note notes whether a part has answered.
+func (s *suspects) note(now time.Time, part string, answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if answered {
+		delete(s.until, part)
+		return
+	}
+	if s.until == nil {
+		s.until = map[string]time.Time{}
+	}
+	s.until[part] = now.Add(suspectTime)
+}
+
+// order returns the parts in the order in which to try them: those that have
+// answered as they are given, and then the others, the longest suspected first.
+func (s *suspects) order(now time.Time, parts []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sorted := slices.Clone(parts)
+	slices.SortStableFunc(sorted, func(a, b string) int {
+		return laterOf(s.until[a], now).Compare(laterOf(s.until[b], now))
+	})
+	return sorted
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/io/site/sweep.go
+++ b/io/site/sweep.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	rock "bramleyrock"
@@ -31,39 +33,55 @@
 			o.log.WithError(err).Info("Outcomes are not swept now.")
 			continue
 		}
-		for part, ids := range o.old(o.site.now(), c.Rows) {
-			if err := o.sweepPart(ctx, part, ids); err != nil {
-				o.log.WithError(err).WithField("part", part).Info("Outcomes are not swept now.")
-			}
+		ids := o.old(o.site.now(), c.Rows)
+		if err := o.sweepJobs(ctx, ids); err != nil {
+			o.log.WithError(err).WithField("jobs", len(ids)).Info("Outcomes are not swept now.")
 		}
 	}
 }
 
-// sweepPart deletes the rows of jobs of one intake part, and then their outcomes: a
-// job without an outcome would be taken for one that has not ended.
-func (o *owner) sweepPart(ctx context.Context, part string, ids []string) error {
-	for len(ids) > 0 {
-		n := min(len(ids), sweepRows)
-		var handed, outcomes rock.Transaction
-		outcomes.Require(key(cellTable, o.cell, ownerName), o.ownerVersion)
-		for _, id := range ids[:n] {
-			handed.Delete(key(o.table, part, id+jobSuffix))
-			outcomes.Delete(key(o.table, o.cell, id+outcomeSuffix))
+// sweepJobs deletes the rows of jobs as they were handed in, and then their
+// outcomes: a job without an outcome would be taken for one that has not ended.
+func (o *owner) sweepJobs(ctx context.Context, ids []string) error {
+	handed := map[string][]string{}
+	var outcomes []string
+	for _, id := range ids {
+		for _, part := range intakeParts(o.cell, id) {
+			handed[part] = append(handed[part], key(o.table, part, id+jobSuffix))
 		}
-		if _, err := o.site.settings.Store.Apply(ctx, handed); err != nil {
-			return err
+		outcomes = append(outcomes, key(o.table, o.cell, id+outcomeSuffix))
+	}
+	for part, keys := range handed {
+		if err := o.deleteRows(ctx, rock.Transaction{}, keys); err != nil {
+			return fmt.Errorf("sweep part %s: %w", part, err)
+		}
+	}
+	var owned rock.Transaction
+	owned.Require(key(cellTable, o.cell, ownerName), o.ownerVersion)
+	if err := o.deleteRows(ctx, owned, outcomes); err != nil {
+		return fmt.Errorf("sweep outcomes: %w", err)
+	}
+	return nil
+}
+
+// deleteRows deletes rows of one part, some in each transaction, under the
+// conditions of a transaction.
+func (o *owner) deleteRows(ctx context.Context, conditions rock.Transaction, keys []string) error {
+	for some := range slices.Chunk(keys, sweepRows) {
+		t := conditions
+		for _, k := range some {
+			t.Delete(k)
 		}
-		if _, err := o.site.settings.Store.Apply(ctx, outcomes); err != nil {
+		if _, err := o.site.settings.Store.Apply(ctx, t); err != nil {
 			return err
 		}
-		ids = ids[n:]
 	}
 	return nil
 }
 
-// old returns the jobs whose outcomes are too old to be kept, by intake part.
-func (o *owner) old(now time.Time, rows []rock.Row) map[string][]string {
-	jobs := map[string][]string{}
+// old returns the jobs whose outcomes are too old to be kept.
+func (o *owner) old(now time.Time, rows []rock.Row) []string {
+	var jobs []string
 	for i := range rows {
 		_, name := splitKey(rows[i].Key())
 		id, suffix := splitJobName(name)
@@ -76,8 +94,7 @@
 			continue
 		}
 		if now.Sub(outcome.At) > keepFactor*o.site.settings.Keep {
-			part := intakePart(o.cell, id)
-			jobs[part] = append(jobs[part], id)
+			jobs = append(jobs, id)
 		}
 	}
 	return jobs
