Ownership of a cell is proved by any of three homes

Cause: the ownership of a cell was two rows in one part of the table.

Weighed: a majority of parts (with a third of the parts down, two of three are up in 74 of 100 cases, and no owner is possible in the others); any of several, with a challenger that needs all (96 of 100, but no takeover while one is down); the same with a record of the homes that count, from which a home that does not answer is left out. The last is built: decisions only, in core/tenure, not used yet.

--- a/core/tenure/doc.go
+++ b/core/tenure/doc.go
@@ -7,11 +7,29 @@
 // its last successful renewal. Clocks are compared with themselves only, and
 // must count the time for which a process is suspended.
 //
+// A cell has several homes, which are parts of the table that fail on their own.
+// Each has an owner's row and a renewal. A renewal in any home that counts proves
+// ownership, and a challenger needs all of them. The newest [Record] tells which
+// count: a home that does not answer is left out, and joins again later.
+//
 // # Usage
 //
-//	var t tenure.Tenure
-//	t.Saw(now, owner, ownerVersion, beatVersion)
-//	if t.Next(now, me, answeredSince, delay) == tenure.Take {
-//		// Take the cell on condition of both versions.
+// A challenger:
+//
+//	var c tenure.Claim
+//	c.SawOwner(now, home, owner, ownerVersion)
+//	c.SawBeat(now, home, record, beatVersion)
+//	if c.Next(now, me, answeredSince, delay) == tenure.Take {
+//		// Take all homes of c.Record(), each on condition of both versions.
+//	}
+//
+// An owner:
+//
+//	l := tenure.NewLease(record, taken)
+//	for _, home := range l.Due(now, urgent) {
+//		record := l.Sent(now, home)
+//		// Write it on condition of l.Versions(home), then call l.Stored, or l.Found
+//		// with what the home's rows tell.
 //	}
+//	mayAct := now.Before(l.ActUntil())
 package tenure
--- a/core/tenure/tenure.go
+++ b/core/tenure/tenure.go
@@ -33,7 +33,7 @@
 	Session string `cbor:"2,keyasint"`
 }
 
-// Tenure is what a challenger knows of a cell's ownership.
+// Tenure is what a challenger knows of the ownership of one home of a cell.
 type Tenure struct {
 	owner        Owner
 	ownerVersion uint64
@@ -77,7 +77,13 @@
 		if idle >= delay {
 			return Take
 		}
-	case t.owner.Name == me.Name && t.owner.Session != me.Session:
+	case t.owner == me:
+		// This entry took it and does not own the cell: it did not get all homes, or
+		// has given the cell up.
+		if idle >= delay {
+			return Take
+		}
+	case t.owner.Name == me.Name:
 		return Take // the former life of this process is over
 	case idle >= TakeAfter+delay && now.Sub(answeredSince) >= TakeAfter/2:
 		return Take
