--- a/core/resize/activity.go
+++ b/core/resize/activity.go
@@ -9,7 +9,7 @@
 	surgeShare = 0.3
 	// calmTime is how long no pool may have surged for the site to be calm. The
 	// surges of a site last up to 10 s and follow each other without pause.
-	calmTime = 10 * time.Second
+	calmTime = 15 * time.Second
 )
 
 // Activity remembers when a pool last had a surge. The zero value is ready to
--- a/io/site/move.go
+++ b/io/site/move.go
@@ -120,6 +120,16 @@
 	if err != nil {
 		return err
 	}
+	if len(ready) == 0 {
+		return nil
+	}
+	var names []string
+	for _, h := range ready {
+		names = append(names, h.Name)
+	}
+	if err := u.announceOrders(ctx, s, names); err != nil {
+		return err
+	}
 	for len(ready) > 0 {
 		if !u.owner.site.now().Before(s.until) {
 			return errNotProved // the process was frozen, or the moves take long
--- /dev/null
+++ b/io/site/ordered.go
@@ -0,0 +1,127 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/group"
+	"bramleyrock/core/tenure"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// orderedRow is the row that names the hosts for which an owner may give orders.
+// It is stored before the orders are sent, so that a new owner of any cell knows
+// which hosts another holder may just have ordered.
+type orderedRow struct {
+	// UntilMS tells until when a host may be ordered, in milliseconds of the
+	// table's clock.
+	UntilMS map[string]int64 `cbor:"1,keyasint"`
+}
+
+// settledAfter is how long after the last possible order of another holder a host may
+// be ordered.
+func (u *steward) settledAfter() time.Duration {
+	return u.owner.site.settings.HolderGap + holderMargin
+}
+
+// announceOrders stores that hosts may be ordered as long as the situation holds.
+func (u *steward) announceOrders(ctx context.Context, s situation, hosts []string) error {
+	o := u.owner
+	now := o.site.now()
+	maps.DeleteFunc(u.ordered, func(_ string, until time.Time) bool { return now.Sub(until) > u.settledAfter() })
+	for _, h := range hosts {
+		u.ordered[h] = s.until
+	}
+	row := orderedRow{UntilMS: map[string]int64{}}
+	for h, until := range u.ordered {
+		row.UntilMS[h] = o.tableTime(until)
+	}
+	value, err := encode(row)
+	if err != nil {
+		return err
+	}
+	part := homePart(o.cell, s.home)
+	var t rock.Transaction
+	t.Require(key(cellTable, part, ownerName), s.ownerVersion)
+	t.Put(key(orderTable, part, orderName), value)
+	if _, err := o.site.settings.Store.Apply(ctx, t); err != nil {
+		return fmt.Errorf("announce orders for %d hosts: %w", len(hosts), err)
+	}
+	return nil
+}
+
+// settle finds out which of the hosts in the first listing of this owner no other
+// holder can have ordered lately. If it cannot, they are settled after a while.
+func (u *steward) settle(ctx context.Context, hosts []rock.FleetHost) {
+	o := u.owner
+	now := o.site.now()
+	if u.settled || now.Sub(u.firstAt) > u.settledAfter() {
+		return
+	}
+	until, err := u.readOrdered(ctx)
+	if err != nil {
+		o.log.WithError(err).Info("Recent orders for hosts are not known yet.")
+		return
+	}
+	u.settled = true
+	u.ordered = until // a later owner must know them too
+	n := 0
+	for _, h := range hosts {
+		if h.Pool != o.pool || !u.since[h.Name].Equal(u.firstAt) {
+			continue // it has come since
+		}
+		n++
+		u.since[h.Name] = until[h.Name] // the zero time if nobody may have ordered it
+		if until[h.Name].IsZero() {
+			u.since[h.Name] = now.Add(-2 * u.settledAfter())
+		}
+	}
+	o.log.WithField("hosts", n).WithField("ordered", len(until)).Info("Recent orders for hosts are known.")
+}
+
+// readOrdered reads until when the owners of all cells may order which hosts. It
+// fails if a home of a cell cannot be read.
+func (u *steward) readOrdered(ctx context.Context) (map[string]time.Time, error) {
+	o := u.owner
+	var rows []rock.Row
+	results := make(chan []rock.Row, tenure.Homes*len(o.site.view.cellNames()))
+	g := group.New(ctx)
+	for _, cell := range o.site.view.cellNames() {
+		for home := range tenure.Homes {
+			g.Go("read orders", func(ctx context.Context) error {
+				c, err := o.site.settings.Store.List(ctx, orderTable, homePart(cell, home), orderName, orderName+"\x00")
+				if err != nil {
+					return err
+				}
+				results <- c.Rows
+				return nil
+			})
+		}
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	close(results)
+	for r := range results {
+		rows = append(rows, r...)
+	}
+	until := map[string]time.Time{}
+	for _, r := range rows {
+		var row orderedRow
+		if err := cbor.Unmarshal(r.Value(), &row); err != nil {
+			return nil, fmt.Errorf("decode orders for hosts: %w", err)
+		}
+		for host, ms := range row.UntilMS {
+			if t := o.ownTime(ms); t.After(until[host]) {
+				until[host] = t
+			}
+		}
+	}
+	now := o.site.now()
+	maps.DeleteFunc(until, func(_ string, t time.Time) bool { return now.Sub(t) > u.settledAfter() })
+	return until, nil
+}
--- a/io/site/rows.go
+++ b/io/site/rows.go
@@ -15,6 +15,10 @@
 	cellTable = "cells"
 	ownerName = "owner"
 	beatName  = "beat"
+	// orderTable holds, for each home, the row orderName with the hosts that may be
+	// ordered.
+	orderTable = "orders"
+	orderName  = "hosts"
 	// workerPrefix begins the rows of workers that a cell orders.
 	workerPrefix = "w/"
 	// jobTables is the number of tables of jobs; the platform keeps 100
--- a/io/site/steward.go
+++ b/io/site/steward.go
@@ -29,6 +29,12 @@
 	// since is when a host was first seen in the pool by this owner. Orders
 	// for it keep a distance from those of a former holder.
 	since map[string]time.Time
+	// firstAt is when this owner first listed the hosts; settled is true once the
+	// orders of former holders are known.
+	firstAt time.Time
+	settled bool
+	// ordered holds the hosts that may be ordered, and until when.
+	ordered map[string]time.Time
 	// claimedAt is when this owner first saw a claim of a wave.
 	claimedAt map[string]time.Time
 	// said holds the waves whose state is written.
@@ -53,7 +59,7 @@
 // newSteward returns the steward of the owner's hosts.
 func newSteward(o *owner) *steward {
 	return &steward{
-		owner: o, since: map[string]time.Time{}, claimedAt: map[string]time.Time{},
+		owner: o, since: map[string]time.Time{}, ordered: map[string]time.Time{}, claimedAt: map[string]time.Time{},
 		said: map[string]bool{}, announced: map[string]bool{}, ending: map[string]string{}, departures: map[string]departure{}, activity: o.activity, listedAt: o.site.now(),
 	}
 }
@@ -83,6 +89,7 @@
 	}
 	u.note(hosts)
 	u.listedAt = u.owner.site.now()
+	u.settle(ctx, hosts)
 	u.bury(ctx, hosts)
 	waves, seen := u.owner.site.view.listWaves()
 	closing, claimed := map[string]bool{}, map[string]bool{}
@@ -107,6 +114,9 @@
 // note remembers since when each host has been in the pool.
 func (u *steward) note(hosts []rock.FleetHost) {
 	now := u.owner.site.now()
+	if u.firstAt.IsZero() {
+		u.firstAt = now
+	}
 	here := map[string]bool{}
 	for _, h := range hosts {
 		if h.Pool == u.owner.pool {
@@ -123,7 +133,7 @@
 // coming too close after another holder.
 func (u *steward) mayOrder(host string) bool {
 	t := u.since[host]
-	return !t.IsZero() && u.owner.site.now().Sub(t) > u.owner.site.settings.HolderGap+holderMargin
+	return !t.IsZero() && u.owner.site.now().Sub(t) > u.settledAfter()
 }
 
 // holderMargin is added to the distance between two holders' orders: a
@@ -167,8 +177,11 @@
 	// until is the time until which orders may be given with the token.
 	until time.Time
 	token uint64
-	load  cell.Load
-	hosts map[string]cell.Occupancy
+	// home is the cell's main home, and ownerVersion that of its owner's row.
+	home         int
+	ownerVersion uint64
+	load         cell.Load
+	hosts        map[string]cell.Occupancy
 }
 
 // ask asks the owner's loop for the situation.
@@ -177,7 +190,9 @@
 	o := u.owner
 	o.post(ctx, func(now time.Time) {
 		until := o.lease.ActUntil()
-		s := situation{mayAct: now.Before(until), until: until, token: o.lease.Token(), load: o.core.Load(now), hosts: map[string]cell.Occupancy{}}
+		home := o.lease.Main()
+		ownerVersion, _ := o.lease.Versions(home)
+		s := situation{mayAct: now.Before(until), until: until, token: o.lease.Token(), home: home, ownerVersion: ownerVersion, load: o.core.Load(now), hosts: map[string]cell.Occupancy{}}
 		for _, id := range workers {
 			s.hosts[id] = o.core.Occupancy(now, id)
 		}
--- a/io/site/steward_test.go
+++ b/io/site/steward_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,8 +14,11 @@
 	"bramleyrock/core/group"
 	"bramleyrock/core/maint"
 	"bramleyrock/core/tenure"
+	"bramleyrock/core/works"
 	"bramleyrock/io/logs"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 )
 
@@ -19,18 +26,67 @@
 type orderedHosts struct {
 	rock.HostDuties
 	orders int
+	// announced is what was announced when the first order came.
+	announced []string
+	store     *orderStore
+	t         *testing.T
+}
+
+// orderStore holds the rows that announce orders for hosts, by part.
+type orderStore struct {
+	rock.Store
+	mu   sync.Mutex
+	rows map[string][]byte
+	fail error
+}
+
+func (s *orderStore) Apply(_ context.Context, t rock.Transaction) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	part, _ := splitKey(t.Writes()[0].Key())
+	s.rows[part] = t.Writes()[0].Value()
+	return 1, s.fail
+}
+
+func (s *orderStore) List(_ context.Context, _, part, _, _ string) (rock.Changes, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var c rock.Changes
+	if v, ok := s.rows[part]; ok {
+		c.Rows = append(c.Rows, rock.NewRow(key(orderTable, part, orderName), 1, v))
+	}
+	return c, s.fail
+}
+
+// announced returns the hosts of which orders are announced, in order.
+func (s *orderStore) announced(t *testing.T) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for _, v := range s.rows {
+		var row orderedRow
+		assert.NilError(t, cbor.Unmarshal(v, &row))
+		names = slices.AppendSeq(names, maps.Keys(row.UntilMS))
+	}
+	return slices.Sorted(slices.Values(names))
 }
 
 func (h *orderedHosts) Move(context.Context, rock.Holder, string, string) (rock.Reply, error) {
-	h.orders++
+	h.order()
 	return rock.Reply{}, nil
 }
 
 func (h *orderedHosts) Maintain(context.Context, rock.Holder, string, int64) (rock.Reply, error) {
-	h.orders++
+	h.order()
 	return rock.Reply{}, nil
 }
 
+// order counts an order and keeps what was announced before it.
+func (h *orderedHosts) order() {
+	h.orders++
+	h.announced = h.store.announced(h.t)
+}
+
 // TestHostOrdersNeedOwnership lets time pass between the decision of an order for
 // a host and its sending, as a freeze of the process does. The next owner may
 // order the host with a higher token by then.
@@ -62,8 +118,8 @@
 			t.Run(kind+", "+name, func(t *testing.T) {
 				t.Parallel()
 				clock := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
-				hosts := &orderedHosts{}
-				s := &Site{settings: Settings{Clock: func() time.Time { return clock }, Hosts: hosts}}
+				hosts := &orderedHosts{t: t, store: &orderStore{rows: map[string][]byte{}}}
+				s := &Site{settings: Settings{Clock: func() time.Time { return clock }, Hosts: hosts, Store: hosts.store}}
 				o := &owner{
 					site: s, pool: "a", events: make(chan func(time.Time)), log: logs.Discard().WithField("cell", "a"),
 					core:  cell.New(cell.Settings{Pool: "a"}),
@@ -86,11 +142,61 @@
 				g.Stop()
 				assert.NilError(t, g.Wait())
 				assert.Equal(t, hosts.orders, f.want)
+				if f.want > 0 {
+					assert.DeepEqual(t, hosts.announced, []string{"h1"})
+				}
 			})
 		}
 	}
 }
 
+// TestOrdersOfFormerHoldersAreKnown takes a cell over. Hosts which nobody can have
+// ordered lately may be ordered at once, others after the distance between holders.
+func TestOrdersOfFormerHoldersAreKnown(t *testing.T) {
+	t.Parallel()
+	start := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	const gap = 3 * time.Second
+	cases := map[string]struct {
+		ordered map[string]int64 // by the owner of another cell, in ms of the table's clock
+		fail    error
+		// after is when h1 may be ordered, within 100 ms.
+		after time.Duration
+	}{
+		"nobody has ordered it":      {nil, nil, 0},
+		"another host was ordered":   {map[string]int64{"h2": 999_900}, nil, 0},
+		"it was ordered just before": {map[string]int64{"h1": 999_000}, nil, 2300 * time.Millisecond},
+		"it may be ordered still":    {map[string]int64{"h1": 1_001_500}, nil, 4800 * time.Millisecond},
+		"it was ordered long ago":    {map[string]int64{"h1": 990_000}, nil, 0},
+		"rows cannot be read":        {nil, errors.New("the part is down"), 3300 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			clock := start
+			store := &orderStore{rows: map[string][]byte{}, fail: c.fail}
+			value, err := encode(orderedRow{UntilMS: c.ordered})
+			assert.NilError(t, err)
+			store.rows["b#home1"] = value
+			s := New(Settings{Clock: func() time.Time { return clock }, HolderGap: gap, Store: store, Log: logs.Discard(), Scope: tally.NoopScope})
+			s.view.setConfig(works.Config{Pools: []works.Pool{{Name: "a"}, {Name: "b"}}}, 1)
+			zero := start.Add(-1000 * time.Second) // of the table's clock
+			u := newSteward(&owner{site: s, pool: "a", log: s.log, early: zero, late: zero})
+			hosts := []rock.FleetHost{{Name: "h1", Pool: "a", Phase: rock.HostUp}}
+			for clock = start; !u.mayOrder("h1") && clock.Sub(start) < time.Minute; clock = clock.Add(50 * time.Millisecond) {
+				u.note(hosts)
+				u.settle(t.Context(), hosts)
+			}
+			assert.Assert(t, clock.Sub(start) >= c.after, "ordered after %v", clock.Sub(start))
+			assert.Assert(t, clock.Sub(start) <= c.after+100*time.Millisecond, "ordered after %v", clock.Sub(start))
+
+			hosts = append(hosts, rock.FleetHost{Name: "h3", Pool: "a", Phase: rock.HostUp}) // has moved in since
+			u.note(hosts)
+			u.settle(t.Context(), hosts)
+			assert.Assert(t, !u.mayOrder("h3"))
+		})
+	}
+}
+
 // TestHostsOfAFirstOwnerAreSettledFirst lists the pool's hosts for the first time. The
 // owner of another pool may have moved one of them in just before, so that none may
 // be ordered yet, even if the cell had no other owner.
--- a/io/site/upkeep.go
+++ b/io/site/upkeep.go
@@ -159,6 +159,9 @@
 		if !u.empty(name, s.hosts[h.Worker]) || !u.mayOrder(name) {
 			continue
 		}
+		if err := u.announceOrders(ctx, s, []string{name}); err != nil {
+			return ordered, err
+		}
 		if !o.site.now().Before(s.until) {
 			return ordered, errNotProved
 		}
