--- a/core/tenure/lease.go
+++ b/core/tenure/lease.go
@@ -8,7 +8,7 @@
 const (
 	// SpareInterval is the time between renewals of a home other than the main
 	// one. Two are made while ownership that was proved there last holds.
-	SpareInterval = 800 * time.Millisecond
+	SpareInterval = 600 * time.Millisecond
 	// switchAfter is how long the main home may leave a write open before
 	// another takes its place: an answer takes up to 0.6 s in a slow spell.
 	switchAfter = 900 * time.Millisecond
--- a/core/tenure/model_test.go
+++ b/core/tenure/model_test.go
@@ -322,11 +322,7 @@
 // cut and replaced entries. Never do two entries own the cell, fences grow, and the
 // cell has an owner again once the faults are over.
 func TestOneOwner(t *testing.T) {
-	seeds := uint64(400)
-	if testing.Short() {
-		seeds = 50
-	}
-	for seed := range seeds {
+	for seed := range uint64(modelSeeds) {
 		m := newModel(t, seed, chaos)
 		m.play(60 * time.Second)
 		m.faults = func(*model) {}
--- a/core/tenure/tenure.go
+++ b/core/tenure/tenure.go
@@ -4,14 +4,14 @@
 
 const (
 	// ActFor is how long an owner may act after it sent its last successful
-	// renewal: four renewals, and the 0.6 s that one takes in a slow spell of
-	// the platform.
-	ActFor = 2000 * time.Millisecond
+	// renewal: four renewals, or two and the 0.6 s that one takes in a slow spell
+	// of the platform.
+	ActFor = 1500 * time.Millisecond
 	// TakeAfter is how long a challenger must see no renewal: ActFor, and a
 	// tenth more for clocks that differ.
-	TakeAfter = 2300 * time.Millisecond
+	TakeAfter = 1750 * time.Millisecond
 	// BeatInterval is the time between renewals of an idle owner.
-	BeatInterval = 400 * time.Millisecond
+	BeatInterval = 300 * time.Millisecond
 )
 
 // Action is what an entry should do about a cell.
--- a/io/site/commit.go
+++ b/io/site/commit.go
@@ -101,6 +101,9 @@
 		return t, err
 	}
 	t.Put(key(cellTable, part, beatName), value)
+	if o.copying && home == o.lease.Main() && o.ordered != nil {
+		t.Put(key(orderTable, part, orderName), o.ordered)
+	}
 	for _, id := range outcomes {
 		value, err := works.EncodeOutcome(o.outcomes[id])
 		if err != nil {
--- a/io/site/keep.go
+++ b/io/site/keep.go
@@ -110,13 +110,9 @@
 		}
 	})
 	log := s.log.WithFields(logrus.Fields{"cell": cell, "former": before.Name, "former_version": former, "homes": fmt.Sprint(record.Homes)})
-	var taken []tenure.Taken
-	for _, home := range record.Homes {
-		t, ok := s.takeHome(ctx, log, cell, home, record)
-		if !ok {
-			return
-		}
-		taken = append(taken, t)
+	taken, ok := s.takeHomes(ctx, log, cell, record)
+	if !ok {
+		return
 	}
 	s.meters.taken.Inc(1)
 	s.view.setOwned(cell, true)
@@ -134,6 +130,36 @@
 	})
 }
 
+// takeHomes takes all homes of a cell that count: one first, so that of several
+// challengers only one goes on, and then the others at the same time.
+func (s *Site) takeHomes(ctx context.Context, log *logrus.Entry, cell string, record tenure.Record) ([]tenure.Taken, bool) {
+	first, ok := s.takeHome(ctx, log, cell, record.Homes[0], record)
+	if !ok {
+		return nil, false
+	}
+	others := record.Homes[1:]
+	results := make(chan tenure.Taken, len(others))
+	g := group.New(ctx)
+	for _, home := range others {
+		g.Go("take home", func(ctx context.Context) error {
+			if t, ok := s.takeHome(ctx, log, cell, home, record); ok {
+				results <- t
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		log.WithError(err).Info("Cell was not taken.")
+		return nil, false
+	}
+	close(results)
+	taken := []tenure.Taken{first}
+	for t := range results {
+		taken = append(taken, t)
+	}
+	return taken, len(taken) == len(record.Homes)
+}
+
 // takeTries bounds the tries to take one home: the answer may be lost.
 const takeTries = 3
 
--- a/io/site/ordered.go
+++ b/io/site/ordered.go
@@ -48,12 +48,28 @@
 	var t rock.Transaction
 	t.Require(key(cellTable, part, ownerName), s.ownerVersion)
 	t.Put(key(orderTable, part, orderName), value)
+	o.post(ctx, func(time.Time) { o.ordered = value }) // written again if another home becomes the main one
 	if _, err := o.site.settings.Store.Apply(ctx, t); err != nil {
 		return fmt.Errorf("announce orders for %d hosts: %w", len(hosts), err)
 	}
+	if home, err := u.mainHome(ctx); err != nil || home != s.home {
+		return errNotProved // the row may be in a home that is left out
+	}
 	return nil
 }
 
+// mainHome returns the cell's main home.
+func (u *steward) mainHome(ctx context.Context) (int, error) {
+	answers := make(chan int, 1)
+	u.owner.post(ctx, func(time.Time) { answers <- u.owner.lease.Main() })
+	select {
+	case home := <-answers:
+		return home, nil
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
 // settle finds out which of the hosts in the first listing of this owner no other
 // holder can have ordered lately. If it cannot, they are settled after a while.
 func (u *steward) settle(ctx context.Context, hosts []rock.FleetHost) {
@@ -83,15 +99,17 @@
 	o.log.WithField("hosts", n).WithField("ordered", len(until)).Info("Recent orders for hosts are known.")
 }
 
-// readOrdered reads until when the owners of all cells may order which hosts. It
-// fails if a home of a cell cannot be read.
+// readOrdered reads until when the owners of all cells may order which hosts, in the
+// homes that count. It fails if one of them cannot be read.
 func (u *steward) readOrdered(ctx context.Context) (map[string]time.Time, error) {
 	o := u.owner
 	var rows []rock.Row
 	results := make(chan []rock.Row, tenure.Homes*len(o.site.view.cellNames()))
 	g := group.New(ctx)
 	for _, cell := range o.site.view.cellNames() {
-		for home := range tenure.Homes {
+		var homes []int
+		o.site.view.withCell(cell, func(c *cellView) { homes = c.claim.Record().Homes })
+		for _, home := range homes {
 			g.Go("read orders", func(ctx context.Context) error {
 				c, err := o.site.settings.Store.List(ctx, orderTable, homePart(cell, home), orderName, orderName+"\x00")
 				if err != nil {
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -87,6 +87,8 @@
 	// copies the jobs whose outcomes are to be written to another home.
 	outcomes map[string]works.Outcome
 	copies   []string
+	// ordered is the row with the hosts that may be ordered.
+	ordered []byte
 	// spread is true if homes besides the main one hold state.
 	spread bool
 	// copying is true while not all state is written to the main home.
--- a/io/site/steward_test.go
+++ b/io/site/steward_test.go
@@ -129,14 +129,18 @@
 				u.since["h1"] = clock.Add(-time.Minute)
 				g := group.New(t.Context())
 				g.Go("events", func(ctx context.Context) error {
-					select {
-					case event := <-o.events:
-						now := clock
-						clock = clock.Add(f.time)
-						event(now)
-					case <-ctx.Done():
+					for first := true; ; first = false {
+						select {
+						case event := <-o.events:
+							now := clock
+							if first {
+								clock = clock.Add(f.time)
+							}
+							event(now)
+						case <-ctx.Done():
+							return nil
+						}
 					}
-					return nil
 				})
 				_ = order(t.Context(), u) // an order that is not sent may be an error
 				g.Stop()
