Maintenance orders are announced together and given some at a time

Ruled out: that the surge was not seen (the pool wanted 168 to 445 hosts and had 44).

Change: one announcement for all hosts that are ready, four orders at a time as for moves, and moves before maintenance.

--- a/io/site/move.go
+++ b/io/site/move.go
@@ -134,7 +134,7 @@
 		if !u.owner.site.now().Before(s.until) {
 			return errNotProved // the process was frozen, or the moves take long
 		}
-		n := min(len(ready), movesAtOnce)
+		n := min(len(ready), ordersAtOnce)
 		g := group.New(ctx)
 		for _, h := range ready[:n] {
 			to := u.departures[h.Name].to
@@ -150,9 +150,9 @@
 	return nil
 }
 
-// movesAtOnce is the number of orders that are under way at a time: one takes
+// ordersAtOnce is the number of orders that are under way at a time: one takes
 // 14 ms, and the platform takes 64 a second from all entries.
-const movesAtOnce = 4
+const ordersAtOnce = 4
 
 // emptied returns the departing hosts that nothing runs on, and the situation in
 // which they are.
--- a/io/site/steward.go
+++ b/io/site/steward.go
@@ -108,7 +108,8 @@
 		return err
 	}
 	u.close(ctx, closing)
-	return errors.Join(failed, u.orders(ctx), u.depart(ctx, mine))
+	// A surge waits for hosts that move, a wave has more time.
+	return errors.Join(failed, u.depart(ctx, mine), u.orders(ctx))
 }
 
 // note remembers since when each host has been in the pool.
--- a/io/site/upkeep.go
+++ b/io/site/upkeep.go
@@ -9,6 +9,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/cell"
+	"bramleyrock/core/group"
 	"bramleyrock/core/maint"
 )
 
@@ -142,44 +143,74 @@
 	return len(picked) > 0, nil
 }
 
-// order takes down the cell's claimed hosts that are empty, and returns those
-// whose order was taken with the workers that they had.
+// order takes down the cell's claimed hosts that are empty, some at a time, and
+// returns those whose order was taken with the workers that they had.
 func (u *steward) order(ctx context.Context, w rock.Upkeep, state maint.State, hosts map[string]rock.FleetHost) (map[string]string, error) {
-	o := u.owner
-	ordered := map[string]string{}
+	var ids []string
+	for name, c := range state.Claims {
+		if !c.Ordered && hosts[name].Pool == u.owner.pool {
+			ids = append(ids, hosts[name].Worker)
+		}
+	}
+	if len(ids) == 0 {
+		return nil, nil
+	}
+	s, err := u.ask(ctx, ids)
+	if err != nil {
+		return nil, err
+	}
+	var ready []string
 	for _, name := range slices.Sorted(maps.Keys(state.Claims)) {
 		c, h := state.Claims[name], hosts[name]
-		if c.Ordered || h.Pool != o.pool {
-			continue
+		if !c.Ordered && h.Pool == u.owner.pool && u.empty(name, s.hosts[h.Worker]) && u.mayOrder(name) {
+			ready = append(ready, name)
 		}
-		s, err := u.ask(ctx, []string{h.Worker})
-		if err != nil {
-			return ordered, err
-		}
-		if !u.empty(name, s.hosts[h.Worker]) || !u.mayOrder(name) {
-			continue
-		}
-		if err := u.announceOrders(ctx, s, []string{name}); err != nil {
-			return ordered, err
+	}
+	if len(ready) == 0 {
+		return nil, nil
+	}
+	if err := u.announceOrders(ctx, s, ready); err != nil {
+		return nil, err
+	}
+	ordered := map[string]string{}
+	for some := range slices.Chunk(ready, ordersAtOnce) {
+		if !u.owner.site.now().Before(s.until) {
+			return ordered, errNotProved // the process was frozen, or the orders take long
 		}
-		if !o.site.now().Before(s.until) {
-			return ordered, errNotProved
+		g := group.New(ctx)
+		for _, name := range some {
+			g.Go("maintain host", func(ctx context.Context) error {
+				taken, err := u.orderUpkeep(ctx, w, name, s)
+				if taken {
+					u.endingMu.Lock()
+					defer u.endingMu.Unlock()
+					u.ending[hosts[name].Worker] = name
+					ordered[name] = hosts[name].Worker
+				}
+				return err
+			})
 		}
-		p, err := o.site.settings.Hosts.Maintain(ctx, rock.Holder{Name: o.site.settings.Holder, Token: s.token}, name, w.Number)
-		line := o.log.WithField("host", name).WithField("wave", w.Number).WithField("token", s.token).WithField("runs", s.hosts[h.Worker].Runs)
-		if err != nil {
-			line.WithError(err).Warn("Maintenance order is open.")
+		if err := g.Wait(); err != nil {
 			return ordered, err
 		}
-		line.WithField("refusal", p.Refusal).Info("Maintenance order.")
-		if p.Refusal == rock.Taken {
-			u.ending[h.Worker] = name
-			ordered[name] = h.Worker
-		}
 	}
 	return ordered, nil
 }
 
+// orderUpkeep orders the maintenance of one host, and reports whether the order was
+// taken.
+func (u *steward) orderUpkeep(ctx context.Context, w rock.Upkeep, name string, s situation) (bool, error) {
+	settings := &u.owner.site.settings
+	p, err := settings.Hosts.Maintain(ctx, rock.Holder{Name: settings.Holder, Token: s.token}, name, w.Number)
+	line := u.owner.log.WithField("host", name).WithField("wave", w.Number).WithField("token", s.token)
+	if err != nil {
+		line.WithError(err).Warn("Maintenance order is open.")
+		return false, err
+	}
+	line.WithField("refusal", p.Refusal).Info("Maintenance order.")
+	return p.Refusal == rock.Taken, nil
+}
+
 // recordTries bounds the writes of a wave's state: the owners of the other
 // pools write it too.
 const recordTries = 8
