--- a/io/site/ordered.go
+++ b/io/site/ordered.go
@@ -99,24 +99,44 @@
 	o.log.WithField("hosts", n).WithField("ordered", len(until)).Info("Recent orders for hosts are known.")
 }
 
-// readOrdered reads until when the owners of all cells may order which hosts, in the
-// homes that count. It fails if one of them cannot be read.
+// readOrdered reads until when the owners of all cells may order which hosts. It
+// leaves out what is long over.
 func (u *steward) readOrdered(ctx context.Context) (map[string]time.Time, error) {
 	o := u.owner
-	var rows []rock.Row
-	results := make(chan []rock.Row, tenure.Homes*len(o.site.view.cellNames()))
+	rows, err := o.site.listOrdered(ctx)
+	if err != nil {
+		return nil, err
+	}
+	now := o.site.now()
+	until := map[string]time.Time{}
+	for _, r := range rows {
+		var row orderedRow
+		if err := cbor.Unmarshal(r.Value(), &row); err != nil {
+			return nil, fmt.Errorf("decode orders for hosts: %w", err)
+		}
+		for host, ms := range row.UntilMS {
+			if t := o.ownTime(ms); t.After(until[host]) && now.Sub(t) <= u.settledAfter() {
+				until[host] = t
+			}
+		}
+	}
+	return until, nil
+}
+
+// listOrdered reads the rows that announce orders for hosts in all homes of all cells
+// that count. It fails if one of them cannot be read.
+func (s *Site) listOrdered(ctx context.Context) ([]rock.Row, error) {
+	cells := s.view.cellNames()
+	results := make(chan []rock.Row, tenure.Homes*len(cells))
 	g := group.New(ctx)
-	for _, cell := range o.site.view.cellNames() {
+	for _, cell := range cells {
 		var homes []int
-		o.site.view.withCell(cell, func(c *cellView) { homes = c.claim.Record().Homes })
+		s.view.withCell(cell, func(c *cellView) { homes = c.claim.Record().Homes })
 		for _, home := range homes {
 			g.Go("read orders", func(ctx context.Context) error {
-				c, err := o.site.settings.Store.List(ctx, orderTable, homePart(cell, home), orderName, orderName+"\x00")
-				if err != nil {
-					return err
-				}
+				c, err := s.settings.Store.List(ctx, orderTable, homePart(cell, home), orderName, orderName+"\x00")
 				results <- c.Rows
-				return nil
+				return err
 			})
 		}
 	}
@@ -124,22 +144,9 @@
 		return nil, err
 	}
 	close(results)
+	var rows []rock.Row
 	for r := range results {
 		rows = append(rows, r...)
 	}
-	until := map[string]time.Time{}
-	for _, r := range rows {
-		var row orderedRow
-		if err := cbor.Unmarshal(r.Value(), &row); err != nil {
-			return nil, fmt.Errorf("decode orders for hosts: %w", err)
-		}
-		for host, ms := range row.UntilMS {
-			if t := o.ownTime(ms); t.After(until[host]) {
-				until[host] = t
-			}
-		}
-	}
-	now := o.site.now()
-	maps.DeleteFunc(until, func(_ string, t time.Time) bool { return now.Sub(t) > u.settledAfter() })
-	return until, nil
+	return rows, nil
 }
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"time"
 
@@ -13,7 +12,6 @@
 	"bramleyrock/core/tenure"
 	"bramleyrock/core/works"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 )
 
@@ -31,10 +29,6 @@
 	// holdRetry is the time before a worker that did not answer is asked
 	// again.
 	holdRetry = 150 * time.Millisecond
-	// loadRetry is the time before a failed reading of a cell is repeated.
-	loadRetry = 50 * time.Millisecond
-	// releaseTimeout bounds the writes with which a cell is given up.
-	releaseTimeout = 1500 * time.Millisecond
 )
 
 // owner owns a cell.
@@ -129,208 +123,6 @@
 	o.release()
 }
 
-// load reads the cell's rows, and returns the version from which its jobs are
-// to be followed.
-func (o *owner) load(ctx context.Context) (uint64, error) {
-	for {
-		version, err := o.tryLoad(ctx)
-		if err == nil || ctx.Err() != nil || o.site.now().After(o.lease.ActUntil()) {
-			return version, err
-		}
-		o.log.WithError(err).Info("Cell cannot be read yet.")
-		if err := pause(ctx, loadRetry); err != nil {
-			return 0, err
-		}
-	}
-}
-
-func (o *owner) tryLoad(ctx context.Context) (uint64, error) {
-	workers := map[string]workerRow{}
-	homes := o.lease.Held()
-	o.spread = false
-	for i, home := range homes {
-		sent := o.site.now()
-		rows, err := o.site.settings.Store.List(ctx, cellTable, homePart(o.cell, home), "", "")
-		if err != nil {
-			return 0, err
-		}
-		if i == 0 {
-			o.early, o.late = sent.Add(-rows.Now), o.site.now().Add(-rows.Now)
-		}
-		if err := o.loadHome(home, rows.Rows, workers); err != nil {
-			return 0, err
-		}
-	}
-	o.heardAt = o.site.now()
-	jobs, err := o.site.listJobs(ctx, o.cell, homes)
-	if err != nil {
-		return 0, err
-	}
-	former := map[string]time.Time{}
-	for id, w := range workers {
-		former[id] = o.ownTime(w.UntilMS)
-	}
-	o.build(former)
-	o.miss(o.site.now(), jobs.unread)
-	for _, home := range o.lease.Out() {
-		o.miss(o.site.now(), []string{homePart(o.cell, home)})
-	}
-	o.loadProgress(jobs.rows)
-	o.takeJobs(o.site.now(), jobs.rows)
-	if o.spread {
-		o.copyAll(o.site.now())
-	} else {
-		o.lease.Copied()
-	}
-	return jobs.version, nil
-}
-
-// loadHome takes in the rows of one home, and the newest rows of workers.
-func (o *owner) loadHome(home int, rows []rock.Row, workers map[string]workerRow) error {
-	ownerVersion, _ := o.lease.Versions(home)
-	for _, r := range rows {
-		_, name := splitKey(r.Key())
-		switch {
-		case name == ownerName && r.Version() != ownerVersion:
-			return fmt.Errorf("home %d of the cell has another owner", home)
-		case strings.HasPrefix(name, workerPrefix):
-			var w workerRow
-			if err := cbor.Unmarshal(r.Value(), &w); err != nil {
-				return fmt.Errorf("decode row of a worker: %w", err)
-			}
-			id := strings.TrimPrefix(name, workerPrefix)
-			if other, ok := workers[id]; !ok || w.Stamp.After(other.Stamp) {
-				workers[id] = w
-				o.spread = o.spread || home != o.lease.Main()
-			}
-		}
-	}
-	return nil
-}
-
-// loadProgress keeps the newest progress of each job.
-func (o *owner) loadProgress(rows []rock.Row) {
-	o.progress = map[string]works.Progress{}
-	for _, r := range rows {
-		part, name := splitKey(r.Key())
-		id, suffix := splitJobName(name)
-		home, _ := homeOf(part)
-		if suffix == outcomeSuffix && home != o.lease.Main() {
-			o.spread = true
-		}
-		if suffix != progressSuffix {
-			continue
-		}
-		p, err := works.DecodeProgress(r.Value())
-		if err != nil {
-			o.log.WithError(err).WithField("row", r.Key()).Error("Progress cannot be read.")
-			continue
-		}
-		if other, ok := o.progress[id]; !ok || p.Stamp.After(other.Stamp) {
-			o.progress[id] = p
-			o.spread = o.spread || home != o.lease.Main()
-		}
-	}
-}
-
-// formerSlack is added to the time until which a former owner's leases may
-// last: the way of its last orders, and the age of its reading of clocks.
-const formerSlack = time.Second
-
-// build makes the cell's state.
-func (o *owner) build(former map[string]time.Time) {
-	s := &o.site.settings
-	c := cell.Settings{
-		Pool: o.pool, Fence: o.fence, Hold: s.Hold, MaxHold: s.MaxHold, Former: former,
-		Stop: s.Stop, Far: s.Far, Early: s.Early, Remember: keepFactor * s.Keep,
-	}
-	if !o.first {
-		c.SettledAt = o.site.now().Add(time.Duration(float64(s.Hold)*leaseStretch) + formerSlack)
-	}
-	o.core = cell.New(c)
-	o.core.SetQueues(o.site.view.queues())
-	o.strays, o.outcomes = map[string][]string{}, map[string]works.Outcome{}
-	o.unread, o.waiting, o.copies = nil, nil, nil
-}
-
-// leaseStretch is how much longer a lease may last by the entry's clock: a
-// worker's clock may be 2 % slow.
-const leaseStretch = 1.03
-
-// takeJobs takes in rows of jobs. Progress is taken in with its job.
-func (o *owner) takeJobs(now time.Time, rows []rock.Row) {
-	ended := o.ended(rows)
-	for id := range ended {
-		o.core.Remember(now, id)
-	}
-	for _, r := range rows {
-		part, name := splitKey(r.Key())
-		if cellOfPart(part) != o.cell || !r.Exists() {
-			continue
-		}
-		if id, suffix := splitJobName(name); suffix == jobSuffix && !hasEnded(r.Value()) {
-			o.takeJob(now, id, part, r, ended)
-		}
-	}
-	for _, r := range rows {
-		part, name := splitKey(r.Key())
-		if id, suffix := splitJobName(name); cellOfPart(part) == o.cell && r.Exists() && suffix == cancelSuffix {
-			o.core.Cancel(now, id)
-			if len(o.unread) > 0 {
-				o.waiting = append(o.waiting, r) // its job may not be known yet
-			}
-		}
-	}
-	o.changed = true
-}
-
-// takeJob takes in the row of a job that was handed in.
-func (o *owner) takeJob(now time.Time, id, part string, r rock.Row, ended map[string]works.Outcome) {
-	if part != intakeParts(o.cell, id)[0] {
-		if len(o.unread) > 0 && !o.core.Over(id) {
-			o.waiting = append(o.waiting, r) // it may have ended, or be known from a part that is down
-			return
-		}
-		o.strays[id] = append(o.strays[id], part)
-	}
-	if o.core.Over(id) {
-		if outcome, ok := ended[id]; ok {
-			o.outcomes[id] = outcome
-		}
-		o.retireJob(id, true)
-		return
-	}
-	j, err := works.DecodeJob(r.Value())
-	if err != nil {
-		o.log.WithError(err).WithField("row", r.Key()).Error("Job cannot be read.")
-		return
-	}
-	o.core.AddJob(now, j, r.Version())
-	if p, ok := o.progress[id]; ok {
-		delete(o.progress, id)
-		o.core.AddProgress(now, id, p)
-	}
-	o.core.TakeWithheld(now, id)
-}
-
-// ended returns the outcomes in the rows.
-func (o *owner) ended(rows []rock.Row) map[string]works.Outcome {
-	ended := map[string]works.Outcome{}
-	for _, r := range rows {
-		part, name := splitKey(r.Key())
-		id, suffix := splitJobName(name)
-		if _, home := homeOf(part); !home || cellOfPart(part) != o.cell || suffix != outcomeSuffix || !r.Exists() {
-			continue
-		}
-		outcome, err := works.DecodeOutcome(r.Value())
-		if err != nil {
-			o.log.WithError(err).WithField("row", r.Key()).Error("Outcome cannot be read.")
-		}
-		ended[id] = outcome
-	}
-	return ended
-}
-
 // post hands an event to the loop.
 func (o *owner) post(ctx context.Context, f func(now time.Time)) {
 	select {
@@ -339,46 +131,6 @@
 	}
 }
 
-// followJobs follows the rows of the cell's jobs from a version on.
-func (o *owner) followJobs(ctx context.Context, version uint64) error {
-	first := true
-	return o.site.follow(ctx, table{
-		name: o.table,
-		list: func(ctx context.Context) (uint64, error) {
-			if first {
-				first = false
-				return version, nil
-			}
-			sent := o.site.now()
-			l, err := o.site.listJobs(ctx, o.cell, o.homesHeld(ctx))
-			if err != nil {
-				return 0, err
-			}
-			o.post(ctx, func(now time.Time) {
-				o.miss(now, l.unread)
-				o.heard(now, sent, l.rows)
-			})
-			return l.version, nil
-		},
-		take: func(sent time.Time, rows []rock.Row) {
-			o.post(ctx, func(now time.Time) { o.heard(now, sent, rows) })
-		},
-		gap: every(jobPoll),
-	})
-}
-
-// heard takes in rows of jobs. All changes up to that time are known then.
-func (o *owner) heard(now, upTo time.Time, rows []rock.Row) {
-	if len(rows) > 0 {
-		o.takeJobs(now, rows)
-	}
-	o.heardAt = upTo
-}
-
-// jobPoll is the time between readings of the cell's jobs, so that its own
-// writes and the jobs of a surge come together.
-const jobPoll = 30 * time.Millisecond
-
 // refresh takes in the configuration and the workers.
 func (o *owner) refresh(now time.Time) {
 	if list, ok := o.site.view.listWorkers(); ok {
@@ -488,48 +240,3 @@
 func sentence(words string) string {
 	return strings.ToUpper(words[:1]) + words[1:] + "."
 }
-
-// release gives the cell up, so that another entry takes it at once.
-func (o *owner) release() {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	main := o.lease.Main()
-	for o.outstanding[main] == nil && ctx.Err() == nil {
-		now := o.site.now()
-		o.core.Leave(now)
-		b := o.core.Flush(now)
-		t, err := o.transaction(now, main, b, nil)
-		if err != nil {
-			o.log.WithError(err).Error("Last writes cannot be encoded.")
-			return
-		}
-		version, err := o.site.settings.Store.Apply(ctx, t)
-		if err != nil {
-			o.log.WithError(err).Warn("Last writes failed.")
-			return
-		}
-		o.lease.Stored(main, version)
-		o.core.Flushed(now, b)
-		if len(b.Writes) == 0 {
-			break
-		}
-	}
-	value, err := encode(tenure.Owner{})
-	if err != nil {
-		o.log.WithError(err).Error("Owner cannot be encoded.")
-		return
-	}
-	g := group.New(ctx)
-	for _, home := range o.lease.Held() {
-		ownerVersion, _ := o.lease.Versions(home)
-		g.Go("release home", func(ctx context.Context) error {
-			part := homePart(o.cell, home)
-			var t rock.Transaction
-			t.Require(key(cellTable, part, ownerName), ownerVersion)
-			t.Put(key(cellTable, part, ownerName), value)
-			_, err := o.site.settings.Store.Apply(ctx, t)
-			return err
-		})
-	}
-	o.log.WithField("error", fmt.Sprint(g.Wait())).Info("Cell released.")
-}
