--- a/core/tenure/lease.go
+++ b/core/tenure/lease.go
@@ -1,9 +1,6 @@
 package tenure
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// SpareInterval is the time between renewals of a home other than the main
@@ -136,17 +133,6 @@
 	return list
 }
 
-// Holding returns the homes that may hold state, the main one first.
-func (l *Lease) Holding() []int {
-	list := []int{l.main}
-	for i := range l.homes {
-		if p := &l.homes[i]; i != l.main && p.standing == held && p.holds {
-			list = append(list, i)
-		}
-	}
-	return list
-}
-
 // Versions returns the conditions of a home's next write.
 func (l *Lease) Versions(home int) (owner, beat uint64) {
 	return l.homes[home].ownerVersion, l.homes[home].beatVersion
@@ -268,5 +254,5 @@
 			list = append(list, i)
 		}
 	}
-	return slices.Clip(list)
+	return list
 }
