Progress that is left in a home of a cell is not taken for a running job

Its progress was in the first home; that went down, the job ended and its outcome was stored in another; the first home came back and became the main one again. Entries read the main home first and found progress without an outcome.

Ruled out: that the outcome was lost (the log of the owner has it, the row is in the other home).

Change: the record tells since when all live state in the main home was written again. Older progress there is ignored; the job's own row then tells that it has ended.

TestEndedJobsStayEndedWhenAHomeComesBack: not completed in 25 s before, passes after.

--- a/cmd/bramleyrock/soak_test.go
+++ b/cmd/bramleyrock/soak_test.go
@@ -45,6 +45,7 @@
 var soakRegressions = map[uint64]regression{
 	3:    {18, "answers to starts were dated before they came, a task was started twice"},
 	5003: {18, "the first owner of a cell ordered a host that another had just moved in"},
+	8315: {23, "an ended job was shown as running from a home of its cell that had come back"},
 }
 
 // The sizes of a soak.
--- a/core/tenure/lease.go
+++ b/core/tenure/lease.go
@@ -1,6 +1,10 @@
 package tenure
 
-import "time"
+import (
+	"time"
+
+	"bramleyrock/core/works"
+)
 
 const (
 	// SpareInterval is the time between renewals of a home other than the main
@@ -54,6 +58,7 @@
 	fence uint64
 	seq   uint64
 	main  int
+	since works.Stamp
 	homes [Homes]place
 }
 
@@ -66,7 +71,7 @@
 
 // NewLease returns the lease of an owner that has taken all homes of a record.
 func NewLease(r Record, taken []Taken) *Lease {
-	l := &Lease{main: r.Main}
+	l := &Lease{main: r.Main, since: r.Since}
 	for _, t := range taken {
 		l.fence = max(l.fence, t.Version)
 		l.homes[t.Home] = place{
@@ -76,6 +81,7 @@
 	}
 	if l.homes[l.main].standing != held && len(taken) > 0 {
 		l.main = taken[0].Home
+		l.Copies()
 	}
 	return l
 }
@@ -168,7 +174,7 @@
 	l.seq++
 	p := &l.homes[home]
 	p.open, p.sentAt, p.sentSeq = true, now, l.seq
-	r := Record{Fence: l.fence, Seq: l.seq, Main: l.main}
+	r := Record{Fence: l.fence, Seq: l.seq, Main: l.main, Since: l.since}
 	for i := range l.homes {
 		if l.homes[i].standing != out {
 			r.Homes = append(r.Homes, i)
@@ -236,6 +242,10 @@
 	return true
 }
 
+// Copies notes that all live state will be written to the main home again, from the
+// next write on.
+func (l *Lease) Copies() { l.since = works.Stamp{Fence: l.fence, Seq: l.seq + 1} }
+
 // Copied notes that the main home holds all state.
 func (l *Lease) Copied() {
 	for i := range l.homes {
--- a/core/tenure/record.go
+++ b/core/tenure/record.go
@@ -1,5 +1,7 @@
 package tenure
 
+import "bramleyrock/core/works"
+
 // Homes is the number of parts of the platform's table in which a cell's rows may be.
 // With a third of the parts down, all three of a cell are in one case out of 27.
 const Homes = 3
@@ -16,6 +18,9 @@
 	Homes []int `cbor:"3,keyasint,omitempty"`
 	// Main is the home in which the owner writes.
 	Main int `cbor:"4,keyasint,omitempty"`
+	// Since is the first write by which all live state was written to the main home
+	// again. Rows of live jobs there that are older are left from an earlier time.
+	Since works.Stamp `cbor:"5,keyasint"`
 }
 
 // Newer reports whether the record was written after another one.
--- a/io/site/desk.go
+++ b/io/site/desk.go
@@ -187,10 +187,14 @@
 // know it, or always if handed is true.
 func (s *Site) readJob(ctx context.Context, q works.Queue, id string, handed bool) (rows, error) {
 	cell := cellOf(q.Pool)
-	main := 0
-	s.view.withCell(cell, func(c *cellView) { main = c.claim.Record().Main })
+	var record tenure.Record
+	s.view.withCell(cell, func(c *cellView) { record = c.claim.Record() })
+	main := record.Main
 	var r rows
 	err := s.readPart(ctx, cell, homePart(cell, main), id, &r)
+	if err == nil && r.progress != nil {
+		err = r.dropStale(record.Since)
+	}
 	if err == nil && (handed || r.progress == nil && r.outcome == nil) {
 		err = s.readHanded(ctx, cell, id, &r)
 	}
@@ -200,6 +204,19 @@
 	return r, err
 }
 
+// dropStale leaves out progress that was written to the home before the owner began to
+// write all there again: the job may have ended since, in another home.
+func (r *rows) dropStale(since works.Stamp) error {
+	p, err := works.DecodeProgress(r.progress.Value())
+	if err != nil {
+		return err
+	}
+	if since.After(p.Stamp) {
+		r.progress = nil
+	}
+	return nil
+}
+
 // readOutcome adds the outcome of a job that has ended: it may have done so in
 // between, and its outcome may be in any home of the cell.
 func (s *Site) readOutcome(ctx context.Context, cell string, main int, id string, r *rows) error {
