--- a/io/site/suspects.go
+++ b/io/site/suspects.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -36,16 +37,8 @@
 func (s *suspects) order(now time.Time, parts []string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	maps.DeleteFunc(s.until, func(_ string, t time.Time) bool { return !now.Before(t) })
 	sorted := slices.Clone(parts)
-	slices.SortStableFunc(sorted, func(a, b string) int {
-		return laterOf(s.until[a], now).Compare(laterOf(s.until[b], now))
-	})
+	slices.SortStableFunc(sorted, func(a, b string) int { return s.until[a].Compare(s.until[b]) })
 	return sorted
 }
-
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
