--- a/io/jobs/jobs_test.go
+++ b/io/jobs/jobs_test.go
@@ -82,7 +82,7 @@
 	next := holder.submit(fmt.Sprintf(long, true, 10)) // it goes on under a new session
 	other.await(next, job.Done)
 	now := f.row(id)
-	assert.Equal(t, now.Holder(), adopted.Holder())
+	assert.Equal(t, now.Holder(), adopted.Holder(), "state %s, epoch %d, %d runs", now.State(), now.Epoch(), f.runs(id))
 	assert.Equal(t, now.Epoch(), adopted.Epoch())
 	assert.Equal(t, now.State(), job.Running)
 	assert.Equal(t, f.runs(id), 1)
