--- a/io/site/commit.go
+++ b/io/site/commit.go
@@ -105,7 +105,11 @@
 		t.Put(key(orderTable, part, orderName), o.ordered)
 	}
 	for _, id := range outcomes {
-		value, err := works.EncodeOutcome(o.outcomes[id])
+		outcome, ok := o.outcomes[id]
+		if !ok {
+			continue // its rows were marked meanwhile
+		}
+		value, err := works.EncodeOutcome(outcome)
 		if err != nil {
 			return t, err
 		}
