A task is not taken for running on a worker whose life is over

Runs of such a worker are never ended: it is not asked any more, and not forgotten while it has runs.

Ruled out: that the place was lost (a run whose write is taken back is placed again).

Change: progress on a worker that is gone leaves the task free. A worker with withheld ends is not empty, so that its host is not taken down with them.

TestProgressOnAWorkerThatIsGone and TestWithheldEndsKeepTheirWorker failed before and pass.

--- a/core/cell/closing.go
+++ b/core/cell/closing.go
@@ -24,8 +24,10 @@
 
 // Occupancy is what a worker has to do.
 type Occupancy struct {
-	Known   bool
-	Usable  bool
+	Known  bool
+	Usable bool
+	// Runs is the number of runs, and of ends of jobs that are not known yet, which
+	// would be lost with the worker.
 	Runs    int
 	Lasting int
 }
@@ -36,7 +38,7 @@
 	if w == nil {
 		return Occupancy{}
 	}
-	o := Occupancy{Known: true, Usable: w.usable(now), Runs: len(w.runs)}
+	o := Occupancy{Known: true, Usable: w.usable(now), Runs: len(w.runs) + len(w.withheld)}
 	for _, r := range w.runs {
 		if r.task == nil || r.task.step.Lasting {
 			o.Lasting++
--- a/core/cell/former.go
+++ b/core/cell/former.go
@@ -35,8 +35,8 @@
 // still under way to it carry an older fence and have no effect after that.
 func (c *Cell) expectRun(now time.Time, t *task, id string) {
 	w := c.workers[id]
-	if w == nil {
-		return // its row is gone, so its lease has passed
+	if w == nil || w.gone {
+		return // its row is gone, so its lease has passed, or its life is over
 	}
 	if r := w.runs[runKey{t.key, t.lastRun}]; r != nil {
 		w.remove(r) // listed before the job was known
--- a/core/cell/partial_test.go
+++ b/core/cell/partial_test.go
@@ -105,3 +105,37 @@
 	assert.Equal(t, len(jobs), 3)
 	assert.Equal(t, len(workers), 30)
 }
+
+// TestProgressOnAWorkerThatIsGone reads a job after the life of the worker has ended on
+// which its task was placed. The task runs elsewhere.
+func TestProgressOnAWorkerThatIsGone(t *testing.T) {
+	const run = 3 << 12 // of the former owner
+	b := newBench(t, 2, nil)
+	b.SetPartial(b.now, true)
+	b.Gone(b.now, "w0", "its host was taken down")
+	b.AddJob(b.now, job(jobID, step(1)), 5)
+	b.AddProgress(b.now, jobID, works.Progress{Begun: true, Tasks: []works.TaskProgress{{Run: run, Worker: "w0"}}})
+	b.TakeWithheld(b.now, jobID)
+	b.SetPartial(b.now, false)
+	for range 100 {
+		b.pass(100 * time.Millisecond)
+		b.report("w1", nil, nil)
+		if starts := b.started(); len(starts) > 0 {
+			assert.Equal(t, starts[0].Worker.ID, "w1")
+			assert.Assert(t, starts[0].Start.Run > run)
+			return
+		}
+	}
+	t.Fatal("the task is not started again")
+}
+
+// TestWithheldEndsKeepTheirWorker tells that a worker with ends of jobs that are not
+// known yet has something to do: they are lost with it.
+func TestWithheldEndsKeepTheirWorker(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.SetPartial(b.now, true)
+	b.report("w0", nil, []rock.End{{Task: jobID + ".0.0.1", Run: 5, How: rock.EndDone}})
+	assert.Equal(t, b.Occupancy(b.now, "w0").Runs, 1)
+	b.SetPartial(b.now, false)
+	assert.Equal(t, b.Occupancy(b.now, "w0").Runs, 0)
+}
