One function tells why a worker may not be given a task

A task can wait although most of its workers have room, and nothing tells which condition excludes them. The conditions move to functions that return the reason, so that the decision and its explanation cannot differ.

--- a/core/cell/advice.go
+++ b/core/cell/advice.go
@@ -22,6 +22,11 @@
 	retryAt time.Time
 }
 
+// valid reports whether tasks may be placed with the tickets.
+func (a *advice) valid(now time.Time) bool {
+	return now.Before(a.validUntil.Add(-minTicketValidity)) && len(a.tickets) > 0
+}
+
 const (
 	// maxAdviceWorkers is the greatest number of workers in a query. Each costs
 	// time, and the users expect 30.
@@ -43,7 +48,7 @@
 		return true
 	}
 	a := &s.advice
-	if now.Before(a.validUntil.Add(-minTicketValidity)) && len(a.tickets) > 0 {
+	if a.valid(now) {
 		return true
 	}
 	if a.pending || now.Before(a.retryAt) || c.pendingAdvice >= maxPendingAdvice {
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -44,6 +44,8 @@
 	demand         resize.Demand
 	// decisions counts the rankings of jobs; see expiringInterval.
 	decisions int
+	// placedAt is when tasks were last placed.
+	placedAt time.Time
 	// startsPaused is true while no task is started because the known state of
 	// the jobs is too old.
 	startsPaused bool
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -217,6 +217,7 @@
 // placeTasks places as many tasks as there are free resources for. Their starts
 // are ordered once the placements are stored.
 func (c *Cell) placeTasks(now time.Time) {
+	c.placedAt = now
 	usable := c.usable(now)
 	if len(usable) == 0 {
 		return
@@ -275,18 +276,24 @@
 			continue
 		}
 		w := c.chooseWorker(now, t, usable)
-		if w == nil && now.Sub(later(t.endedAt, s.job.addedAt)) > closingWorkerDelay {
+		if w == nil && t.mayUseClosing(now) {
 			w = c.chooseWorker(now, t, c.closingWorkers(now))
 		}
 		if w != nil {
 			c.placeRun(now, t, w, c.nextRunNumber(t))
 			continue
 		}
-		return c.reserveWorker(s, usable)
+		return c.reserveWorker(now, s, usable)
 	}
 	return usable
 }
 
+// mayUseClosing reports whether a persistent task may be placed on a worker that is
+// being drained.
+func (t *task) mayUseClosing(now time.Time) bool {
+	return t.step.Persistent && now.Sub(later(t.endedAt, t.step.job.addedAt)) > closingWorkerDelay
+}
+
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -308,7 +315,7 @@
 
 // reserveWorker returns the workers without the one that has the most free CPU
 // among those that may run the step.
-func (c *Cell) reserveWorker(s *step, usable []*worker) []*worker {
+func (c *Cell) reserveWorker(now time.Time, s *step, usable []*worker) []*worker {
 	best := -1
 	for i, w := range usable {
 		if !w.hasLabel(s.Label) || s.MaxPerWorker > 0 && c.countStepRuns(w, s) >= s.MaxPerWorker {
@@ -321,6 +328,7 @@
 	if best < 0 {
 		return usable
 	}
+	usable[best].reservedAt = now
 	return slices.Delete(slices.Clone(usable), best, best+1)
 }
 
@@ -409,21 +417,11 @@
 // chooseWorker returns the worker with the least cost among those that may run the
 // task, or nil if there is none.
 func (c *Cell) chooseWorker(now time.Time, t *task, usable []*worker) *worker {
-	s := t.step
-	need := s.Reservation()
+	need := t.step.Reservation()
 	var best *worker
 	var bestCost float64
 	for _, w := range usable {
-		if !w.freeResources().CanFit(need) || !w.hasLabel(s.Label) || now.Before(w.backoffUntil) {
-			continue
-		}
-		if w.health.TaskLimit(now, noSlotLimit) <= len(w.runs) {
-			continue
-		}
-		if s.MaxPerWorker > 0 && c.countStepRuns(w, s) >= s.MaxPerWorker {
-			continue
-		}
-		if s.job.queue.RequiresTicket && s.advice.tickets[w.id()] == "" {
+		if c.taskExclusion(now, t.step, need, w) != "" {
 			continue
 		}
 		cost := c.placementCost(now, t, w)
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -60,6 +60,8 @@
 	// throttlePercent is by how many percent best-effort tasks are slowed down.
 	throttlePercent int
 	throttledAt     time.Time
+	// reservedAt is when the worker was last reserved for a persistent task.
+	reservedAt time.Time
 }
 
 func (w *worker) id() string { return w.ID }
@@ -94,13 +96,13 @@
 }
 
 // usable reports whether the worker may be given new tasks.
-func (w *worker) usable(now time.Time) bool { return !w.closing && w.reachable(now) }
+func (w *worker) usable(now time.Time) bool { return w.exclusion(now) == "" }
 
 // reachable reports whether the worker may be given new tasks, whether or not
 // it is being drained.
 func (w *worker) reachable(now time.Time) bool {
-	return w.registered && w.acceptedFence && w.hasRow && !w.leaseEndStored && !w.gone && !w.unresponsive && w.State == rock.WorkerReady &&
-		!now.Before(w.backoffUntil) && now.Sub(w.answeredAt) < maxReportAge
+	e := w.exclusion(now)
+	return e == "" || e == ExcludedClosing
 }
 
 // freeResources returns the worker's free resources.
