--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -173,7 +173,7 @@
 
 // endJob sets the job's final state and stops its runs.
 func (c *Cell) endJob(now time.Time, j *job, s works.State, reason string) {
-	j.state = s
+	j.state, j.endedAt = s, now
 	c.endedJobs = append(c.endedJobs, j)
 	c.markDirty(now, true)
 	for _, st := range j.steps {
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -21,8 +21,9 @@
 	dirty          bool
 	hasProgressRow bool
 	hasCancelRow   bool
-	// addedAt is when the job was added to the cell.
+	// addedAt is when the job was added to the cell, and endedAt when it ended.
 	addedAt time.Time
+	endedAt time.Time
 	// rankInput is the cached input for the job's rank, computed at rankInputAt.
 	// It is invalid if rankInputAt is zero.
 	rankInput   rank.Job
--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -47,7 +47,7 @@
 	case rock.Accepted, rock.RefusedStaleRun:
 		// If the run is stale, it or a later run of the task has ended or was
 		// stopped on the worker. The next report tells which.
-		r.state, r.answeredAt = running, now
+		r.state, r.answeredAt, r.confirmedAt = running, now, now
 		c.markStarted(now, r)
 		return
 	case rock.RefusedCapacity:
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -234,6 +234,9 @@
 		}
 		r.checkpoint = newestCheckpoint(reported.Checkpoint, r.checkpoint)
 		r.percent, r.metric = reported.Percent, reported.Metric
+		if r.state != stopping {
+			r.confirmedAt = now
+		}
 		if r.state == starting {
 			r.state = running
 			r.answeredAt = now
@@ -274,7 +277,7 @@
 // its job may still be unread.
 func (c *Cell) adoptRun(now time.Time, w *worker, reported *rock.Run) {
 	t := c.findTask(reported.Task)
-	r := &run{key: reported.Task, number: reported.Run, worker: w, state: running, answeredAt: now, startedAt: now, checkpoint: reported.Checkpoint, percent: reported.Percent}
+	r := &run{key: reported.Task, number: reported.Run, worker: w, state: running, answeredAt: now, startedAt: now, confirmedAt: now, checkpoint: reported.Checkpoint, percent: reported.Percent}
 	if t != nil {
 		r.resources = t.step.Reservation()
 	}
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -35,6 +35,9 @@
 	orderedAt  time.Time
 	answeredAt time.Time
 	startedAt  time.Time
+	// confirmedAt is when the worker last confirmed that the run goes on, before a
+	// stop was requested.
+	confirmedAt time.Time
 	// startUnanswered is true once a start had no answer.
 	startUnanswered bool
 	// inFlight is true while an order about the run waits for its answer.
