--- a/io/site/meters.go
+++ b/io/site/meters.go
@@ -21,6 +21,8 @@
 	commitTime tally.Histogram
 	taken      tally.Counter
 	lost       tally.Counter
+	// waitingTasks returns the gauge of the tasks of a cell that have waited for long.
+	waitingTasks func(cell string) tally.Gauge
 }
 
 // latencies are the bucket bounds of the latency histograms. They range from a call
@@ -46,5 +48,8 @@
 		commitTime: s.Histogram("commit_latency", latencies),
 		taken:      s.Counter("cells_taken"),
 		lost:       s.Counter("cells_lost"),
+		waitingTasks: func(cell string) tally.Gauge {
+			return s.Tagged(map[string]string{"cell": cell}).Gauge("tasks_waiting")
+		},
 	}
 }
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -91,6 +91,8 @@
 	announcedOrders []byte
 	// stateOutsideMain is true if another home holds state that the main home lacks.
 	stateOutsideMain bool
+	// waits decides which waiting tasks are logged.
+	waits waitLog
 	// copying is true until all state is written to the main home.
 	copying bool
 }
@@ -222,6 +224,7 @@
 		o.startPollers()
 	}
 	o.logEvents()
+	o.logWaits(now)
 	o.updateHomes(now)
 	for _, home := range o.lease.HomesToRenew(now, len(o.outcomesToCopy) > 0 || o.state.FlushDue(now)) {
 		o.commit(now, home)
