Tasks no longer wait beside drained workers of a pool that is mostly free

What callers saw: a job of an almost idle pool is not gone on with for many seconds.

Cause: a worker that is being drained, for a move or for maintenance, is ruled out for every task but persistent ones, whatever else there is. The drain frees capacity for others, but here it held capacity that was not scarce from work that had nowhere else to go. And if no worker at all was usable, persistent tasks did not fall back to drained ones either.

Why this works: a task that no other worker can take may be placed on a worker that is being drained once it has waited for 1.2 s, as persistent tasks may, while more than half of the pool is free. In a surge nothing changes, so that hosts still leave for the pools that need them.

TestTaskWaitsBesideDrainedWorkers failed before in "the only one with room is drained" and "all are drained" (false (started) != true), and passes.

--- a/core/cell/closing.go
+++ b/core/cell/closing.go
@@ -23,6 +23,44 @@
 	}
 }
 
+// closingWorkerDelay is how long a task waits before it may also be placed on a worker
+// that is being drained. It is a fraction of the 3 s for which a persistent task may be
+// unavailable.
+const closingWorkerDelay = 1200 * time.Millisecond
+
+// mayUseClosing reports whether a task may be placed on a worker that is being
+// drained. Any task may while most of the pool is free: the drain frees no capacity
+// that is scarce then.
+func (c *Cell) mayUseClosing(now time.Time, t *task) bool {
+	if t.step.Persistent {
+		return now.Sub(later(t.endedAt, t.step.job.addedAt)) > closingWorkerDelay
+	}
+	return c.mostlyFree && now.Sub(t.waitsSince(t.step.readySince())) > closingWorkerDelay
+}
+
+// closingWorkers returns the workers that are being drained.
+func (c *Cell) closingWorkers(now time.Time) []*worker {
+	var list []*worker
+	for _, w := range c.workers {
+		if w.closing && w.reachable(now) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// updateMostlyFree records whether more than half of the registered workers' capacity
+// is free, with that of workers that are being drained.
+func (c *Cell) updateMostlyFree() {
+	var used, all rock.Resources
+	for _, w := range c.workers {
+		if w.registered && !w.gone {
+			used, all = used.Add(w.used), all.Add(w.Capacity)
+		}
+	}
+	c.mostlyFree = 2*used.MilliCores < all.MilliCores && 2*used.MemoryMB < all.MemoryMB
+}
+
 // Occupancy is the load of a worker, which tells whether it is drained.
 type Occupancy struct {
 	Known  bool // the cell knows the worker
--- /dev/null
+++ b/core/cell/closing_test.go
@@ -0,0 +1,73 @@
+package cell_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/works"
+
+	"gotest.tools/v3/assert"
+)
+
+// largeStep returns a step that needs most of a worker.
+func largeStep(count int) works.Step {
+	s := step(count)
+	s.Need.MilliCores = 3500
+	return s
+}
+
+// drain begins to drain some workers, those without runs first.
+func (b *harness) drain(count int, runs map[string][]rock.Run) {
+	ids := []string{}
+	for _, w := range b.registered {
+		ids = append(ids, w.ID)
+	}
+	slices.SortStableFunc(ids, func(x, y string) int { return len(runs[x]) - len(runs[y]) })
+	closing := map[string]bool{}
+	for _, id := range ids[:count] {
+		closing[id] = true
+	}
+	b.SetClosing(closing)
+}
+
+// TestTaskWaitsBesideDrainedWorkers guards against a task that waits although most of
+// the pool is free, because the workers with room for it are being drained.
+func TestTaskWaitsBesideDrainedWorkers(t *testing.T) {
+	cases := map[string]struct {
+		workers int
+		busy    int
+		drained int
+		want    bool
+	}{
+		"the only one with room is drained":    {workers: 4, busy: 1, drained: 3, want: true},
+		"all are drained":                      {workers: 3, drained: 3, want: true},
+		"most of the pool is in use":           {workers: 4, busy: 3, drained: 1},
+		"another worker has room":              {workers: 4, busy: 1, drained: 1, want: true},
+		"all are drained and the pool is busy": {workers: 3, busy: 2, drained: 3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, c.workers, nil)
+			runs := map[string][]rock.Run{}
+			if c.busy > 0 {
+				b.AddJob(b.now, job("busy", largeStep(c.busy)), 9)
+				for _, o := range b.startTasks() {
+					runs[o.Worker.ID] = running(o)
+				}
+			}
+			assert.Equal(t, len(runs), c.busy)
+			b.drain(c.drained, runs)
+			b.AddJob(b.now, job("waiting", largeStep(1)), 9)
+			started := false
+			for end := b.now.Add(3 * time.Second); b.now.Before(end) && !started; b.advance(100 * time.Millisecond) {
+				for _, w := range b.registered {
+					b.report(w.ID, runs[w.ID], nil)
+				}
+				started = len(b.startTasks()) > 0
+			}
+			assert.Equal(t, started, c.want)
+		})
+	}
+}
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -218,8 +218,9 @@
 // are ordered once the placements are stored.
 func (c *Cell) placeTasks(now time.Time) {
 	c.placedAt = now
+	c.updateMostlyFree()
 	usable := c.usable(now)
-	if len(usable) == 0 {
+	if len(usable) == 0 && len(c.closingWorkers(now)) == 0 {
 		return
 	}
 	for _, candidate := range c.candidates(now) {
@@ -261,11 +262,6 @@
 // considered. It is less than any task in the users' specifications needs.
 var minFreeResources = rock.Resources{MilliCores: 100, MemoryMB: 1}
 
-// closingWorkerDelay is how long a persistent task waits before it may also be
-// placed on a worker that is being drained. It is a fraction of the 3 s for which
-// such a task may be unavailable.
-const closingWorkerDelay = 1200 * time.Millisecond
-
 // placePersistent places the waiting tasks of a persistent step, and returns the
 // workers on which other tasks may be placed. If there is no worker for one of the
 // tasks, the worker with the most free resources is reserved: smaller tasks would
@@ -276,7 +272,7 @@
 			continue
 		}
 		w := c.chooseWorker(now, t, usable)
-		if w == nil && t.mayUseClosing(now) {
+		if w == nil && c.mayUseClosing(now, t) {
 			w = c.chooseWorker(now, t, c.closingWorkers(now))
 		}
 		if w != nil {
@@ -288,12 +284,6 @@
 	return usable
 }
 
-// mayUseClosing reports whether a persistent task may be placed on a worker that is
-// being drained.
-func (t *task) mayUseClosing(now time.Time) bool {
-	return t.step.Persistent && now.Sub(later(t.endedAt, t.step.job.addedAt)) > closingWorkerDelay
-}
-
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -302,17 +292,6 @@
 	return b
 }
 
-// closingWorkers returns the workers that are being drained.
-func (c *Cell) closingWorkers(now time.Time) []*worker {
-	var list []*worker
-	for _, w := range c.workers {
-		if w.closing && w.reachable(now) {
-			list = append(list, w)
-		}
-	}
-	return list
-}
-
 // reserveWorker returns the workers without the one that has the most free CPU
 // among those that may run the step.
 func (c *Cell) reserveWorker(now time.Time, s *step, usable []*worker) []*worker {
@@ -339,6 +318,9 @@
 			continue
 		}
 		w := c.chooseWorker(now, t, usable)
+		if w == nil && c.mayUseClosing(now, t) {
+			w = c.chooseWorker(now, t, c.closingWorkers(now))
+		}
 		if w == nil {
 			return
 		}
--- a/core/cell/exclusion.go
+++ b/core/cell/exclusion.go
@@ -94,7 +94,7 @@
 // explainExclusion returns why the last placement did not give the task to the worker.
 func (c *Cell) explainExclusion(now time.Time, t *task, w *worker) Exclusion {
 	e := w.exclusion(now)
-	if e == ExcludedClosing && t.mayUseClosing(now) {
+	if e == ExcludedClosing && c.mayUseClosing(now, t) {
 		e = ""
 	}
 	if e != "" {
