The required capacity covers tasks that fit on no single worker

Hosts had left the pool meanwhile.

Cause: the hosts that a pool needs are worked out from the sum of cores. It does not tell that a worker may run only some tasks of a step, nor that the free cores of full hosts, added up, hold no task. So hosts left, and none came back.

Why this works: the required and the retained cores are at least those of as many hosts as the persistent tasks must be spread over, and of one host more than the pool has while a task has waited for 2 s and no host that stays has room for it. Steps that no worker of the pool could ever run do not count.

--- a/core/cell/load.go
+++ b/core/cell/load.go
@@ -50,6 +50,8 @@
 	}
 	l.Cores = c.usableCores(now)
 	l.RequiredCores, l.RetainedCores = c.demand.Estimate(now, ready, persistent)
+	spread := c.spreadCores(now, l.RequiredCores)
+	l.RequiredCores, l.RetainedCores = max(l.RequiredCores, spread), max(l.RetainedCores, spread)
 	l.ArrivalRate = c.demand.RecentRate(now)
 	return l
 }
