Workers are kept while jobs may be unread

What callers saw: tasks of a job run a second time after they were done.

Cause, from the entries' logs: the new owner of the cell could not read 28 parts. "Worker fenced." for i-f0179138fb at 22.575 s, with 11 ends, which wait until their jobs are read. The platform did not list the worker for a moment, and as it had no known runs the cell forgot it, with these ends. At 22.93 s the job was read: its task was placed on a worker that the cell did not know, which counts as proof that it is over, and was started elsewhere at 22.99 s. "Worker fenced." again at 23.37 s, with the same ends.

Why this works: while jobs may be unread no worker is forgotten, so that its ends and the places of unread runs stay. Once all is read, workers are forgotten as before.

TestUnregisteredWorkerKeepsEndsOfUnreadJobs failed before in "the task is done", and passes.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -280,9 +280,10 @@
 }
 
 // removeIfUnused removes a worker that is no longer registered, has no runs, and
-// can hold no orders of a former owner.
+// can hold no orders of a former owner. While jobs may be unread, it may have runs of
+// them, and ends that are not handled yet.
 func (c *Cell) removeIfUnused(now time.Time, w *worker) {
-	if w.registered || len(w.runs) > 0 || !w.gone && !w.acceptedFence && !now.After(w.formerLeaseEnd) {
+	if c.jobsIncomplete || w.registered || len(w.runs) > 0 || !w.gone && !w.acceptedFence && !now.After(w.formerLeaseEnd) {
 		return
 	}
 	delete(c.workers, w.id())
--- a/core/cell/incomplete_test.go
+++ b/core/cell/incomplete_test.go
@@ -68,6 +68,40 @@
 	}
 }
 
+// TestUnregisteredWorkerKeepsEndsOfUnreadJobs guards against a task that runs twice: a
+// worker lists its end, and is not registered for a moment, before its job is read.
+func TestUnregisteredWorkerKeepsEndsOfUnreadJobs(t *testing.T) {
+	const run = 3 << 12 // of the former owner
+	task := jobID + ".0.0.0"
+	cases := map[string]struct {
+		running []rock.Run
+		ended   []rock.End
+		state   works.State
+	}{
+		"the task is done":    {ended: []rock.End{{Task: task, Run: run, Reason: rock.EndDone}}, state: works.Completed},
+		"the task goes on":    {running: []rock.Run{{Task: task, Run: run, Percent: 100}}},
+		"nothing has run yet": {},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 2, nil)
+			b.SetJobsIncomplete(b.now, true)
+			b.report("w0", c.running, c.ended)
+			b.SetWorkers(b.now, b.registered[1:])
+			b.AddJob(b.now, job(jobID, step(1)), 5)
+			if c.running != nil || c.ended != nil {
+				b.AddProgress(b.now, jobID, works.Progress{Started: true, Tasks: []works.TaskProgress{{Run: run, Worker: "w0"}}})
+			}
+			b.HandleDeferredEnds(b.now, jobID)
+			b.SetJobsIncomplete(b.now, false)
+			starts := b.startTasks()
+			b.flush()
+			assert.Equal(t, len(starts) > 0, c.running == nil && c.ended == nil)
+			assert.Equal(t, b.outcomes[jobID], c.state)
+		})
+	}
+}
+
 // TestRunsOfUnknownJobsAreStoppedOnceAllIsRead guards against runs of ended jobs that
 // go on forever: they must be stopped once all parts of the table are read.
 func TestRunsOfUnknownJobsAreStoppedOnceAllIsRead(t *testing.T) {
