--- a/core/cell/exclusion.go
+++ b/core/cell/exclusion.go
@@ -93,17 +93,18 @@
 
 // explainExclusion returns why the last placement did not give the task to the worker.
 func (c *Cell) explainExclusion(now time.Time, t *task, w *worker) Exclusion {
-	e := w.exclusion(now)
-	if e == ExcludedClosing && t.mayUseClosing(now) {
-		e = ""
+	general := w.exclusion(now)
+	closing := general == ExcludedClosing && t.mayUseClosing(now)
+	if general != "" && !closing {
+		return general
 	}
-	if e != "" {
-		return e
-	}
-	if e = c.taskExclusion(now, t.step, t.step.Reservation(), w); e != "" {
+	e := c.taskExclusion(now, t.step, t.step.Reservation(), w)
+	switch {
+	case e != "":
 		return e
-	}
-	if !w.reservedAt.IsZero() && w.reservedAt.Equal(c.placedAt) {
+	case !closing && !w.freeResources().CanFit(minFreeResources):
+		return ExcludedCapacity
+	case !w.reservedAt.IsZero() && w.reservedAt.Equal(c.placedAt):
 		return ExcludedReserved
 	}
 	return ""
--- a/core/cell/export_test.go
+++ b/core/cell/export_test.go
@@ -26,3 +26,6 @@
 	}
 	return b.String()
 }
+
+// MakeGone makes the cell believe that a worker is gone, and that its runs go on.
+func (c *Cell) MakeGone(id string) { c.workers[id].gone = true }
--- a/core/cell/waiting.go
+++ b/core/cell/waiting.go
@@ -38,7 +38,10 @@
 	// WaitPlacementStored means that the worker of the run is not stored yet.
 	WaitPlacementStored WaitCause = "placement not stored"
 	WaitStart           WaitCause = "start unconfirmed"
-	WaitStop            WaitCause = "stop unconfirmed"
+	// WaitFormerRun means that the run of a former owner may be running, and its worker
+	// has not answered this owner.
+	WaitFormerRun WaitCause = "former run unresolved"
+	WaitStop      WaitCause = "stop unconfirmed"
 	// WaitRun means that the run is believed to be running, but its worker has not
 	// confirmed it for long.
 	WaitRun WaitCause = "run believed running"
@@ -65,9 +68,10 @@
 	FailedRuns int
 	// Run is the current run, or nil if there is none.
 	Run *WaitingRun
-	// Excluded holds the workers that may not be given the task, by reason. It is set
-	// only if there is no current run.
+	// Excluded holds the workers that may not be given the task, by reason, and Eligible
+	// is the number of the other workers. Both are set only if there is no current run.
 	Excluded []ExcludedWorkers
+	Eligible int
 }
 
 // WaitingRun is a run that is not confirmed to be running.
@@ -87,6 +91,9 @@
 	InFlight bool
 	// StopReason is why the run is to be stopped.
 	StopReason string
+	// UnstoredEnds is the number of ends that the worker has listed and that are not
+	// acknowledged. It lists at most [rock.MaxEnds].
+	UnstoredEnds int64
 	// Registered, AcceptedFence, Gone and Unresponsive are what the owner believes of
 	// the worker.
 	Registered    bool
@@ -126,6 +133,9 @@
 	LeftOut int
 	// Waiting describes the tasks of the jobs that have waited the longest.
 	Waiting []Waiting
+	// GoneWithRuns holds the IDs of the workers that are believed to be gone and still
+	// have runs, which contradict each other.
+	GoneWithRuns []string
 	// Capacity and Free are the resources of the registered workers that are not gone.
 	Capacity rock.Resources
 	Free     rock.Resources
@@ -157,9 +167,15 @@
 			found = append(found, groups)
 		}
 	}
-	if report.Jobs == 0 {
-		return report
+	for id, w := range c.workers {
+		if w.gone && len(w.runs) > 0 {
+			report.GoneWithRuns = append(report.GoneWithRuns, id)
+		}
+		if w.registered && !w.gone {
+			report.Capacity, report.Free = report.Capacity.Add(w.Capacity), report.Free.Add(w.freeResources())
+		}
 	}
+	slices.Sort(report.GoneWithRuns)
 	slices.SortFunc(found, func(a, b []waitGroup) int {
 		return cmp.Or(a[0].since.Compare(b[0].since), cmp.Compare(a[0].job.ID, b[0].job.ID))
 	})
@@ -170,11 +186,6 @@
 			report.Waiting = append(report.Waiting, c.describeWait(now, g))
 		}
 	}
-	for _, w := range c.workers {
-		if w.registered && !w.gone {
-			report.Capacity, report.Free = report.Capacity.Add(w.Capacity), report.Free.Add(w.freeResources())
-		}
-	}
 	return report
 }
 
@@ -274,8 +285,8 @@
 		d.Cause, d.Run = t.current.waitCause(), t.current.describe(now)
 		return d
 	}
-	d.Excluded = c.excludedWorkers(now, t)
-	d.Cause = c.waitCause(now, t, d.Excluded)
+	d.Excluded, d.Eligible = c.excludedWorkers(now, t)
+	d.Cause = c.waitCause(now, t, d.Excluded, d.Eligible)
 	return d
 }
 
@@ -285,6 +296,9 @@
 	case placed:
 		return WaitPlacementStored
 	case starting:
+		if !r.answeredAt.IsZero() {
+			return WaitFormerRun
+		}
 		return WaitStart
 	case stopping:
 		return WaitStop
@@ -296,18 +310,20 @@
 	w := r.worker
 	return &WaitingRun{
 		Number: r.number, State: string(r.state), Worker: w.id(), WorkerExclusion: w.exclusion(now),
-		ConfirmedAt: r.confirmedAt, OrderedAt: r.orderedAt, WorkerAnsweredAt: w.answeredAt, InFlight: r.inFlight, StopReason: r.stopReason,
+		ConfirmedAt: r.confirmedAt, OrderedAt: r.orderedAt, WorkerAnsweredAt: w.answeredAt, InFlight: r.inFlight, StopReason: r.stopReason, UnstoredEnds: w.handledEnd - w.storedEnd,
 		Registered: w.registered, AcceptedFence: w.acceptedFence, Gone: w.gone, Unresponsive: w.unresponsive,
 	}
 }
 
 // excludedWorkers returns the workers that may not be given the task, the most frequent
-// reason first.
-func (c *Cell) excludedWorkers(now time.Time, t *task) []ExcludedWorkers {
+// reason first, and the number of the others.
+func (c *Cell) excludedWorkers(now time.Time, t *task) ([]ExcludedWorkers, int) {
+	eligible := 0
 	byReason := map[Exclusion]*ExcludedWorkers{}
 	for id, w := range c.workers {
 		e := c.explainExclusion(now, t, w)
 		if e == "" {
+			eligible++
 			continue
 		}
 		x := byReason[e]
@@ -328,19 +344,18 @@
 	slices.SortFunc(list, func(a, b ExcludedWorkers) int {
 		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Reason, b.Reason))
 	})
-	return list
+	return list, eligible
 }
 
 // waitCause returns what a task without a run waits for, given the workers that may not
-// be given the task.
-func (c *Cell) waitCause(now time.Time, t *task, excluded []ExcludedWorkers) WaitCause {
-	counts, sum := map[Exclusion]int{}, 0
+// be given the task and the number of the others.
+func (c *Cell) waitCause(now time.Time, t *task, excluded []ExcludedWorkers, eligible int) WaitCause {
+	counts := map[Exclusion]int{}
 	for _, x := range excluded {
 		counts[x.Reason] = x.Count
-		sum += x.Count
 	}
-	forStep := counts[ExcludedLabel] + counts[ExcludedTaskLimit] + counts[ExcludedMaxPerWorker] + counts[ExcludedNoTicket]
-	usable := len(c.workers) - sum + counts[ExcludedCapacity] + counts[ExcludedReserved] + forStep
+	usable := eligible + counts[ExcludedCapacity] + counts[ExcludedReserved]
+	usable += counts[ExcludedLabel] + counts[ExcludedTaskLimit] + counts[ExcludedMaxPerWorker] + counts[ExcludedNoTicket]
 	switch {
 	case c.startsPaused:
 		return WaitStartsPaused
@@ -348,11 +363,11 @@
 		return WaitUsableWorker
 	case t.step.job.queue.RequiresTicket && !t.step.advice.valid(now):
 		return WaitAdvice
-	case t.step.Gang && (sum < len(c.workers) || t.step.hasRun()):
+	case t.step.Gang && (eligible > 0 || t.step.hasRun()):
 		return WaitGang
 	case !c.mayRestart(now, t):
 		return WaitRestartDelay
-	case sum < len(c.workers):
+	case eligible > 0:
 		return WaitPlacing
 	case counts[ExcludedReserved] > 0:
 		return WaitReserved
