A challenger tells why it does not take over a cell

A cell that nobody takes leaves no trace, because the decision is only to wait. The conditions return the obstacle; when a cell is taken does not change.

--- a/core/tenure/challenger.go
+++ b/core/tenure/challenger.go
@@ -58,10 +58,30 @@
 // [Acquire] only if each of the active homes may be taken over; see
 // [HomeView.NextAction] for the parameters.
 func (c *Challenger) NextAction(now time.Time, me Owner, answeredSince time.Time, delay time.Duration) Action {
+	if _, o := c.Obstacle(now, me, answeredSince, delay); o != "" {
+		return Wait
+	}
+	return Acquire
+}
+
+// Obstacle returns the first home that the challenger does not take over, and why, or ""
+// if it should take over the cell; see [Challenger.NextAction].
+func (c *Challenger) Obstacle(now time.Time, me Owner, answeredSince time.Time, delay time.Duration) (int, Obstacle) {
 	for _, h := range c.Record().Homes {
-		if c.homes[h].NextAction(now, me, answeredSince, delay) != Acquire {
-			return Wait
+		if o := c.homes[h].obstacle(now, me, answeredSince, delay); o != "" {
+			return h, o
 		}
 	}
-	return Acquire
+	return 0, ""
+}
+
+// ChangedAt returns when a row of any home was last observed to change, or the zero time.
+func (c *Challenger) ChangedAt() time.Time {
+	var latest time.Time
+	for i := range c.homes {
+		if at := c.homes[i].changedAt; at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
 }
--- /dev/null
+++ b/core/tenure/challenger_test.go
@@ -0,0 +1,64 @@
+package tenure_test
+
+import (
+	"testing"
+	"time"
+
+	"bramleyrock/core/tenure"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestObstacle guards against a cell that is not taken for a reason that is not named. The
+// last rows of all homes but one are changed 10 s ago and may be taken over.
+func TestObstacle(t *testing.T) {
+	t.Parallel()
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	me, other := tenure.Owner{Name: "me", Session: "2"}, tenure.Owner{Name: "other", Session: "1"}
+	const delay = time.Second
+	cases := map[string]struct {
+		read    bool
+		owner   tenure.Owner
+		idle    time.Duration // since the home was seen to change
+		silent  bool
+		answers time.Duration // for how long reads are answered
+		want    tenure.Obstacle
+	}{
+		"unread":                {false, other, 0, false, time.Minute, tenure.ObstacleUnread},
+		"reads fail":            {true, other, 10 * time.Second, true, 0, tenure.ObstacleSilent},
+		"reads have failed":     {true, other, 10 * time.Second, false, 100 * time.Millisecond, tenure.ObstacleSilent},
+		"renewed":               {true, other, time.Second, false, time.Minute, tenure.ObstacleRenewed},
+		"not renewed":           {true, other, tenure.TakeoverTimeout + delay/2, false, time.Minute, tenure.ObstacleDelay},
+		"not renewed for long":  {true, other, tenure.TakeoverTimeout + delay, false, time.Minute, ""},
+		"released":              {true, tenure.Owner{}, delay / 2, false, time.Minute, tenure.ObstacleDelay},
+		"released long ago":     {true, tenure.Owner{}, delay, false, 0, ""},
+		"partly taken":          {true, me, delay / 2, false, time.Minute, tenure.ObstacleDelay},
+		"partly taken long ago": {true, me, delay, false, time.Minute, ""},
+		"earlier start":         {true, tenure.Owner{Name: "me", Session: "1"}, 0, false, time.Minute, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const home = 1
+			var ch tenure.Challenger
+			for h := range tenure.HomeCount {
+				if h != home {
+					ch.ObserveOwner(now.Add(-10*time.Second), h, tenure.Owner{Name: "me", Session: "1"}, 1)
+				}
+			}
+			if c.read {
+				ch.ObserveOwner(now.Add(-c.idle), home, c.owner, 1)
+			}
+			answeredSince := now.Add(-c.answers)
+			if c.silent {
+				answeredSince = time.Time{}
+			}
+			h, obstacle := ch.Obstacle(now, me, answeredSince, delay)
+			assert.Equal(t, obstacle, c.want)
+			if obstacle != "" && !c.silent {
+				assert.Equal(t, h, home)
+			}
+			assert.Equal(t, ch.NextAction(now, me, answeredSince, delay) == tenure.Acquire, c.want == "")
+		})
+	}
+}
--- a/core/tenure/tenure.go
+++ b/core/tenure/tenure.go
@@ -35,6 +35,23 @@
 	Session string `cbor:"2,keyasint"`
 }
 
+// Obstacle is why a challenger does not take over a home. It is empty if the challenger
+// should take over the home.
+type Obstacle string
+
+// The obstacles.
+const (
+	// ObstacleUnread means that the home was not read.
+	ObstacleUnread Obstacle = "home unread"
+	// ObstacleSilent means that the platform does not answer reads of renewals, or not
+	// for long enough to tell that the owner does not renew.
+	ObstacleSilent Obstacle = "table does not answer"
+	// ObstacleRenewed means that the owner renewed the home recently.
+	ObstacleRenewed Obstacle = "owner renews"
+	// ObstacleDelay means that the challenger waits for better suited ones.
+	ObstacleDelay Obstacle = "takeover delay"
+)
+
 // HomeView is the ownership of one home of a cell, as a challenger has read it. The
 // zero value is a home that was not read.
 type HomeView struct {
@@ -74,25 +91,36 @@
 // answer now. Every challenger has its own delay: the least loaded one has the shortest
 // and takes over first.
 func (v *HomeView) NextAction(now time.Time, me Owner, answeredSince time.Time, delay time.Duration) Action {
-	if !v.known || answeredSince.IsZero() {
-		return Wait
+	if v.obstacle(now, me, answeredSince, delay) == "" {
+		return Acquire
+	}
+	return Wait
+}
+
+// obstacle returns why the challenger does not take over the home; see
+// [HomeView.NextAction].
+func (v *HomeView) obstacle(now time.Time, me Owner, answeredSince time.Time, delay time.Duration) Obstacle {
+	switch {
+	case !v.known:
+		return ObstacleUnread
+	case answeredSince.IsZero():
+		return ObstacleSilent
 	}
 	idle := now.Sub(v.changedAt)
 	switch {
-	case v.owner.Name == "":
-		if idle >= delay {
-			return Acquire
+	case v.owner.Name == "" || v.owner == me:
+		// If the owner is me, this entry has taken over the home but does not own the
+		// cell: it did not get all homes, or it has released the cell.
+		if idle < delay {
+			return ObstacleDelay
 		}
-	case v.owner == me:
-		// This entry has taken over the home but does not own the cell: it did not get
-		// all homes, or it has released the cell.
-		if idle >= delay {
-			return Acquire
-		}
-	case v.owner.Name == me.Name:
-		return Acquire // the owner was an earlier start of this process
-	case idle >= TakeoverTimeout+delay && now.Sub(answeredSince) >= TakeoverTimeout/2:
-		return Acquire
+	case v.owner.Name == me.Name: // the owner was an earlier start of this process
+	case idle < TakeoverTimeout:
+		return ObstacleRenewed
+	case idle < TakeoverTimeout+delay:
+		return ObstacleDelay
+	case now.Sub(answeredSince) < TakeoverTimeout/2:
+		return ObstacleSilent
 	}
-	return Wait
+	return ""
 }
