--- a/io/site/acquire.go
+++ b/io/site/acquire.go
@@ -49,6 +49,10 @@
 func (s *Site) shouldAcquire(cell string) bool {
 	now, since := s.now(), s.view.renewalsReadSince()
 	action := tenure.Wait
+	var home int
+	var obstacle tenure.Obstacle
+	var idle time.Duration
+	var stalled bool
 	s.view.withCell(cell, func(c *cellView) {
 		if !c.owned {
 			delay := s.takeoverDelay(cell, s.view.ownedCells)
@@ -56,11 +60,38 @@
 				delay += tenure.ReleaseBackoff
 			}
 			action = c.challenger.NextAction(now, s.self, since, delay)
+			home, obstacle = c.challenger.Obstacle(now, s.self, since, delay)
+			idle, stalled = c.stalled(now, obstacle)
 		}
 	})
+	if stalled {
+		s.log.WithFields(logrus.Fields{"cell": cell, "home": home, "cause": string(obstacle), "idle_ms": idle.Milliseconds()}).Info("Cell without an owner is not taken.")
+	}
 	return action == tenure.Acquire
 }
 
+// maxOwnerless is how long a cell may seem to have no owner without being logged. A
+// takeover takes less.
+const maxOwnerless = 4 * time.Second
+
+// stalled returns for how long no home of the cell was seen to change. It reports true if
+// a line about the cell is due, because that is too long and the obstacle lasts.
+func (c *cellView) stalled(now time.Time, obstacle tenure.Obstacle) (time.Duration, bool) {
+	if c.checkedSince.IsZero() {
+		c.checkedSince = now
+	}
+	last := c.challenger.ChangedAt()
+	if last.IsZero() {
+		last = c.checkedSince
+	}
+	idle := now.Sub(last)
+	if obstacle == "" || idle < maxOwnerless || now.Sub(c.stalledLoggedAt) < waitLogInterval {
+		return idle, false
+	}
+	c.stalledLoggedAt = now
+	return idle, true
+}
+
 // takeoverDelay returns how long the entry waits so that better suited entries can
 // acquire the cell first. An entry that owns fewer cells and has more CPU waits less.
 func (s *Site) takeoverDelay(cell string, owned int) time.Duration {
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -123,6 +123,7 @@
 	if err := o.group.Wait(); err != nil {
 		o.log.WithError(err).Error("Owner of the cell failed.")
 	}
+	o.site.meters.waitingTasks(o.cell).Update(0)
 	if o.lostReason != "" {
 		o.site.meters.lost.Inc(1)
 		o.log.WithField("reason", o.lostReason).Warn("Cell lost.")
--- a/io/site/view.go
+++ b/io/site/view.go
@@ -51,6 +51,10 @@
 	homesReadAt  time.Time
 	// releasedAt is when this entry released the cell because it ran late.
 	releasedAt time.Time
+	// checkedSince is when the entry first checked whether to acquire the cell, and
+	// stalledLoggedAt when it last logged that the cell is not taken.
+	checkedSince    time.Time
+	stalledLoggedAt time.Time
 }
 
 // newView returns a view that knows nothing.
--- a/io/site/waits.go
+++ b/io/site/waits.go
@@ -2,13 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
 	"bramleyrock/core/cell"
 
 	"github.com/sirupsen/logrus"
-	"github.com/uber-go/tally/v4"
 )
 
 const (
@@ -22,6 +23,8 @@
 	waitLogInterval = 5 * time.Second
 	// maxWaitingJobs bounds the jobs that a check logs.
 	maxWaitingJobs = 5
+	// maxNamed bounds the jobs, parts and workers that a line names.
+	maxNamed = 5
 )
 
 // waitLog bounds the lines about waiting tasks. The zero value is ready to use.
@@ -29,7 +32,11 @@
 	checkedAt time.Time
 	// loggedAt holds when each job was last logged.
 	loggedAt map[string]time.Time
-	gauge    tally.Gauge
+	// goneLoggedAt and heldLoggedAt are when the lines about gone workers and about jobs
+	// that are held back were last logged, and heldSince is since when there are such jobs.
+	goneLoggedAt time.Time
+	heldLoggedAt time.Time
+	heldSince    time.Time
 }
 
 // due reports whether a check is due, and if so begins it.
@@ -66,10 +73,9 @@
 		return
 	}
 	report := o.state.Waiting(now, cell.WaitQuery{Longer: longWait, MaxJobs: maxWaitingJobs, Skip: o.waits.logged})
-	if o.waits.gauge == nil {
-		o.waits.gauge = o.site.meters.waitingTasks(o.cell)
-	}
-	o.waits.gauge.Update(float64(report.Tasks))
+	o.site.meters.waitingTasks(o.cell).Update(float64(report.Tasks))
+	o.logGoneWorkers(now, report.GoneWithRuns)
+	o.logHeldJobs(now)
 	for i := range report.Waiting {
 		w := &report.Waiting[i]
 		o.waits.record(now, w.Job)
@@ -81,6 +87,49 @@
 	}
 }
 
+// logGoneWorkers logs the workers that are believed to be gone and still have runs.
+func (o *cellOwner) logGoneWorkers(now time.Time, ids []string) {
+	if len(ids) == 0 || now.Sub(o.waits.goneLoggedAt) < waitLogInterval {
+		return
+	}
+	o.waits.goneLoggedAt = now
+	o.log.WithFields(logrus.Fields{"fence": o.fence, "workers": firstNames(ids), "count": len(ids)}).Warn("Workers that are gone have runs.")
+}
+
+// logHeldJobs logs the jobs that the cell does not know yet because parts of the table
+// are not read.
+func (o *cellOwner) logHeldJobs(now time.Time) {
+	if len(o.deferredRows)+len(o.pendingProgress)+len(o.unreadParts) == 0 {
+		o.waits.heldSince = time.Time{}
+		return
+	}
+	if o.waits.heldSince.IsZero() {
+		o.waits.heldSince = now
+	}
+	if now.Sub(o.waits.heldSince) < longWait || now.Sub(o.waits.heldLoggedAt) < waitLogInterval {
+		return
+	}
+	o.waits.heldLoggedAt = now
+	deferred, unknown := map[string]bool{}, map[string]bool{}
+	for _, r := range o.deferredRows {
+		_, name := splitKey(r.Key())
+		id, _ := splitJobName(name)
+		deferred[id] = true
+	}
+	for id := range o.pendingProgress {
+		unknown[id] = true
+	}
+	o.log.WithFields(logrus.Fields{
+		"fence": o.fence, "held_ms": now.Sub(o.waits.heldSince).Milliseconds(),
+		"unread": len(o.unreadParts), "parts": firstNames(o.unreadParts),
+		"deferred": len(deferred), "deferred_jobs": firstNames(slices.Sorted(maps.Keys(deferred))),
+		"rows_missing": len(unknown), "rows_missing_jobs": firstNames(slices.Sorted(maps.Keys(unknown))),
+	}).Info("Jobs are held back.")
+}
+
+// firstNames returns the first names of a list, separated by spaces.
+func firstNames(list []string) string { return strings.Join(list[:min(len(list), maxNamed)], " ") }
+
 // milliCores returns thousandths of a core in cores.
 func milliCores(n int64) float64 { return float64(n) / 1000 }
 
