A late report does not bring runs back to a worker that is gone

Cause: an answer to a renewal can be handled after its worker is known to be gone: the host was taken down, or another incarnation has answered on another connection. The owner adopted a run that such a report lists as the task's current run. Nothing ends that run: a worker that is gone is not asked any more, its silence is not noticed, and it is not forgotten while it has runs. The task waits for good.

Why this works: of such a report only the ends count, which are true whenever they arrive. And whether the runs of a worker are over is decided in one place for all beliefs, at each decision: the worker is gone, or every lease has expired. A run that comes to such a worker in another way is lost at the next decision.

TestLateReportOfAGoneWorker failed before in both cases (0 starts where 1 is needed, the current run on w0, which is gone), and passes.

--- /dev/null
+++ b/core/cell/late_test.go
@@ -0,0 +1,52 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/works"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestLateReportOfAGoneWorker guards against a task that waits for good: the answer to a
+// renewal is handled after its worker is known to be gone, and lists a run of the task.
+func TestLateReportOfAGoneWorker(t *testing.T) {
+	cases := map[string]func(b *harness){
+		"its host was taken down": func(b *harness) { b.MarkWorkerGone(b.now, "w0", "its host was taken down") },
+		"another incarnation answers": func(b *harness) {
+			b.HandleReport(b.now, b.now, "w0", rock.Report{Refusal: rock.RefusedIdentity})
+		},
+	}
+	for name, lose := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 1, nil)
+			b.AddJob(b.now, job(jobID, step(1)), 8)
+			first := b.startTasks()
+			assert.Equal(t, len(first), 1)
+			b.advance(100 * time.Millisecond)
+			lose(b)
+			b.report("w0", running(first...), nil)
+			b.registered[0].ID = "w1"
+			b.SetWorkers(b.now, b.registered)
+			b.report("w1", nil, nil)
+			b.flush()
+			again := b.startTasks()
+			assert.Equal(t, len(again), 1, b.Describe(b.now, jobID))
+			assert.Equal(t, again[0].Worker.ID, "w1")
+		})
+	}
+}
+
+// TestLateEndOnAGoneWorkerCounts guards against a task that runs again after it was done.
+func TestLateEndOnAGoneWorkerCounts(t *testing.T) {
+	b := newHarness(t, 1, nil)
+	b.AddJob(b.now, job(jobID, step(1)), 8)
+	first := b.startTasks()
+	b.advance(100 * time.Millisecond)
+	b.MarkWorkerGone(b.now, "w0", "its host was taken down")
+	b.report("w0", nil, []rock.End{end(first[0], rock.EndDone)})
+	b.flush()
+	assert.Equal(t, b.outcomes[jobID], works.Completed)
+}
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -10,7 +10,8 @@
 )
 
 // HandleReport handles a worker's report, its answer to a renewal that was sent at
-// the given time.
+// the given time. The report may arrive after the worker is known to be gone. Its ends
+// still count then, but none of the runs that it lists goes on.
 func (c *Cell) HandleReport(now, sent time.Time, id string, report rock.Report) {
 	w := c.workers[id]
 	if w == nil {
@@ -29,6 +30,9 @@
 		return
 	}
 	if !report.WorkerStartedAt.IsZero() && !report.WorkerStartedAt.Equal(w.incarnationStart) {
+		if w.gone {
+			return // the next incarnation counts from its registration on
+		}
 		c.handleRestart(w, report)
 	}
 	w.clock, w.clockAt = report.Clock, now
@@ -46,8 +50,10 @@
 			w.handledEnd = e.Number
 		}
 	}
-	c.reconcileRuns(now, sent, w, report)
-	c.adjustThrottle(now, w)
+	if !w.gone {
+		c.reconcileRuns(now, sent, w, report)
+		c.adjustThrottle(now, w)
+	}
 	if c.dirtySince.IsZero() && !c.flushing {
 		w.storedEnd = w.resolvedEnd()
 	} else if w.storedEnd < w.resolvedEnd() {
@@ -315,20 +321,15 @@
 	c.addEvent("worker silent", nil, fmt.Sprintf("worker %s, last answer %v ago: %v", id, now.Sub(w.answeredAt), err))
 }
 
-// expireRuns loses the runs of workers whose lease has certainly expired. An
-// unresponsive worker must have left an order unanswered that was sent after its
-// lease expired, because its runs may have ended, and be reported, before that.
+// expireRuns loses the runs of the workers whose runs are certainly over.
 func (c *Cell) expireRuns(now time.Time) {
 	for _, w := range c.workers {
-		expired := w.unresponsive && w.leaseExpired(w.unansweredAt)
-		if !w.acceptedFence {
-			expired = now.After(w.formerLeaseEnd)
-		}
-		if !expired {
+		reason, over := w.runsOver(now)
+		if !over {
 			continue
 		}
 		for _, r := range w.runs {
-			c.loseRun(now, r, fmt.Sprintf("its worker has not answered for %v and its lease has expired", now.Sub(w.answeredAt)))
+			c.loseRun(now, r, reason)
 		}
 		c.removeIfUnused(now, w)
 	}
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -95,6 +96,25 @@
 	return later(w.formerLeaseEnd, w.clockAt.Add(max(0, time.Duration(left))))
 }
 
+// runsOver reports whether all runs on the worker are certainly over although it has
+// not listed their ends, and why. An unresponsive worker must have left an order
+// unanswered that was sent after its lease expired, because its runs may have ended, and
+// be reported, before that.
+func (w *worker) runsOver(now time.Time) (reason string, over bool) {
+	switch {
+	case w.gone:
+		return "its worker is gone", true
+	case !w.acceptedFence:
+		over = now.After(w.formerLeaseEnd)
+	default:
+		over = w.unresponsive && w.leaseExpired(w.unansweredAt)
+	}
+	if !over {
+		return "", false
+	}
+	return fmt.Sprintf("its worker has not answered for %v and its lease has expired", now.Sub(w.answeredAt)), true
+}
+
 // usable reports whether the worker may be given new tasks.
 func (w *worker) usable(now time.Time) bool { return w.exclusion(now) == "" }
 
