Tasks do not wait for good on a worker that refuses renewals

What callers could see: tasks wait as long as a worker answers the owner's renewals with a refusal (503, 429 or a conflict of an unknown kind), with any capacity free elsewhere.

Cause: such a worker counted as unresponsive, so that its placed runs were not started, but its placements were not cancelled, as they are if an order has no answer at all. Its runs were not lost either when its lease had expired: that needs an unanswered order after the expiry, and a refusal did not count as one. A silence that followed did not cancel the placements any more, because the worker was unresponsive already.

Why this works: a refused renewal is handled as one without an answer. It extends no lease, so the runs end with the last lease, and the expiry is noticed at the next refused or unanswered renewal.

TestWorkerThatRefusesRenewals failed before in all three cases (the task still waits after 10 s beside a free worker), and passes.

--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -11,7 +11,8 @@
 
 // HandleReport handles a worker's report, its answer to a renewal that was sent at
 // the given time. The report may arrive after the worker is known to be gone. Its ends
-// still count then, but none of the runs that it lists goes on.
+// still count then, but none of the runs that it lists goes on. A worker that refuses
+// the renewal for a reason of its own counts as not having answered.
 func (c *Cell) HandleReport(now, sent time.Time, id string, report rock.Report) {
 	w := c.workers[id]
 	if w == nil {
@@ -26,7 +27,7 @@
 		c.loseWorker(now, w, "another incarnation answers at its address")
 		return
 	default:
-		w.unresponsive = true
+		c.HandleUnanswered(now, sent, id, true, fmt.Errorf("renewal refused: %s", report.Refusal))
 		return
 	}
 	if !report.WorkerStartedAt.IsZero() && !report.WorkerStartedAt.Equal(w.incarnationStart) {
