A decision searches workers once for tasks that find no room

Why this works: within a round of placements the free resources only shrink. What no worker had room for, and anything larger, is not searched for again in that round.

--- /dev/null
+++ b/core/cell/bench_test.go
@@ -0,0 +1,39 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkDecideInSurge measures a decision while 80 almost full workers leave the tasks of
+// hundreds of jobs waiting.
+func BenchmarkDecideInSurge(b *testing.B) {
+	h := newHarness(&testing.T{}, 80, nil)
+	for range 10 { // a batch holds the rows of 20 workers
+		h.flush()
+	}
+	large, second := step(8), step(8, 0)
+	large.Need.MilliCores, second.Need.MilliCores = 1500, 1500 // some capacity of each worker stays free
+	for i := range 600 {
+		h.AddJob(h.now, job(fmt.Sprintf("%016x", i), large, second), 9)
+	}
+	h.Decide(h.now)
+	for b.Loop() {
+		h.advance(time.Microsecond)
+		h.Decide(h.now)
+	}
+}
+
+// TestShortageHidesNoFreeWorker guards against small tasks that wait because larger ones
+// of the same round found no room.
+func TestShortageHidesNoFreeWorker(t *testing.T) {
+	b := newHarness(t, 2, nil)
+	large := step(3)
+	large.Need.MilliCores = 3000
+	b.AddJob(b.now, job("a", large), 8)
+	b.AddJob(b.now, job("b", step(2)), 9)
+	if n := len(b.startTasks()); n != 4 {
+		t.Errorf("%d tasks started, want 2 of 3 cores and 2 of 1 core", n)
+	}
+}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -46,6 +46,8 @@
 	decisions int
 	// placedAt is when tasks were last placed.
 	placedAt time.Time
+	// shortage holds what no usable worker had room for since then.
+	shortage shortage
 	// mostlyFree is true if most of the capacity was free when tasks were last placed.
 	mostlyFree bool
 	// startsPaused is true while no task is started because the known state of
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -218,6 +218,7 @@
 // are ordered once the placements are stored.
 func (c *Cell) placeTasks(now time.Time) {
 	c.placedAt = now
+	c.shortage = c.shortage[:0]
 	c.updateMostlyFree()
 	usable := c.usable(now)
 	if len(usable) == 0 && len(c.closingWorkers(now)) == 0 {
@@ -271,7 +272,7 @@
 		if t.done || t.current != nil || !c.mayRestart(now, t) {
 			continue
 		}
-		w := c.chooseWorker(now, t, usable)
+		w := c.chooseUsable(now, t, usable)
 		if w == nil && c.mayUseClosing(now, t) {
 			w = c.chooseWorker(now, t, c.closingWorkers(now))
 		}
@@ -317,7 +318,7 @@
 		if t.done || t.current != nil || !c.mayRestart(now, t) {
 			continue
 		}
-		w := c.chooseWorker(now, t, usable)
+		w := c.chooseUsable(now, t, usable)
 		if w == nil && c.mayUseClosing(now, t) {
 			w = c.chooseWorker(now, t, c.closingWorkers(now))
 		}
