A returning worker with a persistent run gets tasks again

Callers saw a task that could run and did not, while most of the pool's capacity was free: on a pool that has shrunk to the hosts that its persistent tasks need, the only worker without a run of the step is one that was ejected before.

Cause: a worker that was ejected is given one task when it returns, and the outcome decides. All its runs counted against that limit, also the persistent ones, which may never end. A worker that was ejected while a persistent task ran on it was therefore never given a task again by this owner, up to a third of the pool. Hosts with persistent tasks are also those that do not leave the pool.

Running persistent tasks no longer count. Those that are placed or about to start do, so that a returning worker still gets one task at a time. The first failure ejects it again.

TestReturningWorkerWithPersistentRunGetsTasks failed before: 30 s after the ejection the worker got neither an ordinary nor a persistent task.

--- a/core/cell/exclusion.go
+++ b/core/cell/exclusion.go
@@ -81,7 +81,7 @@
 		return ExcludedCapacity
 	case now.Before(w.backoffUntil):
 		return ExcludedBackoff
-	case w.health.TaskLimit(now, noSlotLimit) <= len(w.runs):
+	case w.atTaskLimit(now):
 		return ExcludedTaskLimit
 	case s.MaxPerWorker > 0 && c.countStepRuns(w, s) >= s.MaxPerWorker:
 		return ExcludedMaxPerWorker
@@ -91,6 +91,23 @@
 	return ""
 }
 
+// atTaskLimit reports whether the worker is ejected or returning, and has as many runs
+// as it may have. The running persistent tasks do not count: they may never end, so that
+// a returning worker would get no task that shows whether it is healthy.
+func (w *worker) atTaskLimit(now time.Time) bool {
+	limit := w.health.TaskLimit(now, noSlotLimit)
+	if limit > len(w.runs) {
+		return false
+	}
+	n := 0
+	for _, r := range w.runs {
+		if r.task == nil || !r.task.step.Persistent || r.state != running {
+			n++
+		}
+	}
+	return limit <= n
+}
+
 // explainExclusion returns why the last placement did not give the task to the worker.
 func (c *Cell) explainExclusion(now time.Time, t *task, w *worker) Exclusion {
 	general := w.exclusion(now)
