Required capacity covers tasks beside ejected workers

Callers saw a task that waited for up to a minute beside the free capacity of ejected workers. The capacity that a cell requires counts a host more if a task has waited for 2 s and no worker has room for it, but an ejected worker, which gets no task, counted as room.

TestRequiredCoresCoverTasksBesideEjectedWorkers failed before: 8 cores were required instead of 16, a host more than the pool has.

--- a/core/cell/eject_test.go
+++ b/core/cell/eject_test.go
@@ -89,3 +89,25 @@
 		})
 	}
 }
+
+// TestRequiredCoresCoverTasksBesideEjectedWorkers guards against a task that waits for the
+// end of an ejection, because the free capacity of the ejected worker exceeds its need.
+func TestRequiredCoresCoverTasksBesideEjectedWorkers(t *testing.T) {
+	b := newHarness(t, 3, nil)
+	b.ejectWorker("w0", nil)
+	b.AddJob(b.now, job("busy", persistentStep(2, 1, 3000)), 1)
+	runs := map[string][]rock.Run{}
+	for _, o := range b.startTasks() {
+		runs[o.Worker.ID] = running(o)
+	}
+	assert.Equal(t, len(runs), 2)
+	b.AddJob(b.now, job("waiting", largeStep(1)), 1)
+	for range 25 {
+		b.advance(100 * time.Millisecond)
+		for _, w := range b.registered {
+			b.report(w.ID, runs[w.ID], nil)
+		}
+		assert.Equal(t, len(b.startTasks()), 0)
+	}
+	assert.Equal(t, b.Load(b.now).RequiredCores, 16.0)
+}
--- a/core/cell/spread.go
+++ b/core/cell/spread.go
@@ -72,7 +72,7 @@
 			continue
 		}
 		for _, s := range j.steps {
-			if s.remaining > 0 && s.mayStart(now) && s.waitedFor(now) > strandedDelay && c.canRunOnSomeWorker(s) && !c.hasRoom(s) {
+			if s.remaining > 0 && s.mayStart(now) && s.waitedFor(now) > strandedDelay && c.canRunOnSomeWorker(s) && !c.hasRoom(now, s) {
 				return true
 			}
 		}
@@ -95,10 +95,10 @@
 
 // hasRoom reports whether a worker that stays in the pool has room for a task of the
 // step.
-func (c *Cell) hasRoom(s *step) bool {
+func (c *Cell) hasRoom(now time.Time, s *step) bool {
 	need := s.Reservation()
 	for _, w := range c.workers {
-		if w.registered && !w.gone && !w.closing && w.hasLabel(s.Label) && w.freeResources().CanFit(need) &&
+		if w.registered && !w.gone && !w.closing && w.hasLabel(s.Label) && w.freeResources().CanFit(need) && !w.atTaskLimit(now) &&
 			(s.MaxPerWorker == 0 || c.countStepRuns(w, s) < s.MaxPerWorker) {
 			return true
 		}
