A worker that came after its host's maintenance is no longer drained for good

Callers saw tasks wait, and waves stand still, while workers of the pool were drained whose hosts were not taken down any more.

Cause: the platform accepts a maintenance order also if it carried it out earlier. If the answer to the first order was lost, or the owner died before it recorded the order, the order is repeated once the host is up with its next worker. The claim then named that worker as the one that the order ends, so that it was drained until all hosts of the wave were ordered, and its claim took one of the places of those that may be down at once. With enough such claims the wave never went on.

A host that is listed as up with the same worker for 3 s after its order was accepted counts as maintained: the platform ends the worker before it answers.

TestMaintenanceThatWasCarriedOutBeforeEnds failed before: the claim did not end within 20 s.

--- a/io/site/hostmanager.go
+++ b/io/site/hostmanager.go
@@ -37,6 +37,9 @@
 	announcedOrders map[string]time.Time
 	// claimedAt is when this owner first saw that a host is claimed for a wave.
 	claimedAt map[string]time.Time
+	// orderedUpSince is since when hosts whose maintenance was ordered have been listed as
+	// up with the same worker.
+	orderedUpSince map[string]time.Time
 	// completedWaves holds the waves that were reported to the operator as completed.
 	completedWaves map[string]bool
 	// announcedWaves holds the waves that are known to have a status row.
@@ -59,7 +62,7 @@
 // newHostManager returns the manager of the hosts of the owner's pool.
 func newHostManager(o *cellOwner) *hostManager {
 	return &hostManager{
-		owner: o, inPoolSince: map[string]time.Time{}, announcedOrders: map[string]time.Time{}, claimedAt: map[string]time.Time{},
+		owner: o, inPoolSince: map[string]time.Time{}, announcedOrders: map[string]time.Time{}, claimedAt: map[string]time.Time{}, orderedUpSince: map[string]time.Time{},
 		completedWaves: map[string]bool{}, announcedWaves: map[string]bool{}, endingWorkers: map[string]string{}, departures: map[string]departure{}, activity: o.activity, listedAt: o.site.now(),
 	}
 }
--- a/io/site/maintenance.go
+++ b/io/site/maintenance.go
@@ -17,6 +17,9 @@
 	// drainTimeout is how long a claimed host may run ordinary tasks. It is longer
 	// than the longest task of the expected workload.
 	drainTimeout = 5 * time.Second
+	// carriedOutDelay is how long a host may be listed as up with the same worker after
+	// its maintenance was ordered. It is longer than the lists of hosts lag.
+	carriedOutDelay = 3 * time.Second
 	// wavePart is the part of the cell table that holds the states of waves.
 	wavePart = "waves"
 	// maxCalmWork is the largest amount of remaining work per core, in seconds, with
@@ -95,15 +98,35 @@
 			state.Finish(name)
 			changed = true
 			m.owner.log.WithField("host", name).WithField("wave", w.Number).Info("Host of the wave is not listed any more.")
-		case ok && claimed && c.Ordered && h.Pool == m.owner.pool && h.Phase == rock.HostUp && (h.Worker != c.Worker || h.Worker == ""):
+		case ok && claimed && c.Ordered && h.Pool == m.owner.pool && m.isMaintained(h, c):
 			state.Finish(name)
 			changed = true
+			delete(m.orderedUpSince, name)
+			delete(m.endingWorkers, h.Worker)
 			m.owner.log.WithField("host", name).WithField("wave", w.Number).WithField("worker", h.Worker).Info("Host is maintained.")
 		}
 	}
 	return changed
 }
 
+// isMaintained reports whether a host whose maintenance was ordered is up again. The
+// platform also accepts an order that it carried out earlier, whose answer was lost or was
+// not recorded. The host stays up with the same worker then.
+func (m *hostManager) isMaintained(h rock.PlatformHost, c maint.Claim) bool {
+	if h.Phase != rock.HostUp {
+		delete(m.orderedUpSince, h.Name)
+		return false
+	}
+	if h.Worker != c.Worker || h.Worker == "" {
+		return true
+	}
+	now := m.owner.site.now()
+	if m.orderedUpSince[h.Name].IsZero() {
+		m.orderedUpSince[h.Name] = now
+	}
+	return now.Sub(m.orderedUpSince[h.Name]) > carriedOutDelay
+}
+
 // claimHosts claims the hosts that are taken down next. It reports whether it claimed any.
 func (m *hostManager) claimHosts(ctx context.Context, w rock.MaintenanceWave, state *maint.State, seen time.Time, hosts []rock.PlatformHost) (bool, error) {
 	o := m.owner
