A repeated start no longer extends a lease whose end is stored

What callers saw: tasks of persistent jobs ran twice at the same time.

Cause, from the logs: worker i-c665efe7a8 had not answered for 1.8 s, so the owner stored the end of its lease. It answered again at 27.4 s, and an outage of the zone kept the owner from writing the row without the end. Its renewals did not extend the lease, as they must not, but at 27.68 s it repeated an order to start a task there, and the lease of a start holds for all runs of the worker: until 32.23 s. The next owner took the end from the row, and at 31.85 s started the tasks elsewhere.

Why this works: no start is sent to a worker while the end of its lease is stored. The row without it is written as soon as the worker answers, and then the start is repeated.

TestRepeatedStartDoesNotExtendAStoredLeaseEnd failed before ("the lease lasts until 7s, 4.102564102s is stored"), and passes.

--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -63,7 +63,7 @@
 		orders = c.throttleOrders(now, w, orders)
 		for _, r := range w.runs {
 			switch {
-			case r.inFlight || !mayStart:
+			case r.inFlight || !mayStart || w.leaseEndStored: // a start extends the lease
 			case r.state == placed && r.placeStored:
 				r.state = starting
 				orders = append(orders, c.startOrder(now, r))
--- a/core/cell/workerrow_test.go
+++ b/core/cell/workerrow_test.go
@@ -1,9 +1,12 @@
 package cell_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	rock "bramleyrock"
 	"bramleyrock/core/cell"
 
 	"gotest.tools/v3/assert"
@@ -62,3 +65,34 @@
 		}
 	}
 }
+
+// TestRepeatedStartDoesNotExtendAStoredLeaseEnd guards against tasks that the next owner
+// starts at the stored end of a lease which a repeated start has extended.
+func TestRepeatedStartDoesNotExtendAStoredLeaseEnd(t *testing.T) {
+	t.Parallel()
+	b := newHarness(t, 1, nil)
+	b.AddJob(b.now, job("a", step(1)), 9)
+	orders := b.Decide(b.now)
+	b.flush()
+	orders = append(orders, b.Decide(b.now)...)
+	assert.Equal(t, len(orders), 1)
+	b.advance(time.Second)
+	b.HandleReply(b.now, orders[0], rock.Reply{}, fmt.Errorf("no answer"))
+	b.HandleUnanswered(b.now, b.now, "w0", true, fmt.Errorf("no answer"))
+	b.advance(time.Second)
+	b.Decide(b.now)
+	b.rows = nil
+	b.flush()
+	assert.Equal(t, len(b.rows), 1)
+	leaseEnd := b.rows[0].LeaseEnd
+	assert.Assert(t, !leaseEnd.IsZero())
+
+	b.report("w0", nil, nil)
+	b.advance(time.Second)
+	for _, o := range b.Decide(b.now) {
+		assert.Assert(t, o.Kind != cell.OrderStart || !start.Add(o.Start.LeaseUntil).After(leaseEnd), "the lease lasts until %v, %v is stored", o.Start.LeaseUntil, leaseEnd.Sub(start))
+	}
+	b.flush()
+	isStart := func(o cell.Order) bool { return o.Kind == cell.OrderStart }
+	assert.Assert(t, slices.ContainsFunc(b.Decide(b.now), isStart), "the start is not repeated once the row is written without the lease end")
+}
