Drains by the platform count before the drains of the owner

What callers saw: an order of the owner ended a task of a persistent step while as many others were away as may be.

Cause, from the logs: at 18.87 s one task of the step was between two runs, of three that may be. The owner drained i-6bb6d12859 for maintenance, and the platform drained i-18db0565ee, with two tasks each. Workers were evacuated in random order: two tasks were stopped for the maintenance, which the limit allowed, and then the two on the other worker, for which the limit does not hold.

Why this works: workers that the platform drains are evacuated first. Their tasks then count as unavailable when the others are looked at, whatever the order of arrival.

TestPlatformDrainCountsBeforeOwnDrain failed before (stops on both workers, where one task may be away), and passes.

--- a/core/cell/closing.go
+++ b/core/cell/closing.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"sync"
 	"time"
 
 	rock "bramleyrock"
@@ -88,27 +89,38 @@
 }
 
 // evacuate stops the persistent tasks on workers that are being drained, by this
-// cell or by the platform, if they can be placed on other workers.
+// cell or by the platform, if they can be placed on other workers. Workers that the
+// platform drains come first: their tasks end soon in any case, and count as
+// unavailable for those that may wait.
 func (c *Cell) evacuate(now time.Time) {
-	var usable []*worker
+	var leaving, closing []*worker
 	for _, w := range c.workers {
-		draining := w.registered && w.State == rock.WorkerDraining
-		if !w.closing && !draining || w.unresponsive || w.gone {
+		switch {
+		case w.unresponsive || w.gone:
+		case w.registered && w.State == rock.WorkerDraining:
+			leaving = append(leaving, w)
+		case w.closing:
+			closing = append(closing, w)
+		}
+	}
+	usable := sync.OnceValue(func() []*worker { return c.usable(now) })
+	for _, w := range leaving {
+		c.evacuateWorker(now, w, usable, func(*task) bool { return true })
+	}
+	for _, w := range closing {
+		c.evacuateWorker(now, w, usable, c.mayInterrupt)
+	}
+}
+
+// evacuateWorker stops the persistent tasks on a worker that may be stopped and can be
+// placed on one of the usable workers.
+func (c *Cell) evacuateWorker(now time.Time, w *worker, usable func() []*worker, mayStop func(*task) bool) {
+	for _, r := range w.runs {
+		if r.task == nil || !r.task.step.Persistent || r.state != running || !mayStop(r.task) {
 			continue
 		}
-		for _, r := range w.runs {
-			if r.task == nil || !r.task.step.Persistent || r.state != running {
-				continue
-			}
-			if !draining && !c.mayInterrupt(r.task) {
-				continue
-			}
-			if usable == nil {
-				usable = c.usable(now)
-			}
-			if c.chooseWorker(now, r.task, usable) != nil {
-				c.stopRun(r, "its worker is being drained")
-			}
+		if c.chooseWorker(now, r.task, usable()) != nil {
+			c.stopRun(r, "its worker is being drained")
 		}
 	}
 }
--- a/core/cell/closing_test.go
+++ b/core/cell/closing_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/cell"
 	"bramleyrock/core/works"
 
 	"gotest.tools/v3/assert"
@@ -71,3 +72,41 @@
 		})
 	}
 }
+
+// TestPlatformDrainCountsBeforeOwnDrain guards against more tasks of a step away than may
+// be, because one was stopped for a drain of the owner just before those on a worker that
+// the platform drains.
+func TestPlatformDrainCountsBeforeOwnDrain(t *testing.T) {
+	for range 20 { // the order of workers is random
+		b := newHarness(t, 3, nil)
+		b.AddJob(b.now, job("a", persistentStep(2, 1, 1000)), 9)
+		s := b.startTasks()
+		assert.Equal(t, len(s), 2)
+		for i := range b.registered {
+			if b.registered[i].ID == s[0].Worker.ID {
+				b.registered[i].State = rock.WorkerDraining
+			}
+		}
+		b.SetWorkers(b.now, b.registered)
+		b.SetClosing(map[string]bool{s[1].Worker.ID: true})
+		b.advance(time.Second)
+		for _, w := range b.registered {
+			var runs []rock.Run
+			for _, o := range s {
+				if o.Worker.ID == w.ID {
+					runs = running(o)
+				}
+			}
+			b.report(w.ID, runs, nil)
+		}
+		var stopped []string
+		for range 2 {
+			for _, o := range b.Decide(b.now) {
+				if o.Kind == cell.OrderStop {
+					stopped = append(stopped, o.Worker.ID)
+				}
+			}
+		}
+		assert.DeepEqual(t, stopped, []string{s[0].Worker.ID})
+	}
+}
