A persistent task runs again when its run ends as done

Seen: the job counts as completed and its tasks never run again, with most of the pool free.

Cause: the end of a run as done completed its task, whatever its step. The platform says that persistent tasks run until their job is cancelled and are started again however they end.

The end of a persistent run is noted like one that was stopped, so the task is placed again after its restart delay. Its run time, which says nothing of its worker's speed, is not recorded.

TestPersistentTaskRunsAgainHoweverItEnds/done failed before.

--- a/core/cell/cell_test.go
+++ b/core/cell/cell_test.go
@@ -460,6 +460,27 @@
 	t.Fatal("the persistent task was not started")
 }
 
+// TestPersistentTaskRunsAgainHoweverItEnds guards against a persistent job that counts as
+// completed because a run of its task ended as done.
+func TestPersistentTaskRunsAgainHoweverItEnds(t *testing.T) {
+	t.Parallel()
+	for _, how := range []rock.EndReason{rock.EndDone, rock.EndFailed, rock.EndStopped, rock.EndLeaseExpired} {
+		t.Run(string(how), func(t *testing.T) {
+			t.Parallel()
+			b := newHarness(t, 1, nil)
+			b.AddJob(b.now, job("a", persistentStep(1, 0, 1000)), 9)
+			s := b.startTasks()
+			assert.Equal(t, len(s), 1)
+			b.advance(time.Second)
+			b.report("w0", nil, []rock.End{end(s[0], how)})
+			b.flush()
+			b.advance(time.Second)
+			b.report("w0", nil, nil)
+			assert.Equal(t, len(b.startTasks()), 1)
+		})
+	}
+}
+
 // A persistent task ends on a worker that is being drained, and no other worker may
 // run it. It must be started there again rather than nowhere.
 func TestPersistentTaskFallsBackToClosingWorker(t *testing.T) {
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -149,10 +149,10 @@
 	t.lastRun = max(t.lastRun, e.Run)
 	t.endedAt = now
 	j := t.step.job
-	switch e.Reason {
-	case rock.EndDone:
+	switch {
+	case e.Reason == rock.EndDone && !t.step.Persistent: // persistent tasks run again however they end
 		c.completeTask(now, t)
-	case rock.EndFailed:
+	case e.Reason == rock.EndFailed:
 		t.checkpoint = newestCheckpoint(e.Checkpoint, t.checkpoint)
 		c.recordFailure(now, w, t, e)
 	default:
@@ -213,10 +213,12 @@
 	s := r.task.step
 	switch e.Reason {
 	case rock.EndDone:
-		runTime := now.Sub(r.startedAt)
-		expected := c.expectedRunTime(s)
-		r.worker.slowdown.record(now, float64(runTime)/float64(max(expected, time.Millisecond)))
-		c.runTimeModel(s).record(runTime, s.Estimate)
+		if !s.Persistent {
+			runTime := now.Sub(r.startedAt)
+			expected := c.expectedRunTime(s)
+			r.worker.slowdown.record(now, float64(runTime)/float64(max(expected, time.Millisecond)))
+			c.runTimeModel(s).record(runTime, s.Estimate)
+		}
 		c.outliers.Record(now, r.worker.health, false)
 	case rock.EndFailed:
 		if len(r.task.failedRuns) == 0 {
