The stand-in and the soak check the promise on waiting tasks

The checker is told of accepted jobs with their steps and of disturbances, and looks every 100 ms at which tasks could run, how long they have waited and what is free. A task that waits for 3 s while it could run twice over is a violation that names the wait, the capacity and the task's last run. Only calm time counts: for persistent tasks 4 s before the wait, and from 6 s after the last run; for others nothing of the job may be running, under half of the pool be in use, and the last disturbance and the last new job be 14 s ago.

The soak hands persistent jobs in too, of which every second one's tasks end by themselves as done, and waits at the end until all of their tasks run.

--- a/cmd/bramleyrock/soak_test.go
+++ b/cmd/bramleyrock/soak_test.go
@@ -60,8 +60,15 @@
 	// soakSettle is the time in which all accepted jobs are completed once the
 	// faults are over: a takeover, the longest lease and the work.
 	soakSettle = 40 * time.Second
+	// watchInterval is the time between looks for tasks that wait.
+	watchInterval = 100 * time.Millisecond
+	// endingTime is how long a run of a persistent task with the spec "ends" lasts.
+	endingTime = 4 * time.Second
 )
 
+// soakSpecs are how long the tasks of jobs run, 0 for ever, by their specs.
+var soakSpecs = map[string]time.Duration{"p": 200 * time.Millisecond, "lasts": 0, "ends": endingTime}
+
 // soakEntry is an entry as a process of its own, with its link to the table.
 type soakEntry struct {
 	soak    *soak
@@ -108,7 +115,7 @@
 	t.Helper()
 	binary, err := buildRace()
 	assert.NilError(t, err)
-	short := func(string, string) (time.Duration, string) { return 200 * time.Millisecond, "done" }
+	duration := func(_, spec string) (time.Duration, string) { return soakSpecs[spec], "done" }
 	s := &soak{
 		t: t, random: rand.New(rand.NewPCG(seed, 2)), group: group.New(context.Background()), binary: binary,
 		links: map[string]*relay.Relay{}, faults: soakFaults,
@@ -117,7 +124,7 @@
 		s.faults = soakFaults[:r.faults]
 	}
 	p, err := stand.Start(stand.Layout{
-		Pools: map[string]int{"tins": 4, "lids": 4}, Standby: 2, Seed: seed, Duration: short, RelayAddress: s.through,
+		Pools: map[string]int{"tins": 4, "lids": 4}, Standby: 2, Seed: seed, Duration: duration, RelayAddress: s.through,
 	})
 	assert.NilError(t, err)
 	s.p = p
@@ -384,10 +391,12 @@
 			continue
 		}
 		s.story = append(s.story, fmt.Sprintf("%s %s on %s for %v", time.Now().UTC().Format(time.RFC3339Nano), f.name, on, lasts))
+		s.p.Checker().BeginDisturbance()
 		undo := f.do(s, e)
 		g.Go(f.name, func(context.Context) error {
 			time.Sleep(lasts)
 			undo()
+			s.p.Checker().EndDisturbance(time.Now())
 			mu.Lock()
 			defer mu.Unlock()
 			busy[on] = false
@@ -397,36 +406,70 @@
 	assert.NilError(s.t, g.Wait())
 }
 
-// call hands jobs in until ctx ends, each at several entries if need be, and
-// cancels some.
+// submit hands a job in, at several entries if need be, and reports whether it was
+// accepted. If it is refused by all, it must not run.
+func (s *soak) submit(ctx context.Context, random *rand.Rand, pool, id, spec string, steps ...stand.Step) bool {
+	s.p.Checker().Expect(id, pool, steps[0].Persistent)
+	stored, unsure := false, false
+	for range 6 {
+		status := s.entries[random.IntN(soakEntries)].client.Submit(ctx, "/"+pool+"/"+id, spec, steps...)
+		if stored = status == http.StatusOK; stored || ctx.Err() != nil {
+			break
+		}
+		unsure = unsure || status != http.StatusServiceUnavailable
+		time.Sleep(50 * time.Millisecond)
+	}
+	switch {
+	case stored:
+		s.p.Checker().Accept(time.Now(), id, steps...)
+	case !unsure && ctx.Err() == nil:
+		s.mu.Lock()
+		s.refused = append(s.refused, id)
+		s.mu.Unlock()
+	}
+	return stored
+}
+
+// call hands jobs in until ctx ends.
 func (s *soak) call(ctx context.Context, caller uint64, random *rand.Rand) {
 	for n := uint64(0); ctx.Err() == nil; n++ {
 		pool := []string{"tins", "lids"}[random.IntN(2)]
 		id := fmt.Sprintf("%016x", caller<<32|n)
-		s.p.Checker().Expect(id, pool, false)
 		s.p.Checker().ExpectAfter(id+".0.1.0", id+".0.0.0", id+".0.0.1")
-		path, stored, unsure := "/"+pool+"/"+id, false, false
-		for range 6 {
-			status := s.entries[random.IntN(soakEntries)].client.Submit(ctx, path, "p",
-				stand.Step{Count: 2, MilliCores: 1000, MemMb: 10, EstimateMs: 200}, stand.Step{Count: 1, MilliCores: 1000, MemMb: 10, After: []int{0}})
-			if stored = status == http.StatusOK; stored || ctx.Err() != nil {
-				break
-			}
-			unsure = unsure || status != http.StatusServiceUnavailable
-			time.Sleep(50 * time.Millisecond)
-		}
-		s.mu.Lock()
-		switch {
-		case stored:
-			s.accepted = append(s.accepted, path)
-		case !unsure && ctx.Err() == nil:
-			s.refused = append(s.refused, id)
+		if s.submit(ctx, random, pool, id, "p",
+			stand.Step{Count: 2, MilliCores: 1000, MemMb: 10, EstimateMs: 200}, stand.Step{Count: 1, MilliCores: 1000, MemMb: 10, After: []int{0}}) {
+			s.mu.Lock()
+			s.accepted = append(s.accepted, "/"+pool+"/"+id)
+			s.mu.Unlock()
 		}
-		s.mu.Unlock()
 		time.Sleep(time.Duration(random.IntN(150)) * time.Millisecond)
 	}
 }
 
+// callPersistent hands persistent jobs in at times, until ctx ends.
+func (s *soak) callPersistent(ctx context.Context, caller uint64, random *rand.Rand) {
+	for n := uint64(0); ctx.Err() == nil; n++ {
+		spec := []string{"lasts", "ends"}[n%2]
+		s.submit(ctx, random, []string{"tins", "lids"}[n/2%2], fmt.Sprintf("%016x", caller<<32|n), spec,
+			stand.Step{Count: 1 + random.IntN(2), MilliCores: 1000, MemMb: 10, Persistent: true})
+		time.Sleep(soakTime / 6)
+	}
+}
+
+// watch looks for tasks that wait until ctx ends.
+func (s *soak) watch(ctx context.Context) error {
+	t := time.NewTicker(watchInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			s.p.Watch(now)
+		}
+	}
+}
+
 // state returns the state of a job as any entry shows it.
 func (s *soak) state(path string) string {
 	state := ""
@@ -438,7 +481,7 @@
 	return state
 }
 
-// settle waits until all accepted jobs are completed.
+// settle waits until all accepted jobs are completed and the tasks of persistent ones run.
 func (s *soak) settle() {
 	deadline := time.Now().Add(soakSettle)
 	for _, path := range s.accepted {
@@ -450,11 +493,19 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
+	for len(s.p.Checker().Idle()) > 0 {
+		if time.Now().After(deadline) {
+			s.t.Errorf("tasks do not run: %v", s.p.Checker().Idle())
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
 }
 
 // TestSoak runs entries as processes and disturbs them from outside, while
 // callers hand jobs in. Every accepted job is completed once, one that was
-// refused never runs, and workers see no order that breaks a promise.
+// refused never runs, no task waits for long while there is room, and workers see no
+// order that breaks a promise.
 func TestSoak(t *testing.T) {
 	seeds := slices.Sorted(maps.Keys(soakRegressions))
 	for n := range uint64(*soakSeeds) {
@@ -472,10 +523,19 @@
 					return nil
 				})
 			}
+			persistent := rand.New(rand.NewPCG(seed, 20))
+			callers.Go("call persistent", func(ctx context.Context) error {
+				s.callPersistent(ctx, 5, persistent)
+				return nil
+			})
+			watch := group.New(t.Context())
+			watch.Go("watch", s.watch)
 			s.disturb(ctx)
 			cancel()
 			assert.NilError(t, callers.Wait())
 			s.settle()
+			watch.Stop()
+			assert.NilError(t, watch.Wait())
 			for _, id := range s.refused {
 				assert.Check(t, !s.p.Checker().Started(id), "refused job %s has run", id)
 			}
