The soak crashes, drains and moves workers

Workers crash and come back under their ID, or another one takes over their address or their host; they drain and leave; refuse starts or all orders with 503; and respond 1.5 s late. Maintenance waves take hosts down, and surges on the pools in turn move hosts between them.

--- a/cmd/bramleyrock/soak_test.go
+++ b/cmd/bramleyrock/soak_test.go
@@ -62,12 +62,16 @@
 	soakSettle = 40 * time.Second
 	// watchInterval is the time between looks for tasks that wait.
 	watchInterval = 100 * time.Millisecond
+	// surgeTime is how long a surge on a pool lasts.
+	surgeTime = 4 * time.Second
+	// lateResponse is how late a worker responds.
+	lateResponse = 1500 * time.Millisecond
 	// endingTime is how long a run of a persistent task with the spec "ends" lasts.
 	endingTime = 4 * time.Second
 )
 
 // soakSpecs are how long the tasks of jobs run, 0 for ever, by their specs.
-var soakSpecs = map[string]time.Duration{"p": 200 * time.Millisecond, "lasts": 0, "ends": endingTime}
+var soakSpecs = map[string]time.Duration{"p": 200 * time.Millisecond, "lasts": 0, "ends": endingTime, "surge": 1500 * time.Millisecond}
 
 // soakEntry is an entry as a process of its own, with its link to the table.
 type soakEntry struct {
@@ -293,6 +297,28 @@
 	}}
 }
 
+// readyWorkerFault does something to a worker that takes tasks.
+func readyWorkerFault(name string, do func(s *soak, w *stand.Worker) (undo func())) fault {
+	return fault{name, func(s *soak, _ *soakEntry) func() {
+		all := append(s.p.Workers("tins"), s.p.Workers("lids")...)
+		all = slices.DeleteFunc(all, func(w *stand.Worker) bool { return !w.TakesTasks() })
+		if len(all) == 0 {
+			return func() {}
+		}
+		w := all[s.random.IntN(len(all))]
+		s.story = append(s.story, w.ID()+":")
+		return do(s, w)
+	}}
+}
+
+// crashFault crashes a worker, which has a successor.
+func crashFault(successor stand.Successor) fault {
+	return readyWorkerFault("worker crashes, its successor: "+string(successor), func(s *soak, w *stand.Worker) func() {
+		succeed := s.p.Crash(w, successor)
+		return func() { assert.Check(s.t, succeed()) }
+	})
+}
+
 // soakFaults are all faults; new ones go to the end, since seeds draw by number.
 var soakFaults = []fault{
 	{"kill and restart", func(_ *soak, e *soakEntry) func() {
@@ -368,6 +394,29 @@
 	storeFault(stand.SlowParts),
 	partsFault(stand.Refuse),
 	partsFault(stand.Hang),
+	crashFault(stand.SameID), crashFault(stand.SameAddress), crashFault(stand.Another),
+	readyWorkerFault("worker drains and leaves", func(s *soak, w *stand.Worker) func() {
+		s.p.Drain(w)
+		return func() { assert.Check(s.t, s.p.Crash(w, stand.Another)()) }
+	}),
+	readyWorkerFault("worker refuses starts", func(_ *soak, w *stand.Worker) func() {
+		w.SetRefusal(stand.RefuseStarts)
+		return func() { w.SetRefusal(stand.RefuseNothing) }
+	}),
+	readyWorkerFault("worker refuses all orders", func(_ *soak, w *stand.Worker) func() {
+		w.SetRefusal(stand.RefuseAll)
+		return func() { w.SetRefusal(stand.RefuseNothing) }
+	}),
+	readyWorkerFault("worker responds late", func(_ *soak, w *stand.Worker) func() {
+		w.SetDelay(lateResponse)
+		return func() { w.SetDelay(0) }
+	}),
+	{"maintenance wave", func(s *soak, _ *soakEntry) func() {
+		hosts := append(s.p.Hosts("tins"), s.p.Hosts("lids")...)
+		s.random.Shuffle(len(hosts), func(i, k int) { hosts[i], hosts[k] = hosts[k], hosts[i] })
+		s.p.RequestMaintenance(time.Now().UnixMilli(), 2, soakSettle/2, hosts[:len(hosts)/2]...)
+		return func() {}
+	}},
 }
 
 // disturb makes faults come, in series and overlapping, until the time is over.
@@ -456,6 +505,22 @@
 	}
 }
 
+// callSurge hands more work in than the workers of a pool can do, for the pools in turn,
+// so that hosts are moved between them, until ctx ends.
+func (s *soak) callSurge(ctx context.Context, caller uint64, random *rand.Rand) {
+	start := time.Now()
+	for n := uint64(0); ctx.Err() == nil; n++ {
+		pool := []string{"tins", "lids"}[time.Since(start)/surgeTime%2]
+		id := fmt.Sprintf("%016x", caller<<32|n)
+		if s.submit(ctx, random, pool, id, "surge", stand.Step{Count: 20, MilliCores: 1000, MemMb: 10, EstimateMs: 1500}) {
+			s.mu.Lock()
+			s.accepted = append(s.accepted, "/"+pool+"/"+id)
+			s.mu.Unlock()
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
 // watch looks for tasks that wait until ctx ends.
 func (s *soak) watch(ctx context.Context) error {
 	t := time.NewTicker(watchInterval)
@@ -528,6 +593,11 @@
 				s.callPersistent(ctx, 5, persistent)
 				return nil
 			})
+			surge := rand.New(rand.NewPCG(seed, 21))
+			callers.Go("call surge", func(ctx context.Context) error {
+				s.callSurge(ctx, 6, surge)
+				return nil
+			})
 			watch := group.New(t.Context())
 			watch.Go("watch", s.watch)
 			s.disturb(ctx)
