An adopted run is stored

Callers could see a task run twice at the same time: the owner adopted a run that a worker listed, but stored it only with the next change of the job. The next owner did not know where the task ran, and started it on a worker that answered sooner than the one with the run.

TestAdoptedRunIsStored failed before: nothing was written after the report.

--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -295,6 +295,8 @@
 		t.lastRun = max(t.lastRun, reported.Run)
 		w.addRun(r)
 		c.markStarted(now, r)
+		t.step.job.dirty = true // the next owner must know where the task runs
+		c.markDirty(now, false)
 		c.addEvent("run adopted", r, "")
 		return
 	}
--- a/core/cell/workerrow_test.go
+++ b/core/cell/workerrow_test.go
@@ -8,6 +8,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/cell"
+	"bramleyrock/core/works"
 
 	"gotest.tools/v3/assert"
 )
@@ -96,3 +97,17 @@
 	isStart := func(o cell.Order) bool { return o.Kind == cell.OrderStart }
 	assert.Assert(t, slices.ContainsFunc(b.Decide(b.now), isStart), "the start is not repeated once the row is written without the lease end")
 }
+
+// TestAdoptedRunIsStored guards against two runs of a task at the same time: the next
+// owner would not know where the task runs.
+func TestAdoptedRunIsStored(t *testing.T) {
+	b := newHarness(t, 1, nil)
+	b.AddJob(b.now, job("j", step(1)), 1)
+	b.AddProgress(b.now, "j", works.Progress{Started: true})
+	b.report("w0", []rock.Run{{Task: "j.0.0.0", Run: 5, Percent: 100}}, nil)
+	b.flush()
+	assert.Equal(t, len(b.progress["j"].Tasks), 1)
+	stored := b.progress["j"].Tasks[0]
+	assert.Equal(t, stored.Run, int64(5))
+	assert.Equal(t, stored.Worker, "w0")
+}
