Hosts beside those in maintenance stay in the pool

Callers saw tasks wait in a pool with most of its capacity free: its remaining workers were drained for a wave.

Cause: the plan of moves counted the hosts that are claimed for maintenance among those that the pool keeps. Claimed hosts are not moved, so the others left.

The owner of a pool no longer counts its claimed hosts when it plans departures.

--- a/io/site/move.go
+++ b/io/site/move.go
@@ -34,7 +34,7 @@
 		return nil, err
 	}
 	movable = slices.DeleteFunc(movable, func(h rock.PlatformHost) bool { return s.occupancy[h.Worker].PersistentRuns > 0 })
-	m.planDepartures(hosts, movable, s)
+	m.planDepartures(hosts, movable, claimed, s)
 	for _, h := range movable {
 		if m.departures[h.Name].to != "" && h.Worker != "" {
 			closing[h.Worker] = true
@@ -57,7 +57,7 @@
 }
 
 // planDepartures adds and removes planned departures.
-func (m *hostManager) planDepartures(hosts, movable []rock.PlatformHost, s cellSnapshot) {
+func (m *hostManager) planDepartures(hosts, movable []rock.PlatformHost, claimed map[string]bool, s cellSnapshot) {
 	o := m.owner
 	now := o.site.now()
 	for name, d := range m.departures {
@@ -79,6 +79,7 @@
 		if p := &pools[i]; p.Name == o.pool {
 			p.Want, p.Keep, p.Spare = s.load.RequiredCores, s.load.RetainedCores, spare
 			p.Rest, p.Surged = activity.SinceSurge(now)
+			p.Hosts -= countClaimed(hosts, o.pool, claimed) // they take no tasks, so that the others must stay
 		}
 	}
 	free := slices.DeleteFunc(slices.Clone(movable), func(h rock.PlatformHost) bool { return m.departures[h.Name].to != "" })
@@ -108,6 +109,22 @@
 	}
 }
 
+// countClaimed returns the number of a pool's hosts that are claimed for maintenance.
+func countClaimed(hosts []rock.PlatformHost, pool string, claimed map[string]bool) int {
+	n := 0
+	for _, h := range hosts {
+		if h.Pool == pool && claimed[h.Name] && countsForPool(h) {
+			n++
+		}
+	}
+	return n
+}
+
+// countsForPool reports whether a host is in its pool or on its way to it.
+func countsForPool(h rock.PlatformHost) bool {
+	return h.Phase == rock.HostUp || h.Phase == rock.HostMoving || h.Phase == rock.HostInMaintenance
+}
+
 // compareNames orders hosts by name.
 func compareNames(a, b rock.PlatformHost) int {
 	if a.Name < b.Name {
@@ -208,7 +225,7 @@
 	for _, p := range v.config.Pools {
 		r := resize.Pool{Name: p.Name, Standby: p.Standby, HostCores: hostCores}
 		for _, h := range hosts {
-			if h.Pool == p.Name && (h.Phase == rock.HostUp || h.Phase == rock.HostMoving || h.Phase == rock.HostInMaintenance) {
+			if h.Pool == p.Name && countsForPool(h) {
 				r.Hosts++
 			}
 		}
