--- /dev/null
+++ b/core/cell/modelowner_test.go
@@ -0,0 +1,228 @@
+package cell_test
+
+import (
+	"fmt"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/cell"
+	"bramleyrock/core/works"
+)
+
+// modelRows holds the stored rows of the cell.
+type modelRows struct {
+	jobs     map[string]works.Job
+	versions map[string]uint64
+	progress map[string]works.Progress
+	outcomes map[string]works.State
+	workers  map[string]time.Time
+}
+
+// modelOwner is an owner of the cell, present or former.
+type modelOwner struct {
+	m          *model
+	core       *cell.Cell
+	alive      bool
+	committing bool
+	// incarnations holds the start time of each worker to which a connection is
+	// open.
+	incarnations map[string]time.Time
+}
+
+// takeOver creates a new owner from the stored rows.
+func (m *model) takeOver() {
+	m.version++
+	former := map[string]time.Time{}
+	for id, until := range m.rows.workers {
+		former[id] = until
+	}
+	o := &modelOwner{m: m, alive: true, incarnations: map[string]time.Time{}, core: cell.New(cell.Settings{
+		Pool: "tins", Fence: m.version, LeaseDuration: modelLease, MaxLeaseDuration: modelMaxLease, MaxStopDuration: 400 * time.Millisecond,
+		FormerLeasesEndAt: m.now.Add(modelLease*103/100 + time.Second), FormerWorkers: former,
+	})}
+	o.core.SetQueues([]works.Queue{{Name: "q", Pool: "tins", Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond}})
+	for id, j := range m.rows.jobs {
+		o.core.AddJob(m.now, j, m.rows.versions[id])
+		if p, ok := m.rows.progress[id]; ok {
+			o.core.AddProgress(m.now, id, p)
+		}
+	}
+	o.core.SetWorkers(m.now, m.registered())
+	m.log("take fence %d former %v progress %v", m.version, former, m.rows.progress)
+	m.owner = o
+	for _, w := range m.workers {
+		o.poll(w)
+	}
+	o.decideLoop()
+}
+
+// decideLoop calls Decide and sends the orders every 10 ms.
+func (o *modelOwner) decideLoop() {
+	if !o.alive {
+		return
+	}
+	m := o.m
+	for _, n := range o.core.TakeEvents() {
+		m.log("%v", n)
+	}
+	o.core.SetWorkers(m.now, m.registered())
+	for _, d := range o.core.Decide(m.now, m.now) {
+		o.sendOrder(d)
+	}
+	if !o.committing && o.core.FlushDue(m.now) {
+		o.commit()
+	}
+	m.after(10*time.Millisecond, o.decideLoop)
+}
+
+// commit writes a batch after a delay. The write may fail, or its answer be lost.
+func (o *modelOwner) commit() {
+	m := o.m
+	b := o.core.Flush(m.now)
+	o.committing = true
+	m.after(m.delay(), func() {
+		if !o.alive {
+			return // the write is conditional on the owner
+		}
+		applied := m.random.IntN(20) > 0
+		if applied {
+			m.write(b)
+		}
+		m.after(m.delay(), func() {
+			o.committing = false
+			if applied && m.random.IntN(20) > 0 {
+				o.core.Flushed(m.now, b)
+			} else {
+				o.core.FlushFailed(m.now, b)
+			}
+		})
+	})
+}
+
+func (m *model) write(b *cell.Batch) {
+	m.version++
+	for _, w := range b.Workers {
+		m.rows.workers[w.ID] = w.LeaseEnd
+	}
+	for _, id := range b.DeletedWorkers {
+		delete(m.rows.workers, id)
+	}
+	for _, w := range b.JobWrites {
+		if w.Ended {
+			if _, ok := m.rows.jobs[w.ID]; !ok && m.rows.outcomes[w.ID] != w.Outcome.State {
+				m.fail("job %s ended as %s after %s", w.ID, w.Outcome.State, m.rows.outcomes[w.ID])
+			}
+			m.rows.outcomes[w.ID] = w.Outcome.State
+			delete(m.rows.jobs, w.ID)
+			delete(m.rows.progress, w.ID)
+		} else {
+			m.rows.progress[w.ID] = w.Progress
+		}
+	}
+}
+
+// modelTimeout is the timeout of orders.
+const modelTimeout = 900 * time.Millisecond
+
+// sendOrder sends an order, which may be carried out late. Its answer may be lost.
+func (o *modelOwner) sendOrder(d cell.Order) {
+	m, sent := o.m, o.m.now
+	w := m.findWorker(d.Worker.ID)
+	timeOut := func() {
+		m.after(modelTimeout, func() {
+			if o.alive {
+				o.core.HandleReply(m.now, d, rock.Reply{}, rock.Fail("order", d.Worker.ID, rock.OutcomeUnknown, rock.MayHaveRun))
+				o.core.HandleUnanswered(m.now, sent, d.Worker.ID, true, fmt.Errorf("no answer"))
+			}
+		})
+	}
+	run := func() rock.Reply {
+		if d.Kind == cell.OrderStop {
+			return m.stopRun(w, d.Stop)
+		}
+		return m.handleStart(w, d.Start)
+	}
+	switch {
+	case m.random.IntN(40) == 0:
+		incarnation := w.startedAt
+		m.after(2*time.Second+time.Duration(m.random.Int64N(int64(4*time.Second))), func() {
+			if w.startedAt.Equal(incarnation) { // a delayed order is lost with its worker
+				run()
+			}
+		})
+		timeOut()
+	case m.random.IntN(40) == 0:
+		m.after(m.delay(), func() {
+			if !w.silent {
+				run()
+			}
+		})
+		timeOut()
+	default:
+		m.after(m.delay(), func() {
+			if w.silent {
+				timeOut()
+				return
+			}
+			p := run()
+			m.after(m.delay(), func() {
+				if o.alive {
+					o.core.HandleReply(m.now, d, p, nil)
+				}
+			})
+		})
+	}
+}
+
+// poll keeps renewing a worker's lease.
+func (o *modelOwner) poll(w *modelWorker) {
+	if !o.alive {
+		return
+	}
+	m, sent := o.m, o.m.now
+	_, h, ok := o.core.HoldOrder(m.now, w.id, 0)
+	if !ok {
+		m.after(50*time.Millisecond, func() { o.poll(w) })
+		return
+	}
+	if known := o.incarnations[w.id]; !known.Equal(w.startedAt) {
+		o.incarnations[w.id] = w.startedAt
+		if !known.IsZero() { // the connection to the former incarnation breaks
+			o.core.HandleUnanswered(m.now, sent, w.id, true, fmt.Errorf("connection reset"))
+			m.after(m.delay(), func() { o.poll(w) })
+			return
+		}
+	}
+	m.after(m.delay(), func() {
+		if w.silent || m.random.IntN(60) == 0 {
+			if !w.silent {
+				m.renew(w, h) // the answer is lost
+			}
+			m.after(modelTimeout, func() {
+				if o.alive {
+					o.core.HandleUnanswered(m.now, sent, w.id, true, fmt.Errorf("no answer"))
+				}
+				o.poll(w)
+			})
+			return
+		}
+		p := m.renew(w, h)
+		m.after(m.delay(), func() {
+			if o.alive {
+				o.core.HandleReport(m.now, sent, w.id, p)
+				if o.core.Fenced() {
+					o.alive = false
+				}
+			}
+			m.after(30*time.Millisecond, func() { o.poll(w) })
+		})
+	})
+}
+
+// replaceOwner makes a new owner take over the cell.
+func (m *model) replaceOwner() {
+	if m.owner != nil {
+		m.owner.alive = false
+	}
+	m.takeOver()
+}
--- /dev/null
+++ b/core/cell/modelworker_test.go
@@ -0,0 +1,208 @@
+package cell_test
+
+import (
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/works"
+
+	"gotest.tools/v3/assert"
+)
+
+// modelRun is a run on a worker of the model.
+type modelRun struct {
+	number int64
+	alive  bool
+}
+
+// modelWorker is a worker of the model. Its clock runs at its own rate.
+type modelWorker struct {
+	id        string
+	rate      float64
+	startedAt time.Time
+	silent    bool
+	fence     uint64
+	leaseEnd  time.Duration
+	running   map[string]*modelRun
+	stopped   map[string]int64
+	ended     []rock.End
+	endedAt   map[int64]time.Time
+	// restartedAfter holds the numbers of the ends whose task was started again.
+	restartedAfter map[int64]bool
+	lastEnd        int64
+	// leaseExpiredAt is when the lease last expired. An end does not count as
+	// acknowledged if the lease expired between the end and its acknowledgement.
+	leaseExpiredAt time.Time
+}
+
+func (w *modelWorker) clock(now time.Time) time.Duration {
+	return time.Duration(w.rate * float64(now.Sub(w.startedAt)))
+}
+
+func (m *model) findWorker(id string) *modelWorker {
+	for _, w := range m.workers {
+		if w.id == id {
+			return w
+		}
+	}
+	return nil
+}
+
+// handleStart carries out a start order on a worker.
+func (m *model) handleStart(w *modelWorker, s rock.StartOrder) rock.Reply {
+	p := rock.Reply{Clock: w.clock(m.now)}
+	if s.Fence < w.fence {
+		p.Refusal = rock.RefusedFence
+		return p
+	}
+	w.fence = s.Fence
+	switch r := w.running[s.Task]; {
+	case r != nil && r.number == s.Run:
+		return p
+	case s.Run <= w.stopped[s.Task]:
+		p.Refusal = rock.RefusedStaleRun
+	case s.LeaseUntil < w.clock(m.now):
+		p.Refusal = rock.RefusedLeaseExpired
+	case len(w.running) >= 3:
+		p.Refusal = rock.RefusedCapacity
+	default:
+		m.startRun(w, s)
+	}
+	return p
+}
+
+// startRun starts a run, and fails the test if that is not allowed.
+func (m *model) startRun(w *modelWorker, s rock.StartOrder) {
+	m.log("begin %s run %d on %s fence %d", s.Task, s.Run, w.id, s.Fence)
+	m.starts++
+	for _, o := range m.workers {
+		if o.running[s.Task] != nil {
+			m.fail("TWICE: %s run %d started on %s while it runs on %s", s.Task, s.Run, w.id, o.id)
+		}
+	}
+	if m.acked[s.Task] {
+		m.fail("TWICE: %s run %d started on %s after its end was noted", s.Task, s.Run, w.id)
+	}
+	for _, o := range m.workers {
+		for _, e := range o.ended {
+			if e.Task == s.Task && e.Reason == rock.EndDone {
+				o.restartedAfter[e.Number] = true
+			}
+		}
+	}
+	if m.failed[s.Task] >= 3 {
+		m.fail("BUDGET: %s run %d started on %s after %d failures", s.Task, s.Run, w.id, m.failed[s.Task])
+	}
+	n, err := works.ParseTaskName(s.Task)
+	assert.NilError(m.t, err)
+	if j, ok := m.rows.jobs[n.Job]; ok && n.Step == 1 {
+		for i := range j.Spec.Steps[0].Count {
+			if before := (works.TaskName{Job: n.Job, Index: i}).String(); !m.done[before] {
+				m.fail("ORDER: %s started before %s was done", s.Task, before)
+			}
+		}
+	}
+	r := &modelRun{number: s.Run, alive: true}
+	w.running[s.Task] = r
+	w.extendLease(m, s.LeaseUntil)
+	incarnation := w.startedAt
+	m.after(time.Duration(200+m.random.IntN(1500))*time.Millisecond, func() {
+		if !r.alive || !w.startedAt.Equal(incarnation) {
+			return
+		}
+		how := rock.EndDone
+		if m.random.IntN(12) == 0 {
+			how = rock.EndFailed
+		}
+		m.endRun(w, s.Task, how)
+	})
+}
+
+// extendLease extends the worker's lease, at whose end its runs end.
+func (w *modelWorker) extendLease(m *model, until time.Duration) {
+	until = min(until, w.clock(m.now)+modelMaxLease)
+	if until <= w.leaseEnd {
+		return
+	}
+	w.leaseEnd = until
+	incarnation := w.startedAt
+	left := time.Duration(float64(until-w.clock(m.now)) / w.rate)
+	m.after(left+time.Millisecond, func() {
+		if !w.startedAt.Equal(incarnation) || w.clock(m.now) < w.leaseEnd {
+			return
+		}
+		w.leaseExpiredAt = m.now
+		for task := range w.running {
+			m.endRun(w, task, rock.EndLeaseExpired)
+		}
+	})
+}
+
+func (m *model) endRun(w *modelWorker, task string, how rock.EndReason) {
+	r := w.running[task]
+	m.log("end %s run %d on %s %s", task, r.number, w.id, how)
+	r.alive = false
+	delete(w.running, task)
+	w.stopped[task] = max(w.stopped[task], r.number)
+	w.lastEnd++
+	w.endedAt[w.lastEnd] = m.now
+	w.ended = append(w.ended, rock.End{Number: w.lastEnd, Task: task, Run: r.number, Reason: how})
+	if how == rock.EndDone {
+		m.done[task] = true
+	}
+}
+
+func (m *model) stopRun(w *modelWorker, s rock.StopOrder) rock.Reply {
+	p := rock.Reply{Clock: w.clock(m.now)}
+	if s.Fence < w.fence {
+		p.Refusal = rock.RefusedFence
+		return p
+	}
+	w.fence = s.Fence
+	w.stopped[s.Task] = max(w.stopped[s.Task], s.Run)
+	if r := w.running[s.Task]; r != nil && r.number <= s.Run {
+		m.endRun(w, s.Task, rock.EndStopped)
+	}
+	return p
+}
+
+// renew carries out a renewal on a worker.
+func (m *model) renew(w *modelWorker, h rock.RenewOrder) rock.Report {
+	p := rock.Report{Clock: w.clock(m.now), WorkerStartedAt: w.startedAt}
+	if h.Fence < w.fence {
+		p.Refusal = rock.RefusedFence
+		return p
+	}
+	w.fence = h.Fence
+	w.extendLease(m, h.LeaseUntil)
+	for len(w.ended) > 0 && w.ended[0].Number <= h.AckedUpTo {
+		e := w.ended[0]
+		m.log("noted %s run %d on %s by fence %d", e.Task, e.Run, w.id, h.Fence)
+		if e.Reason == rock.EndDone && !w.leaseExpiredAt.After(w.endedAt[e.Number]) {
+			m.acked[e.Task] = true
+			if w.restartedAfter[e.Number] {
+				m.fail("TWICE: %s run %d on %s was noted as done and had been started again", e.Task, e.Run, w.id)
+			}
+		}
+		if e.Reason == rock.EndFailed {
+			m.failed[e.Task]++
+		}
+		w.ended = w.ended[1:]
+	}
+	for task, r := range w.running {
+		p.Running = append(p.Running, rock.Run{Task: task, Run: r.number, Percent: 100})
+	}
+	p.Ended = append(p.Ended, w.ended...)
+	return p
+}
+
+// restart replaces a worker by a new incarnation with the same ID.
+func (m *model) restart(w *modelWorker) {
+	m.log("restart of %s", w.id)
+	for task, r := range w.running {
+		r.alive = false
+		delete(w.running, task)
+	}
+	w.startedAt, w.fence, w.leaseEnd, w.ended, w.lastEnd = m.now, 0, 0, nil, 0
+	w.stopped, w.endedAt, w.restartedAfter = map[string]int64{}, map[int64]time.Time{}, map[int64]bool{}
+}
