The model of a cell has workers that come and go

The model of a cell had five workers that always come back, and saw a waiting task only if its job had not ended after 90 s. It could not show why a task waits for good in a fleet that is mostly free.

TestRandomFleetSchedules runs the model with hosts that leave for good (noticed by the list of hosts, by silence, or by another worker at the address), new workers, workers that return under the same ID, late, missing and draining registrations, drained workers, takeovers with unread jobs, answers that are handled late, workers that refuse calls or are silent for long, persistent steps and larger tasks. Times of faults alternate with calm ones. Every 100 ms it checks on the workers that in calm time no job has nothing running for 3 s, and no persistent task is away for 6 s, while more than half of the capacity is free and there is room for the task twice over; that no worker which is gone has runs; and that a drain stops no persistent task while as many others of its step as allowed are away. A failure prints what the cell believes.

The schedules of TestRandomFaultSchedules are drawn as before; orders and runs are handled in a fixed order, because that of the cell's maps changes from run to run.

--- a/core/cell/model_test.go
+++ b/core/cell/model_test.go
@@ -27,19 +27,23 @@
 
 // model is the state of the simulation.
 type model struct {
-	t        *testing.T
-	seed     uint64
-	random   *rand.Rand
-	now      time.Time
-	queue    events
-	workers  []*modelWorker
-	rows     modelRows
-	version  uint64
-	owner    *modelOwner
-	done     map[string]bool
-	acked    map[string]bool
-	failed   map[string]int
-	starts   int
+	t       *testing.T
+	seed    uint64
+	random  *rand.Rand
+	now     time.Time
+	queue   events
+	workers []*modelWorker
+	rows    modelRows
+	version uint64
+	owner   *modelOwner
+	done    map[string]bool
+	acked   map[string]bool
+	failed  map[string]int
+	// specs holds all jobs that were submitted.
+	specs  map[string]works.Job
+	starts int
+	// fleet is the state of a fleet whose workers come and go, or nil if the workers stay.
+	fleet    *modelFleet
 	logLines []string
 }
 
@@ -53,8 +57,9 @@
 func (m *model) fail(format string, args ...any) {
 	m.t.Helper()
 	subject, _, _ := strings.Cut(strings.TrimLeft(fmt.Sprintf(format, args...), "ABCDEFGHIJKLMNOPQRSTUVWXYZ: "), " ")
+	job, _, _ := strings.Cut(subject, ".")
 	for _, line := range m.logLines {
-		if strings.Contains(line, subject) || strings.Contains(line, "take") || strings.Contains(line, "restart") {
+		if strings.Contains(line, job) || strings.Contains(line, "take") || strings.Contains(line, "restart") {
 			m.t.Log(line)
 		}
 	}
@@ -65,10 +70,10 @@
 	m := &model{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), now: start,
 		rows: modelRows{map[string]works.Job{}, map[string]uint64{}, map[string]works.Progress{}, map[string]works.State{}, map[string]time.Time{}},
-		done: map[string]bool{}, acked: map[string]bool{}, failed: map[string]int{},
+		done: map[string]bool{}, acked: map[string]bool{}, failed: map[string]int{}, specs: map[string]works.Job{},
 	}
 	for i := range 5 {
-		m.workers = append(m.workers, &modelWorker{id: fmt.Sprint("w", i), startedAt: start, rate: 0.98 + 0.02*m.random.Float64(), endedAt: map[int64]time.Time{}, restartedAfter: map[int64]bool{}, running: map[string]*modelRun{}, stopped: map[string]int64{}})
+		m.workers = append(m.workers, m.newWorker(fmt.Sprint("w", i)))
 	}
 	for i := range modelJobs {
 		m.after(time.Duration(m.random.Int64N(int64(modelLength/2))), func() { m.submit(fmt.Sprintf("%016x", i)) })
@@ -79,8 +84,11 @@
 func (m *model) submit(id string) {
 	m.version++
 	j := job(id, step(1+m.random.IntN(3)), step(1+m.random.IntN(2), 0))
+	if m.fleet != nil {
+		j.Spec = m.fleetSpec()
+	}
 	j.Accepted = m.now
-	m.rows.jobs[id], m.rows.versions[id] = j, m.version
+	m.rows.jobs[id], m.rows.versions[id], m.specs[id] = j, m.version, j
 	if m.owner != nil {
 		m.owner.core.AddJob(m.now, j, m.version)
 	}
@@ -88,6 +96,9 @@
 
 // registered returns the workers as the platform lists them.
 func (m *model) registered() []rock.Worker {
+	if m.fleet != nil {
+		return m.fleet.registered(m)
+	}
 	var list []rock.Worker
 	for _, w := range m.workers {
 		list = append(list, rock.Worker{
@@ -129,7 +140,9 @@
 
 func (m *model) run() {
 	m.takeOver()
-	m.after(3*time.Second, m.injectFaults)
+	if m.fleet == nil {
+		m.after(3*time.Second, m.injectFaults)
+	}
 	for len(m.queue) > 0 && m.now.Sub(start) < modelLength+30*time.Second {
 		e := heap.Pop(&m.queue).(event)
 		m.now = e.at
@@ -144,7 +157,8 @@
 		}
 	}
 	for id, s := range m.rows.outcomes {
-		if s != works.Completed && s != works.Failed {
+		cancelled := s == works.Cancelled && m.fleet != nil && m.fleet.cancelled[id]
+		if s != works.Completed && s != works.Failed && !cancelled {
 			m.fail("job %s ended as %s", id, s)
 		}
 	}
--- a/core/cell/modelowner_test.go
+++ b/core/cell/modelowner_test.go
@@ -1,7 +1,10 @@
 package cell_test
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	rock "bramleyrock"
@@ -27,6 +30,8 @@
 	// incarnations holds the start time of each worker to which a connection is
 	// open.
 	incarnations map[string]time.Time
+	// pendingProgress holds the progress of jobs that are not read yet.
+	pendingProgress map[string]works.Progress
 }
 
 // takeOver creates a new owner from the stored rows.
@@ -41,21 +46,54 @@
 		FormerLeasesEndAt: m.now.Add(modelLease*103/100 + time.Second), FormerWorkers: former,
 	})}
 	o.core.SetQueues([]works.Queue{{Name: "q", Pool: "tins", Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond}})
-	for id, j := range m.rows.jobs {
-		o.core.AddJob(m.now, j, m.rows.versions[id])
-		if p, ok := m.rows.progress[id]; ok {
-			o.core.AddProgress(m.now, id, p)
-		}
-	}
+	o.readJobs()
 	o.core.SetWorkers(m.now, m.registered())
 	m.log("take fence %d former %v progress %v", m.version, former, m.rows.progress)
 	m.owner = o
+	m.fault(0)
 	for _, w := range m.workers {
 		o.poll(w)
 	}
 	o.decideLoop()
 }
 
+// readJobs reads the stored jobs. Some of them may be unread for a while.
+func (o *modelOwner) readJobs() {
+	m := o.m
+	o.pendingProgress = maps.Clone(m.rows.progress)
+	unread := m.unreadParts()
+	if len(unread) > 0 {
+		o.core.SetJobsIncomplete(m.now, true)
+		for id := range m.rows.outcomes {
+			o.core.RecordEnded(m.now, id)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.rows.jobs)) {
+		if !unread[modelPart(id)] {
+			o.addStoredJob(id)
+		}
+	}
+	o.readLater(unread)
+}
+
+// addStoredJob adds a job and its progress from their rows.
+func (o *modelOwner) addStoredJob(id string) {
+	m := o.m
+	j, ok := m.rows.jobs[id]
+	if !ok {
+		return
+	}
+	o.core.AddJob(m.now, j, m.rows.versions[id])
+	if p, ok := o.pendingProgress[id]; ok {
+		delete(o.pendingProgress, id)
+		o.core.AddProgress(m.now, id, p)
+	}
+	o.core.HandleDeferredEnds(m.now, id)
+	if m.fleet != nil && m.fleet.cancelled[id] {
+		o.core.Cancel(m.now, id)
+	}
+}
+
 // decideLoop calls Decide and sends the orders every 10 ms.
 func (o *modelOwner) decideLoop() {
 	if !o.alive {
@@ -66,7 +104,12 @@
 		m.log("%v", n)
 	}
 	o.core.SetWorkers(m.now, m.registered())
-	for _, d := range o.core.Decide(m.now, m.now) {
+	orders := o.core.Decide(m.now, m.now)
+	slices.SortFunc(orders, func(a, b cell.Order) int { // the order of Decide is random
+		return cmp.Or(cmp.Compare(a.Worker.ID, b.Worker.ID), cmp.Compare(a.Start.Task+a.Stop.Task, b.Start.Task+b.Stop.Task), cmp.Compare(a.Start.Run+a.Stop.Run, b.Start.Run+b.Stop.Run))
+	})
+	for _, d := range orders {
+		m.checkStop(o, d)
 		o.sendOrder(d)
 	}
 	if !o.committing && o.core.FlushDue(m.now) {
@@ -84,13 +127,13 @@
 		if !o.alive {
 			return // the write is conditional on the owner
 		}
-		applied := m.random.IntN(20) > 0
+		applied := !m.happens(20, time.Second)
 		if applied {
 			m.write(b)
 		}
 		m.after(m.delay(), func() {
 			o.committing = false
-			if applied && m.random.IntN(20) > 0 {
+			if applied && !m.happens(20, time.Second) {
 				o.core.Flushed(m.now, b)
 			} else {
 				o.core.FlushFailed(m.now, b)
@@ -143,29 +186,34 @@
 		return m.handleStart(w, d.Start)
 	}
 	switch {
-	case m.random.IntN(40) == 0:
+	case m.happens(40, 6*time.Second+modelTimeout):
 		incarnation := w.startedAt
 		m.after(2*time.Second+time.Duration(m.random.Int64N(int64(4*time.Second))), func() {
-			if w.startedAt.Equal(incarnation) { // a delayed order is lost with its worker
+			if w.startedAt.Equal(incarnation) && !w.left { // a delayed order is lost with its worker
 				run()
 			}
 		})
 		timeOut()
-	case m.random.IntN(40) == 0:
+	case m.happens(40, modelTimeout):
 		m.after(m.delay(), func() {
-			if !w.silent {
+			if w.reachable() {
 				run()
 			}
 		})
 		timeOut()
 	default:
 		m.after(m.delay(), func() {
-			if w.silent {
+			var p rock.Reply
+			switch {
+			case w.reachable():
+				p = run()
+			case w.left && w.replaced:
+				p.Refusal = rock.RefusedIdentity
+			default:
 				timeOut()
 				return
 			}
-			p := run()
-			m.after(m.delay(), func() {
+			m.after(m.answerDelay(), func() {
 				if o.alive {
 					o.core.HandleReply(m.now, d, p, nil)
 				}
@@ -194,8 +242,12 @@
 		}
 	}
 	m.after(m.delay(), func() {
-		if w.silent || m.random.IntN(60) == 0 {
-			if !w.silent {
+		if w.left && w.replaced {
+			o.handleReport(w, sent, rock.Report{Refusal: rock.RefusedIdentity})
+			return
+		}
+		if !w.reachable() || m.happens(60, modelTimeout) {
+			if w.reachable() {
 				m.renew(w, h) // the answer is lost
 			}
 			m.after(modelTimeout, func() {
@@ -206,16 +258,21 @@
 			})
 			return
 		}
-		p := m.renew(w, h)
-		m.after(m.delay(), func() {
-			if o.alive {
-				o.core.HandleReport(m.now, sent, w.id, p)
-				if o.core.Fenced() {
-					o.alive = false
-				}
+		o.handleReport(w, sent, m.renew(w, h))
+	})
+}
+
+// handleReport passes a worker's report to the cell after a delay, and polls it again.
+func (o *modelOwner) handleReport(w *modelWorker, sent time.Time, p rock.Report) {
+	m := o.m
+	m.after(m.answerDelay(), func() {
+		if o.alive {
+			o.core.HandleReport(m.now, sent, w.id, p)
+			if o.core.Fenced() {
+				o.alive = false
 			}
-			m.after(30*time.Millisecond, func() { o.poll(w) })
-		})
+		}
+		m.after(30*time.Millisecond, func() { o.poll(w) })
 	})
 }
 
--- /dev/null
+++ b/core/cell/modelwaits_test.go
@@ -0,0 +1,171 @@
+package cell_test
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/cell"
+	"bramleyrock/core/works"
+)
+
+const (
+	waitCheckInterval = 100 * time.Millisecond
+	// settleTime is how long after the last fault the effects of faults may last: the
+	// longest lease on the slowest clock, and two calls without an answer after it.
+	settleTime = modelMaxLease*103/100 + 2*modelTimeout
+	// maxWait is how long a job may have nothing running, and maxPersistentWait how
+	// long a persistent task may be away.
+	maxWait           = 3 * time.Second
+	maxPersistentWait = 6 * time.Second
+	// joinTime is how long after its registration a worker counts as capacity.
+	joinTime = 2 * time.Second
+	// noticeTime is how long a persistent task may be away unnoticed.
+	noticeTime = 2500 * time.Millisecond
+)
+
+// modelWaits holds since when each job, or persistent task, has had nothing running, and
+// since when there has been room for it.
+type modelWaits struct {
+	idleSince map[string]time.Time
+	roomSince map[string]time.Time
+	// stops holds the stops that were ordered.
+	stops map[rock.StopOrder]bool
+	// checks is the number of times that a waiting job was found in calm time.
+	checks int
+	// longest is the longest wait in calm time while there was room.
+	longest time.Duration
+}
+
+func newModelWaits() modelWaits {
+	return modelWaits{idleSince: map[string]time.Time{}, roomSince: map[string]time.Time{}, stops: map[rock.StopOrder]bool{}}
+}
+
+// checkWaits fails the test if a job, or a persistent task, has waited for too long
+// although most of the fleet is free.
+func (m *model) checkWaits() {
+	m.after(waitCheckInterval, m.checkWaits)
+	if gone := m.owner.core.Waiting(m.now, cell.WaitQuery{}).GoneWithRuns; len(gone) > 0 {
+		m.fail("GONE: %s have runs although they are gone", strings.Join(gone, " "))
+	}
+	running := map[string]bool{}
+	for _, w := range m.workers {
+		for task := range w.running {
+			n, _ := works.ParseTaskName(task)
+			running[n.Job], running[task] = true, true
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.rows.jobs)) {
+		j := m.rows.jobs[id]
+		switch {
+		case m.fleet.cancelled[id]:
+		case j.Spec.Persistent():
+			s := &j.Spec.Steps[0]
+			for i := range s.Count {
+				task := works.TaskName{Job: id, Index: i}.String()
+				m.checkWait(id, task, running[task], s.Need, s.MaxPerWorker, maxPersistentWait)
+			}
+		default:
+			var need rock.Resources
+			for _, s := range j.Spec.Steps {
+				need.MilliCores, need.MemoryMB = max(need.MilliCores, s.Need.MilliCores), max(need.MemoryMB, s.Need.MemoryMB)
+			}
+			m.checkWait(id, id, running[id], need, 0, maxWait)
+		}
+	}
+}
+
+// checkWait checks the wait of a job, or of one of its persistent tasks.
+func (m *model) checkWait(id, subject string, running bool, need rock.Resources, maxPerWorker int, limit time.Duration) {
+	ws := &m.fleet.waits
+	if running || ws.idleSince[subject].IsZero() {
+		ws.idleSince[subject] = m.now
+	}
+	if !m.hasRoomTwice(id, need, maxPerWorker) || ws.roomSince[subject].IsZero() {
+		ws.roomSince[subject] = m.now
+	}
+	settled := m.fleet.faultsEndAt.Add(settleTime)
+	if running || m.fleet.faulty || m.now.Before(settled) {
+		return
+	}
+	ws.checks++
+	since := slices.MaxFunc([]time.Time{ws.idleSince[subject], ws.roomSince[subject], settled}, time.Time.Compare)
+	ws.longest = max(ws.longest, m.now.Sub(since))
+	if m.now.Sub(since) <= limit {
+		return
+	}
+	m.t.Log(m.owner.core.Describe(m.now, id))
+	for _, x := range m.owner.core.Waiting(m.now, cell.WaitQuery{Longer: limit / 2, MaxJobs: 10}).Waiting {
+		m.t.Logf("%+v run %+v", x, x.Run)
+	}
+	m.fail("LOST: %s waits since %v, settled %v, room since %v", id, ws.idleSince[subject].Sub(start), settled.Sub(start), ws.roomSince[subject].Sub(start))
+}
+
+// isRunning reports whether a task runs on a worker.
+func (m *model) isRunning(task string) bool {
+	return slices.ContainsFunc(m.workers, func(w *modelWorker) bool { return w.running[task] != nil })
+}
+
+// hasRoomTwice reports whether more than half of the capacity is free, and there is
+// room for two more tasks.
+func (m *model) hasRoomTwice(id string, need rock.Resources, maxPerWorker int) bool {
+	var used, all rock.Resources
+	room := 0
+	for _, w := range m.workers {
+		if !m.counts(w) {
+			continue
+		}
+		used, all = used.Add(w.used()), all.Add(w.capacity)
+		free := w.capacity.Sub(w.used())
+		for n := w.countRuns(id); free.CanFit(need) && (maxPerWorker == 0 || n < maxPerWorker); n++ {
+			free = free.Sub(need)
+			room++
+		}
+	}
+	return room >= 2 && 2*used.MilliCores < all.MilliCores && 2*used.MemoryMB < all.MemoryMB
+}
+
+// counts reports whether a worker counts as capacity.
+func (m *model) counts(w *modelWorker) bool {
+	f := m.fleet
+	r, listed := f.listed[w.id]
+	return w.reachable() && !w.busy && listed && r.StartedAt.Equal(w.startedAt) && m.now.Sub(f.listedSince[w.id]) >= joinTime &&
+		!f.closing[w.id] && !f.draining[w.id] && !m.now.Before(f.hidden[w.id])
+}
+
+// countRuns returns the number of a job's runs on the worker.
+func (w *modelWorker) countRuns(id string) int {
+	count := 0
+	for task := range w.running {
+		if n, _ := works.ParseTaskName(task); n.Job == id {
+			count++
+		}
+	}
+	return count
+}
+
+// checkStop fails the test if a persistent task is stopped for a drain while as many
+// others of its step as MaxUnavailable allows have been away for long.
+func (m *model) checkStop(o *modelOwner, d cell.Order) {
+	if m.fleet == nil || d.Kind != cell.OrderStop || m.fleet.waits.stops[d.Stop] {
+		return
+	}
+	m.fleet.waits.stops[d.Stop] = true // a repeated stop is no decision
+	if d.Reason != "its worker is being drained" || m.fleet.draining[d.Worker.ID] || !o.alive {
+		return
+	}
+	s := m.step(d.Stop.Task)
+	away := 0
+	for i := range s.Count {
+		task := works.TaskName{Job: d.Job, Index: i}.String()
+		if since := m.fleet.waits.idleSince[task]; task != d.Stop.Task && !since.IsZero() && m.now.Sub(since) > noticeTime && !m.isRunning(task) {
+			away++
+		}
+	}
+	if away >= s.MaxUnavailable {
+		m.t.Log(o.core.Describe(m.now, d.Job))
+		m.fail("AVAIL: %s is stopped on %s while %d others are away", d.Stop.Task, d.Worker.ID, away)
+	}
+}
--- a/core/cell/modelworker_test.go
+++ b/core/cell/modelworker_test.go
@@ -1,6 +1,8 @@
 package cell_test
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	rock "bramleyrock"
@@ -13,6 +15,7 @@
 type modelRun struct {
 	number int64
 	alive  bool
+	need   rock.Resources
 }
 
 // modelWorker is a worker of the model. Its clock runs at its own rate.
@@ -21,12 +24,21 @@
 	rate      float64
 	startedAt time.Time
 	silent    bool
-	fence     uint64
-	leaseEnd  time.Duration
-	running   map[string]*modelRun
-	stopped   map[string]int64
-	ended     []rock.End
-	endedAt   map[int64]time.Time
+	// left is true once the worker's host was taken down, and replaced is true if
+	// another worker answers at its address.
+	left     bool
+	replaced bool
+	// busy is true while the worker answers with 503.
+	busy bool
+	// lasting is true while its silence or refusals outlast the time of faults.
+	lasting  bool
+	capacity rock.Resources
+	fence    uint64
+	leaseEnd time.Duration
+	running  map[string]*modelRun
+	stopped  map[string]int64
+	ended    []rock.End
+	endedAt  map[int64]time.Time
 	// restartedAfter holds the numbers of the ends whose task was started again.
 	restartedAfter map[int64]bool
 	lastEnd        int64
@@ -48,6 +60,17 @@
 	return nil
 }
 
+// newWorker returns a worker that starts now.
+func (m *model) newWorker(id string) *modelWorker {
+	return &modelWorker{
+		id: id, startedAt: m.now, rate: 0.98 + 0.02*m.random.Float64(), capacity: rock.Resources{MilliCores: 3000, MemoryMB: 8000},
+		endedAt: map[int64]time.Time{}, restartedAfter: map[int64]bool{}, running: map[string]*modelRun{}, stopped: map[string]int64{},
+	}
+}
+
+// reachable reports whether the worker answers.
+func (w *modelWorker) reachable() bool { return !w.silent && !w.left }
+
 // handleStart carries out a start order on a worker.
 func (m *model) handleStart(w *modelWorker, s rock.StartOrder) rock.Reply {
 	p := rock.Reply{Clock: w.clock(m.now)}
@@ -56,14 +79,17 @@
 		return p
 	}
 	w.fence = s.Fence
+	need := m.need(s.Task)
 	switch r := w.running[s.Task]; {
+	case w.busy:
+		p.Refusal = rock.RefusedBusy
 	case r != nil && r.number == s.Run:
 		return p
 	case s.Run <= w.stopped[s.Task]:
 		p.Refusal = rock.RefusedStaleRun
 	case s.LeaseUntil < w.clock(m.now):
 		p.Refusal = rock.RefusedLeaseExpired
-	case len(w.running) >= 3:
+	case !w.capacity.Sub(w.used()).CanFit(need):
 		p.Refusal = rock.RefusedCapacity
 	default:
 		m.startRun(w, s)
@@ -90,7 +116,7 @@
 			}
 		}
 	}
-	if m.failed[s.Task] >= 3 {
+	if st := m.step(s.Task); m.failed[s.Task] >= 3 && (st == nil || !st.Persistent) {
 		m.fail("BUDGET: %s run %d started on %s after %d failures", s.Task, s.Run, w.id, m.failed[s.Task])
 	}
 	n, err := works.ParseTaskName(s.Task)
@@ -102,22 +128,66 @@
 			}
 		}
 	}
-	r := &modelRun{number: s.Run, alive: true}
+	r := &modelRun{number: s.Run, alive: true, need: m.need(s.Task)}
 	w.running[s.Task] = r
 	w.extendLease(m, s.LeaseUntil)
+	runTime, how := m.runTime(s.Task)
+	if runTime == 0 {
+		return
+	}
 	incarnation := w.startedAt
-	m.after(time.Duration(200+m.random.IntN(1500))*time.Millisecond, func() {
-		if !r.alive || !w.startedAt.Equal(incarnation) {
-			return
+	m.after(runTime, func() {
+		if r.alive && w.startedAt.Equal(incarnation) {
+			m.endRun(w, s.Task, how)
 		}
-		how := rock.EndDone
-		if m.random.IntN(12) == 0 {
-			how = rock.EndFailed
-		}
-		m.endRun(w, s.Task, how)
 	})
 }
 
+// runTime returns how long a run takes and how it ends, or 0 if it does not end by
+// itself.
+func (m *model) runTime(task string) (time.Duration, rock.EndReason) {
+	if st := m.step(task); st != nil && st.Persistent {
+		if m.random.IntN(3) > 0 {
+			return 0, ""
+		}
+		return time.Duration(m.random.Int64N(int64(20 * time.Second))), rock.EndFailed
+	}
+	how := rock.EndDone
+	d := time.Duration(200+m.random.IntN(1500)) * time.Millisecond
+	if m.random.IntN(12) == 0 {
+		how = rock.EndFailed
+	}
+	return d, how
+}
+
+// step returns the step of a task.
+func (m *model) step(task string) *works.Step {
+	n, err := works.ParseTaskName(task)
+	assert.NilError(m.t, err)
+	j, ok := m.specs[n.Job]
+	if !ok {
+		return nil
+	}
+	return &j.Spec.Steps[n.Step]
+}
+
+// need returns the resources that a task needs.
+func (m *model) need(task string) rock.Resources {
+	if st := m.step(task); st != nil {
+		return st.Need
+	}
+	return rock.Resources{}
+}
+
+// used returns the resources that the runs on the worker need.
+func (w *modelWorker) used() rock.Resources {
+	var sum rock.Resources
+	for _, r := range w.running {
+		sum = sum.Add(r.need)
+	}
+	return sum
+}
+
 // extendLease extends the worker's lease, at whose end its runs end.
 func (w *modelWorker) extendLease(m *model, until time.Duration) {
 	until = min(until, w.clock(m.now)+modelMaxLease)
@@ -132,7 +202,7 @@
 			return
 		}
 		w.leaseExpiredAt = m.now
-		for task := range w.running {
+		for _, task := range slices.Sorted(maps.Keys(w.running)) {
 			m.endRun(w, task, rock.EndLeaseExpired)
 		}
 	})
@@ -159,6 +229,10 @@
 		return p
 	}
 	w.fence = s.Fence
+	if w.busy {
+		p.Refusal = rock.RefusedBusy
+		return p
+	}
 	w.stopped[s.Task] = max(w.stopped[s.Task], s.Run)
 	if r := w.running[s.Task]; r != nil && r.number <= s.Run {
 		m.endRun(w, s.Task, rock.EndStopped)
@@ -174,6 +248,10 @@
 		return p
 	}
 	w.fence = h.Fence
+	if w.busy {
+		p.Refusal = rock.RefusedBusy
+		return p
+	}
 	w.extendLease(m, h.LeaseUntil)
 	for len(w.ended) > 0 && w.ended[0].Number <= h.AckedUpTo {
 		e := w.ended[0]
@@ -189,7 +267,8 @@
 		}
 		w.ended = w.ended[1:]
 	}
-	for task, r := range w.running {
+	for _, task := range slices.Sorted(maps.Keys(w.running)) {
+		r := w.running[task]
 		p.Running = append(p.Running, rock.Run{Task: task, Run: r.number, Percent: 100})
 	}
 	p.Ended = append(p.Ended, w.ended...)
