Persistent tasks keep their hosts while another pool surges

What callers saw: tasks of a persistent job stay away while most of their pool is free.

Cause, from the logs: the pool required 21 hosts, and gave some away until it had 19, at 40.2 to 44.9 s. Another pool surged and required 1,400 hosts. If there are too few hosts, each pool gets its floor and a share of the rest in proportion to what it requires, which was 19 hosts. None came back before the surge was over.

Why this works: the hosts without which tasks find no worker, however much is free, belong to the floor. They are few; the shares of the rest are as before.

The new case of TestPlan failed before (a host moves from the pool that has too few), and passes.

--- a/core/cell/load.go
+++ b/core/cell/load.go
@@ -15,6 +15,9 @@
 	// capacity that it should keep because it may soon need it, both in cores.
 	RequiredCores float64
 	RetainedCores float64
+	// MinCores is the part of RequiredCores that other cells with more work must not take
+	// away: with less, some tasks could not run although resources are free.
+	MinCores float64
 	// ArrivalRate is the recent mean arrival rate of work, in core-seconds per
 	// second.
 	ArrivalRate float64
@@ -50,8 +53,8 @@
 	}
 	l.Cores = c.usableCores(now)
 	l.RequiredCores, l.RetainedCores = c.demand.Estimate(now, ready, persistent)
-	spread := c.spreadCores(now, l.RequiredCores)
-	l.RequiredCores, l.RetainedCores = max(l.RequiredCores, spread), max(l.RetainedCores, spread)
+	l.MinCores = c.spreadCores(now, l.RequiredCores)
+	l.RequiredCores, l.RetainedCores = max(l.RequiredCores, l.MinCores), max(l.RetainedCores, l.MinCores)
 	l.ArrivalRate = c.demand.RecentRate(now)
 	return l
 }
--- a/core/cell/spread_test.go
+++ b/core/cell/spread_test.go
@@ -52,6 +52,9 @@
 				l = b.Load(b.now)
 			}
 			assert.Assert(t, l.RequiredCores >= c.least && l.RequiredCores <= c.atMost && l.RetainedCores >= l.RequiredCores, "%+v", l)
+			if c.least >= 12 {
+				assert.Equal(t, l.MinCores, c.least)
+			}
 		})
 	}
 }
--- a/core/resize/plan.go
+++ b/core/resize/plan.go
@@ -14,9 +14,11 @@
 	// Standby is true for the pool of hosts that are powered off.
 	Standby bool
 	// Want is the number of cores that the pool needs now. Keep is the number
-	// that it should retain for demand that may return soon.
+	// that it should retain for demand that may return soon. Min is the part of Want
+	// that it gets even if there are too few hosts for all pools.
 	Want float64
 	Keep float64
+	Min  float64
 	// HostCores is the number of cores of a host.
 	HostCores float64
 	// Hosts is the number of hosts that are in the pool or moving to it.
@@ -73,9 +75,12 @@
 	if p.Standby {
 		return 0
 	}
-	return max(l.floor[p.Name], int(math.Ceil(cores/max(1, p.HostCores))))
+	return max(l.floor[p.Name], hosts(p, cores))
 }
 
+// hosts returns the number of hosts of the pool that have that many cores.
+func hosts(p Pool, cores float64) int { return int(math.Ceil(cores / max(1, p.HostCores))) }
+
 // surgeFree reports whether no pool has surged within surgeFreeTime.
 func surgeFree(pools []Pool) bool {
 	return !slices.ContainsFunc(pools, func(p Pool) bool { return !p.Standby && p.Rest <= surgeFreeTime })
@@ -117,7 +122,7 @@
 		case nexts[p.Name]:
 			share = min(maxNextSurgeShare, nextSurgeShare/float64(len(nexts)))
 		}
-		l.floor[p.Name] = max(MinHosts, int(share*even))
+		l.floor[p.Name] = max(MinHosts, int(share*even), hosts(p, p.Min))
 	}
 }
 
--- a/core/resize/plan_test.go
+++ b/core/resize/plan_test.go
@@ -29,6 +29,13 @@
 			},
 			[]resize.Move{{From: "a", To: "b", Count: 7}},
 		},
+		"a pool gets what it cannot do without before the others share the rest": {
+			[]resize.Pool{
+				{Name: "a", Want: 224, Min: 224, HostCores: 32, Hosts: 6, Spare: 1},
+				{Name: "b", Want: 3200, HostCores: 32, Hosts: 14, Spare: 14},
+			},
+			[]resize.Move{{From: "b", To: "a", Count: 1}},
+		},
 		"a pool keeps its minimum": {
 			[]resize.Pool{
 				{Name: "a", Want: 320, HostCores: 32, Hosts: 6},
