--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -159,7 +159,7 @@
 	for t, worker := range j.restore(p) {
 		c.expectFormerRun(now, t, worker)
 	}
-	c.completeIfDone(j)
+	c.completeIfDone(now, j)
 }
 
 // Cancel ends a job that its caller has cancelled. It has no effect on a job
@@ -200,9 +200,9 @@
 }
 
 // completeIfDone ends a job whose tasks are all done.
-func (c *Cell) completeIfDone(j *job) {
+func (c *Cell) completeIfDone(now time.Time, j *job) {
 	if j.remaining == 0 && !j.state.Ended() {
-		c.endJob(j.addedAt, j, works.Completed, "all tasks are done")
+		c.endJob(now, j, works.Completed, "all tasks are done")
 	}
 }
 
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -162,7 +162,7 @@
 	if j.dirty {
 		c.markDirty(now, false)
 	}
-	c.completeIfDone(j)
+	c.completeIfDone(now, j)
 }
 
 // completeTask records that a task is done. If it belongs to a gang, all tasks of
--- a/core/cell/waiting_test.go
+++ b/core/cell/waiting_test.go
@@ -438,3 +438,16 @@
 	b.MakeGone(w)
 	assert.DeepEqual(t, b.Waiting(b.now, q).GoneWithRuns, []string{w})
 }
+
+// TestOutcomeWaitsSinceTheEnd guards against jobs that are said to have waited for their
+// outcome since they were accepted.
+func TestOutcomeWaitsSinceTheEnd(t *testing.T) {
+	b := newHarness(t, 1, nil)
+	b.AddJob(b.now, job("a", step(1)), 9)
+	s := b.startTasks()
+	b.wait(liveRuns(s))
+	b.report("w0", nil, []rock.End{end(s[0], rock.EndDone)})
+	assert.Equal(t, len(b.waiting()), 0)
+	b.wait(nil)
+	assert.Equal(t, b.waitingJob("a").Cause, cell.WaitOutcomeStored)
+}
