Workers are not reserved for persistent tasks that cannot run there

What callers could see: a task could run and does not, for good, while its workers are idle.

Cause: if a persistent task finds no worker, the worker with the most free cores is kept free for it in each decision, so that smaller tasks do not take what becomes free there. Whether the task could ever run there was not asked: the worker may be too small, or full of persistent tasks, which do not end, or ejected. Each such step takes one worker from all tasks of a worse rank, and none of them ends that.

Why this works: only a worker that has room for the task once its ordinary tasks have ended, and that is not at its task limit, is kept free.

TestWorkersAreNotReservedInVain failed before in three of its four cases (the task still waits after 5 s beside the worker's free cores), and passes. The fourth is a case that held before.

--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -294,11 +294,11 @@
 }
 
 // reserveWorker returns the workers without the one that has the most free CPU
-// among those that may run the step.
+// among those that may run the step once other tasks there have ended.
 func (c *Cell) reserveWorker(now time.Time, s *step, usable []*worker) []*worker {
 	best := -1
 	for i, w := range usable {
-		if !w.hasLabel(s.Label) || s.MaxPerWorker > 0 && c.countStepRuns(w, s) >= s.MaxPerWorker {
+		if !w.hasLabel(s.Label) || !w.maxFreeResources().CanFit(s.Reservation()) || w.atTaskLimit(now) || s.MaxPerWorker > 0 && c.countStepRuns(w, s) >= s.MaxPerWorker {
 			continue
 		}
 		if best < 0 || w.freeResources().MilliCores > usable[best].freeResources().MilliCores {
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -128,6 +128,18 @@
 // freeResources returns the worker's free resources.
 func (w *worker) freeResources() rock.Resources { return w.Capacity.Sub(w.used) }
 
+// maxFreeResources returns the resources that are free once all tasks on the worker but
+// the persistent ones have ended.
+func (w *worker) maxFreeResources() rock.Resources {
+	free := w.Capacity
+	for _, r := range w.runs {
+		if r.task != nil && r.task.step.Persistent && r.state != stopping {
+			free = free.Sub(r.resources)
+		}
+	}
+	return free
+}
+
 // addRun adds a run and reserves its resources.
 func (w *worker) addRun(r *run) {
 	w.runs[r.id()] = r
