Required capacity covers tasks beside workers out of service

What callers could see: a task waits for as long as a worker does not answer, or is drained by the platform, because only that worker has room for it.

Cause: the capacity that a cell requires counts a host more if a task has waited for 2 s and no worker that stays has room for it. A worker that leaves every order unanswered, and one that the platform drains, get no tasks, but counted as room.

Why this works: only workers that are registered, answer, and are drained by nobody count as room.

--- a/core/cell/spread.go
+++ b/core/cell/spread.go
@@ -93,12 +93,12 @@
 	return longest
 }
 
-// hasRoom reports whether a worker that stays in the pool has room for a task of the
-// step.
+// hasRoom reports whether a worker that answers and stays in the pool has room for a task
+// of the step.
 func (c *Cell) hasRoom(now time.Time, s *step) bool {
 	need := s.Reservation()
 	for _, w := range c.workers {
-		if w.registered && !w.gone && !w.closing && w.hasLabel(s.Label) && w.freeResources().CanFit(need) && !w.atTaskLimit(now) &&
+		if w.inService() && w.hasLabel(s.Label) && w.freeResources().CanFit(need) && !w.atTaskLimit(now) &&
 			(s.MaxPerWorker == 0 || c.countStepRuns(w, s) < s.MaxPerWorker) {
 			return true
 		}
--- a/core/cell/spread_test.go
+++ b/core/cell/spread_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -58,3 +59,34 @@
 		})
 	}
 }
+
+// TestRequiredCoresCoverTasksBesideWorkersOutOfService guards against a task that waits for
+// as long as a worker does not answer or is drained by the platform, because the free
+// capacity there exceeds its need.
+func TestRequiredCoresCoverTasksBesideWorkersOutOfService(t *testing.T) {
+	cases := map[string]func(b *harness){
+		"it does not answer":     func(b *harness) { b.HandleUnanswered(b.now, b.now, "w0", true, errors.New("no answer")) },
+		"the platform drains it": func(b *harness) { b.registered[0].State = rock.WorkerDraining },
+		"it is not registered":   func(b *harness) { b.registered = b.registered[1:] },
+	}
+	for name, arrange := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 3, nil)
+			arrange(b)
+			b.SetWorkers(b.now, b.registered)
+			b.AddJob(b.now, job("busy", persistentStep(2, 1, 3000)), 1)
+			runs := liveRuns(b.startTasks())
+			assert.Equal(t, len(runs), 2)
+			hosts := float64(len(b.registered))
+			b.AddJob(b.now, job("waiting", largeStep(1)), 1)
+			for range 25 {
+				b.advance(100 * time.Millisecond)
+				for id, live := range runs {
+					b.report(id, live, nil)
+				}
+				assert.Equal(t, len(b.startTasks()), 0)
+			}
+			assert.Equal(t, b.Load(b.now).RequiredCores, 4*(hosts+1))
+		})
+	}
+}
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -125,6 +125,12 @@
 	return e == "" || e == ExcludedClosing
 }
 
+// inService reports whether the worker answers, and neither the cell nor the platform
+// drains it.
+func (w *worker) inService() bool {
+	return w.registered && !w.gone && !w.unresponsive && !w.closing && w.State == rock.WorkerReady
+}
+
 // freeResources returns the worker's free resources.
 func (w *worker) freeResources() rock.Resources { return w.Capacity.Sub(w.used) }
 
