Reservations for persistent tasks do not starve ordinary tasks

Callers saw nothing of an accepted job run while most of the pool was free. A persistent task that finds no worker reserves the one with the most free CPU, even if that one can never make room for it: other persistent tasks fill it, or it is too small. The reservation then lasts for good, each such step takes one more worker, and it is always the emptiest one, on which a large ordinary task depends.

A worker is reserved only if it would have room without its ordinary tasks. While most of the pool is free, a task that has waited for 2 s may also be placed on a reserved worker, as it may on one that is being drained.

TestTaskWaitsBesideReservedWorkers failed before in three of its four cases and passes.

--- /dev/null
+++ b/core/cell/avoided_test.go
@@ -0,0 +1,67 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/works"
+
+	"gotest.tools/v3/assert"
+)
+
+// startsWithin reports whether the cell starts a task of the job within the given time.
+// The runs on the workers go on.
+func (b *harness) startsWithin(d time.Duration, id string, runs map[string][]rock.Run) bool {
+	for end := b.now.Add(d); b.now.Before(end); b.advance(100 * time.Millisecond) {
+		for _, w := range b.registered {
+			b.report(w.ID, runs[w.ID], nil)
+		}
+		started := false
+		for _, o := range b.startTasks() {
+			runs[o.Worker.ID] = append(runs[o.Worker.ID], running(o)...)
+			started = started || o.Job == id
+		}
+		if started {
+			return true
+		}
+	}
+	return false
+}
+
+// TestTaskWaitsBesideReservedWorkers guards against a task that waits although most of
+// the pool is free, because the workers with room for it are reserved for persistent tasks.
+func TestTaskWaitsBesideReservedWorkers(t *testing.T) {
+	cases := map[string]struct {
+		beside works.Step // fills a part of each worker
+		want   bool
+	}{
+		"persistent tasks never make room":      {beside: persistentStep(3, 1, 1000), want: true},
+		"ordinary tasks do not make room":       {beside: spreadStep(3, 1000), want: true},
+		"most of the pool is in use":            {beside: spreadStep(3, 2000)},
+		"persistent tasks use most of the pool": {beside: persistentStep(3, 1, 2000), want: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 3, nil)
+			runs := map[string][]rock.Run{}
+			b.AddJob(b.now, job("beside", c.beside), 9)
+			assert.Assert(t, b.startsWithin(time.Second, "beside", runs))
+			for i := range 3 {
+				b.AddJob(b.now, job(fmt.Sprint("lasting", i), persistentStep(1, 0, 3500)), 9)
+			}
+			s := step(1)
+			s.Need.MilliCores = 2000
+			b.AddJob(b.now, job("waiting", s), 9)
+			assert.Equal(t, b.startsWithin(2500*time.Millisecond, "waiting", runs), c.want)
+		})
+	}
+}
+
+// spreadStep returns an ordinary step with a task on each worker.
+func spreadStep(count int, milliCores int64) works.Step {
+	s := persistentStep(count, 1, milliCores)
+	s.Persistent, s.MaxUnavailable, s.Estimate = false, 0, time.Second
+	return s
+}
--- a/core/cell/closing.go
+++ b/core/cell/closing.go
@@ -39,6 +39,28 @@
 	return c.mostlyFree && now.Sub(t.waitsSince(t.step.readySince())) > closingWorkerDelay
 }
 
+// reservedWorkerDelay is how long a task waits before it may also be placed on a worker
+// that is reserved for a persistent task. An ordinary task makes room in less.
+const reservedWorkerDelay = 2 * time.Second
+
+// mayUseReserved reports whether a task may be placed on a worker that is reserved for a
+// persistent task.
+func (c *Cell) mayUseReserved(now time.Time, t *task) bool {
+	return c.mostlyFree && now.Sub(t.waitsSince(t.step.readySince())) > reservedWorkerDelay
+}
+
+// chooseAvoided returns the worker for a task that has waited for long, among those that
+// are closing or reserved, or nil if there is none.
+func (c *Cell) chooseAvoided(now time.Time, t *task) *worker {
+	if c.mayUseReserved(now, t) {
+		return c.chooseWorker(now, t, append(c.usable(now), c.closingWorkers(now)...))
+	}
+	if c.mayUseClosing(now, t) {
+		return c.chooseWorker(now, t, c.closingWorkers(now))
+	}
+	return nil
+}
+
 // closingWorkers returns the workers that are being drained.
 func (c *Cell) closingWorkers(now time.Time) []*worker {
 	var list []*worker
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -265,16 +265,16 @@
 
 // placePersistent places the waiting tasks of a persistent step, and returns the
 // workers on which other tasks may be placed. If there is no worker for one of the
-// tasks, the worker with the most free resources is reserved: smaller tasks would
-// otherwise take whatever becomes free there.
+// tasks, a worker that can make room for it is reserved: smaller tasks would otherwise
+// take whatever becomes free there.
 func (c *Cell) placePersistent(now time.Time, s *step, usable []*worker) []*worker {
 	for _, t := range s.tasks {
 		if t.done || t.current != nil || !c.mayRestart(now, t) {
 			continue
 		}
 		w := c.chooseUsable(now, t, usable)
-		if w == nil && c.mayUseClosing(now, t) {
-			w = c.chooseWorker(now, t, c.closingWorkers(now))
+		if w == nil {
+			w = c.chooseAvoided(now, t)
 		}
 		if w != nil {
 			c.placeRun(now, t, w, c.nextRunNumber(t))
@@ -293,12 +293,12 @@
 	return b
 }
 
-// reserveWorker returns the workers without the one that has the most free CPU
-// among those that may run the step.
+// reserveWorker returns the workers without the one that has the most free CPU among
+// those that would have room for a task of the step without their ordinary tasks.
 func (c *Cell) reserveWorker(now time.Time, s *step, usable []*worker) []*worker {
 	best := -1
 	for i, w := range usable {
-		if !w.hasLabel(s.Label) || s.MaxPerWorker > 0 && c.countStepRuns(w, s) >= s.MaxPerWorker {
+		if !w.hasLabel(s.Label) || !w.canMakeRoom(s.Reservation()) || s.MaxPerWorker > 0 && c.countStepRuns(w, s) >= s.MaxPerWorker {
 			continue
 		}
 		if best < 0 || w.freeResources().MilliCores > usable[best].freeResources().MilliCores {
@@ -312,6 +312,18 @@
 	return slices.Delete(slices.Clone(usable), best, best+1)
 }
 
+// canMakeRoom reports whether the worker has room for the resources once its ordinary
+// tasks have ended. Its persistent tasks may never end.
+func (w *worker) canMakeRoom(need rock.Resources) bool {
+	free := w.Capacity
+	for _, r := range w.runs {
+		if r.task != nil && r.task.step.Persistent && r.state != stopping {
+			free = free.Sub(r.resources)
+		}
+	}
+	return free.CanFit(need)
+}
+
 // placeStep places the step's waiting tasks until there is no worker for one.
 func (c *Cell) placeStep(now time.Time, s *step, usable []*worker) {
 	for _, t := range s.tasks {
@@ -319,8 +331,8 @@
 			continue
 		}
 		w := c.chooseUsable(now, t, usable)
-		if w == nil && c.mayUseClosing(now, t) {
-			w = c.chooseWorker(now, t, c.closingWorkers(now))
+		if w == nil {
+			w = c.chooseAvoided(now, t)
 		}
 		if w == nil {
 			return
--- a/core/cell/exclusion.go
+++ b/core/cell/exclusion.go
@@ -121,7 +121,7 @@
 		return e
 	case !closing && !w.freeResources().CanFit(minFreeResources):
 		return ExcludedCapacity
-	case !w.reservedAt.IsZero() && w.reservedAt.Equal(c.placedAt):
+	case !w.reservedAt.IsZero() && w.reservedAt.Equal(c.placedAt) && !c.mayUseReserved(now, t):
 		return ExcludedReserved
 	}
 	return ""
