Nothing starts on a worker that began to drain

What callers could see: a task starts on a worker long after the platform began to drain it, and ends with the worker.

Cause: a run that is placed is started once its placement is stored, which takes seconds while the table is slow or the home is down. Whether the worker still takes tasks was not asked again. Drains by the cell and unanswered orders cancel the placements of a worker; a registration that says that the worker drains did not.

Why this works: it cancels them as well, and the tasks are placed elsewhere.

TestNothingStartsOnAWorkerThatBeganToDrain failed before (the start goes to the worker that drains), and passes.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -265,6 +265,9 @@
 		}
 		if w.State != s.State && w.Address != "" {
 			c.events = append(c.events, Event{Name: "worker " + string(s.State), Worker: s.ID})
+			if s.State != rock.WorkerReady {
+				c.cancelPlacements(w)
+			}
 		}
 		if w.gone && s.StartedAt.After(w.incarnationStart) {
 			w.gone, w.incarnationStart, w.handledEnd, w.storedEnd, w.deferredEnds = false, s.StartedAt, 0, 0, nil
--- a/core/cell/closing_test.go
+++ b/core/cell/closing_test.go
@@ -110,3 +110,25 @@
 		assert.DeepEqual(t, stopped, []string{s[0].Worker.ID})
 	}
 }
+
+// TestNothingStartsOnAWorkerThatBeganToDrain guards against tasks that start on a worker
+// which the platform drains, because their placements were stored late.
+func TestNothingStartsOnAWorkerThatBeganToDrain(t *testing.T) {
+	b := newHarness(t, 1, nil)
+	b.AddJob(b.now, job(jobID, step(1)), 9)
+	b.Decide(b.now)
+	batch := b.Flush(b.now)
+	b.registered[0].State = rock.WorkerDraining
+	b.SetWorkers(b.now, b.registered)
+	b.registered = append(b.registered, b.registered[0])
+	b.registered[1].ID, b.registered[1].State = "w1", rock.WorkerReady
+	b.advance(3 * time.Second)
+	b.Flushed(b.now, batch)
+	b.SetWorkers(b.now, b.registered)
+	b.report("w0", nil, nil)
+	b.report("w1", nil, nil)
+	b.flush()
+	starts := b.startTasks()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Worker.ID, "w1")
+}
