Tasks do not wait for workers with tickets that cannot run them

What callers could see: tasks of a queue that needs tickets wait until the tickets expire, beside workers that would get one.

Cause: the adviser was asked again only once the tickets were no longer valid. Until then the step waited for the workers that have one, also if these were gone, did not answer, were drained by the platform, or were full in a pool that is mostly free.

Why this works: the adviser is asked about workers that were not in a query yet as soon as no worker with a ticket can run the step's tasks. If it allows none of them, the tickets stay, and it is not asked again before they expire. In a pool that is mostly in use a full worker still counts, so that a surge causes no more queries.

--- a/core/cell/advice.go
+++ b/core/cell/advice.go
@@ -27,6 +27,11 @@
 	return now.Before(a.validUntil.Add(-minTicketValidity)) && len(a.tickets) > 0
 }
 
+// allAsked reports whether all of the workers were in a query.
+func (a *advice) allAsked(workers []*worker) bool {
+	return !slices.ContainsFunc(workers, func(w *worker) bool { return !a.askedWorkers[w.id()] })
+}
+
 const (
 	// maxAdviceWorkers is the greatest number of workers in a query. Each costs
 	// time, and the users expect 30.
@@ -41,14 +46,27 @@
 	maxPendingAdvice = 4
 )
 
+// hasUsefulTicket reports whether a worker with a ticket answers and is not drained by the
+// platform. While most of the pool is free, it must also have room for a task of the step.
+func (c *Cell) hasUsefulTicket(now time.Time, s *step) bool {
+	for id := range s.advice.tickets {
+		w := c.workers[id]
+		if w != nil && w.inService() && (!c.mostlyFree || c.taskExclusion(now, s, s.Reservation(), w) == "") {
+			return true
+		}
+	}
+	return false
+}
+
 // ensureAdvice reports whether the step's tasks may be placed now. It adds a query
-// to the adviser if the step needs tickets and has no valid ones.
+// to the adviser if the step needs tickets and has no valid ones, or only those of workers
+// that cannot run its tasks.
 func (c *Cell) ensureAdvice(now time.Time, s *step, usable []*worker) bool {
 	if !s.job.queue.RequiresTicket {
 		return true
 	}
 	a := &s.advice
-	if a.valid(now) {
+	if a.valid(now) && (c.hasUsefulTicket(now, s) || a.allAsked(usable)) {
 		return true
 	}
 	if a.pending || now.Before(a.retryAt) || c.pendingAdvice >= maxPendingAdvice {
@@ -91,6 +109,9 @@
 	for _, id := range o.Workers {
 		a.askedWorkers[id] = true
 	}
+	if len(tickets) == 0 && a.valid(now) {
+		return // the workers with tickets may run tasks again
+	}
 	a.tickets = map[string]string{}
 	for _, t := range tickets {
 		a.tickets[t.Worker] = t.Ticket
--- a/core/cell/spread.go
+++ b/core/cell/spread.go
@@ -98,7 +98,7 @@
 func (c *Cell) hasRoom(now time.Time, s *step) bool {
 	need := s.Reservation()
 	for _, w := range c.workers {
-		if w.inService() && w.hasLabel(s.Label) && w.freeResources().CanFit(need) && !w.atTaskLimit(now) &&
+		if w.inService() && !w.closing && w.hasLabel(s.Label) && w.freeResources().CanFit(need) && !w.atTaskLimit(now) &&
 			(s.MaxPerWorker == 0 || c.countStepRuns(w, s) < s.MaxPerWorker) {
 			return true
 		}
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -125,10 +125,9 @@
 	return e == "" || e == ExcludedClosing
 }
 
-// inService reports whether the worker answers, and neither the cell nor the platform
-// drains it.
+// inService reports whether the worker answers and is not drained by the platform.
 func (w *worker) inService() bool {
-	return w.registered && !w.gone && !w.unresponsive && !w.closing && w.State == rock.WorkerReady
+	return w.registered && !w.gone && !w.unresponsive && w.State == rock.WorkerReady
 }
 
 // freeResources returns the worker's free resources.
