The hosts that tasks need are counted as hosts, not as cores

What callers could see: persistent tasks stay away while most of their pool is free, because hosts left the pool.

Cause: how many hosts a cell cannot do without was converted to cores by the mean of its own hosts, and back to hosts by the mean of all hosts. With larger hosts elsewhere the number came back too small, with smaller ones too large.

Why this works: the number of hosts is reported and planned with as it is.

TestHostsThatTasksNeedStay failed before in two of three cases (3 and 5 of the 10 hosts that are needed left the pool), and passes. Two tests state the number in hosts now.

--- a/core/cell/load.go
+++ b/core/cell/load.go
@@ -15,9 +15,10 @@
 	// capacity that it should keep because it may soon need it, both in cores.
 	RequiredCores float64
 	RetainedCores float64
-	// MinCores is the part of RequiredCores that other cells with more work must not take
-	// away: with less, some tasks could not run although resources are free.
-	MinCores float64
+	// MinHosts is the number of hosts that other cells with more work must not take away:
+	// with fewer, some tasks could not run although resources are free. It is 0 if the
+	// sum of the tasks' needs tells how many hosts the cell needs.
+	MinHosts int
 	// ArrivalRate is the recent mean arrival rate of work, in core-seconds per
 	// second.
 	ArrivalRate float64
@@ -53,8 +54,9 @@
 	}
 	l.Cores = c.usableCores(now)
 	l.RequiredCores, l.RetainedCores = c.demand.Estimate(now, ready, persistent)
-	l.MinCores = c.spreadCores(now, l.RequiredCores)
-	l.RequiredCores, l.RetainedCores = max(l.RequiredCores, l.MinCores), max(l.RetainedCores, l.MinCores)
+	var cores float64
+	l.MinHosts, cores = c.minHosts(now, l.RequiredCores)
+	l.RequiredCores, l.RetainedCores = max(l.RequiredCores, cores), max(l.RetainedCores, cores)
 	l.ArrivalRate = c.demand.RecentRate(now)
 	return l
 }
--- a/core/cell/spread.go
+++ b/core/cell/spread.go
@@ -6,13 +6,13 @@
 // another host is required. It is longer than an ordinary task takes to make room.
 const strandedDelay = 2 * time.Second
 
-// spreadCores returns the capacity that the cell needs so that every task finds a
-// single worker for it, in cores. The sum of the tasks' needs does not tell: a worker
-// may run only some tasks of a step, and the free resources of several workers may be
-// too small for a task on each of them. The second case is checked only if required is
-// less than one host more than the pool has.
-func (c *Cell) spreadCores(now time.Time, required float64) float64 {
-	open, cores := 0, 0.0
+// minHosts returns the number of hosts that the cell needs so that every task finds a
+// single worker for it, and their capacity in cores. The sum of the tasks' needs does not
+// tell: a worker may run only some tasks of a step, and the free resources of several
+// workers may be too small for a task on each of them. The second case is checked only if
+// required is less than one host more than the pool has.
+func (c *Cell) minHosts(now time.Time, required float64) (hosts int, cores float64) {
+	open := 0
 	for _, w := range c.workers {
 		if w.registered && !w.gone && !w.closing {
 			open++
@@ -20,14 +20,14 @@
 		}
 	}
 	if open == 0 {
-		return 0
+		return 0, 0
 	}
 	mean := cores / float64(open)
-	hosts := c.spreadHosts(now)
+	hosts = c.spreadHosts(now)
 	if hosts <= open && required < mean*float64(open+1) && c.hasStrandedTask(now) {
 		hosts = open + 1
 	}
-	return mean * float64(hosts)
+	return hosts, mean * float64(hosts)
 }
 
 // spreadHosts returns on how many hosts the persistent tasks of a step must be, because
--- a/core/cell/spread_test.go
+++ b/core/cell/spread_test.go
@@ -54,7 +54,7 @@
 			}
 			assert.Assert(t, l.RequiredCores >= c.least && l.RequiredCores <= c.atMost && l.RetainedCores >= l.RequiredCores, "%+v", l)
 			if c.least >= 12 {
-				assert.Equal(t, l.MinCores, c.least)
+				assert.Equal(t, 4*float64(l.MinHosts), c.least)
 			}
 		})
 	}
--- a/core/resize/plan.go
+++ b/core/resize/plan.go
@@ -14,11 +14,12 @@
 	// Standby is true for the pool of hosts that are powered off.
 	Standby bool
 	// Want is the number of cores that the pool needs now. Keep is the number
-	// that it should retain for demand that may return soon. Min is the part of Want
-	// that it gets even if there are too few hosts for all pools.
+	// that it should retain for demand that may return soon.
 	Want float64
 	Keep float64
-	Min  float64
+	// Min is the number of hosts that the pool gets even if there are too few hosts
+	// for all pools.
+	Min int
 	// HostCores is the number of cores of a host.
 	HostCores float64
 	// Hosts is the number of hosts that are in the pool or moving to it.
@@ -122,7 +123,7 @@
 		case nexts[p.Name]:
 			share = min(maxNextSurgeShare, nextSurgeShare/float64(len(nexts)))
 		}
-		l.floor[p.Name] = max(MinHosts, int(share*even), hosts(p, p.Min))
+		l.floor[p.Name] = max(MinHosts, int(share*even), p.Min)
 	}
 }
 
--- a/core/resize/plan_test.go
+++ b/core/resize/plan_test.go
@@ -31,7 +31,7 @@
 		},
 		"a pool gets what it cannot do without before the others share the rest": {
 			[]resize.Pool{
-				{Name: "a", Want: 224, Min: 224, HostCores: 32, Hosts: 6, Spare: 1},
+				{Name: "a", Want: 224, Min: 7, HostCores: 32, Hosts: 6, Spare: 1},
 				{Name: "b", Want: 3200, HostCores: 32, Hosts: 14, Spare: 14},
 			},
 			[]resize.Move{{From: "b", To: "a", Count: 1}},
--- a/io/site/move.go
+++ b/io/site/move.go
@@ -77,7 +77,7 @@
 	pools := o.site.view.pools(now, hosts, hostCores)
 	for i := range pools {
 		if p := &pools[i]; p.Name == o.pool {
-			p.Want, p.Keep, p.Min, p.Spare = s.load.RequiredCores, s.load.RetainedCores, s.load.MinCores, spare
+			p.Want, p.Keep, p.Min, p.Spare = s.load.RequiredCores, s.load.RetainedCores, s.load.MinHosts, spare
 			p.Rest, p.Surged = activity.SinceSurge(now)
 			p.Hosts -= countClaimed(hosts, o.pool, claimed) // they take no tasks, so that the others must stay
 		}
@@ -230,7 +230,7 @@
 			}
 		}
 		if c := v.cells[cellOf(p.Name)]; c != nil && c.renewal.HasLoad {
-			r.Want, r.Keep, r.Min, r.Spare = c.renewal.RequiredCores, c.renewal.RetainedCores, c.renewal.MinCores, c.renewal.SpareHosts
+			r.Want, r.Keep, r.Min, r.Spare = c.renewal.RequiredCores, c.renewal.RetainedCores, c.renewal.MinHosts, c.renewal.SpareHosts
 			r.Rest, r.Surged = time.Duration(c.renewal.SinceSurgeMS)*time.Millisecond+now.Sub(c.renewalAt), c.renewal.SurgeKnown
 		}
 		pools = append(pools, r)
--- a/io/site/move_test.go
+++ b/io/site/move_test.go
@@ -57,3 +57,30 @@
 		})
 	}
 }
+
+// TestHostsThatTasksNeedStay guards against hosts that leave a pool although each of them
+// has to run a task, because hosts elsewhere have more cores.
+func TestHostsThatTasksNeedStay(t *testing.T) {
+	t.Parallel()
+	for name, milliCores := range map[string]int64{"smaller": 2000, "larger": 8000, "much larger": 12000} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			clock := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+			s := New(Settings{Clock: func() time.Time { return clock }, Log: logs.Discard(), Scope: tally.NoopScope})
+			s.view.setConfig(works.Config{Pools: []works.Pool{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "off", Standby: true}}}, 1)
+			g := group.New(t.Context())
+			g.Stop()
+			m := newHostManager(&cellOwner{site: s, pool: "a", log: s.log, group: g})
+			var hosts []rock.PlatformHost
+			for i := range 20 {
+				h := rock.PlatformHost{Name: fmt.Sprint("h", i), Pool: "off", Phase: rock.HostUp, Capacity: rock.Resources{MilliCores: milliCores}}
+				if i < 10 {
+					h.Pool, h.Worker, h.Capacity.MilliCores = "a", fmt.Sprint("w", i), 4000
+				}
+				hosts = append(hosts, h)
+			}
+			m.planDepartures(hosts, hosts[:10], nil, cellSnapshot{load: cell.Load{RequiredCores: 40, RetainedCores: 40, MinHosts: 10}})
+			assert.Equal(t, len(m.departures), 0)
+		})
+	}
+}
--- a/io/site/renewal.go
+++ b/io/site/renewal.go
@@ -24,8 +24,8 @@
 	// capacity that it may need again soon.
 	RequiredCores float64 `cbor:"4,keyasint,omitempty"`
 	RetainedCores float64 `cbor:"6,keyasint,omitempty"`
-	// MinCores is the part of RequiredCores that other pools must not take away.
-	MinCores float64 `cbor:"11,keyasint,omitempty"`
+	// MinHosts is the number of hosts that other pools must not take away.
+	MinHosts int `cbor:"11,keyasint,omitempty"`
 	// SpareHosts is the number of hosts that could leave the pool now.
 	SpareHosts int `cbor:"5,keyasint,omitempty"`
 	// SinceSurgeMS is the time since the pool's last surge in milliseconds. If
