A task that only ejected workers have room for is tried there

Callers saw nothing of an accepted job run while most of the pool was free. Up to a third of a pool is ejected, for 5 to 60 s each, also after the fault that caused it has ended. The rest may be too full for a large task, and a step's label may allow no other worker. Such a task waited for the ejection to end.

While most of the pool is free, a task that has waited for 2 s and finds no other worker is placed on an ejected one, which gets one such task at a time.

TestTaskWaitsBesideEjectedWorkers failed before and passes.

--- a/core/cell/avoided_test.go
+++ b/core/cell/avoided_test.go
@@ -65,3 +65,18 @@
 	s.Persistent, s.MaxUnavailable, s.Estimate = false, 0, time.Second
 	return s
 }
+
+// TestTaskWaitsBesideEjectedWorkers guards against a task that waits although most of the
+// pool is free, because the worker with room for it is ejected.
+func TestTaskWaitsBesideEjectedWorkers(t *testing.T) {
+	b := newHarness(t, 3, nil)
+	runs := map[string][]rock.Run{}
+	b.ejectWorker("w0", runs)
+	b.AddJob(b.now, job("lasting", persistentStep(2, 1, 1500)), 9)
+	assert.Assert(t, b.startsWithin(time.Second, "lasting", runs))
+	assert.Equal(t, len(runs["w0"]), 0)
+	b.AddJob(b.now, job("waiting", largeStep(2)), 9)
+	assert.Assert(t, b.startsWithin(2500*time.Millisecond, "waiting", runs))
+	assert.Equal(t, len(runs["w0"]), 1, "an ejected worker gets one task at a time")
+	assert.Assert(t, !b.startsWithin(500*time.Millisecond, "waiting", runs))
+}
--- a/core/cell/closing.go
+++ b/core/cell/closing.go
@@ -39,21 +39,25 @@
 	return c.mostlyFree && now.Sub(t.waitsSince(t.step.readySince())) > closingWorkerDelay
 }
 
-// reservedWorkerDelay is how long a task waits before it may also be placed on a worker
-// that is reserved for a persistent task. An ordinary task makes room in less.
-const reservedWorkerDelay = 2 * time.Second
-
-// mayUseReserved reports whether a task may be placed on a worker that is reserved for a
-// persistent task.
-func (c *Cell) mayUseReserved(now time.Time, t *task) bool {
-	return c.mostlyFree && now.Sub(t.waitsSince(t.step.readySince())) > reservedWorkerDelay
+// avoidedWorkerDelay is how long a task waits before it may also be placed on a worker
+// that is reserved for a persistent task, or ejected. An ordinary task makes room in less.
+const avoidedWorkerDelay = 2 * time.Second
+
+// mayUseAvoided reports whether a task may be placed on a worker that is reserved for a
+// persistent task, or ejected.
+func (c *Cell) mayUseAvoided(now time.Time, t *task) bool {
+	return c.mostlyFree && now.Sub(t.waitsSince(t.step.readySince())) > avoidedWorkerDelay
 }
 
 // chooseAvoided returns the worker for a task that has waited for long, among those that
-// are closing or reserved, or nil if there is none.
+// are closing, reserved or ejected, or nil if there is none.
 func (c *Cell) chooseAvoided(now time.Time, t *task) *worker {
-	if c.mayUseReserved(now, t) {
-		return c.chooseWorker(now, t, append(c.usable(now), c.closingWorkers(now)...))
+	if c.mayUseAvoided(now, t) {
+		workers := append(c.usable(now), c.closingWorkers(now)...)
+		if w := c.chooseWorker(now, t, workers); w != nil {
+			return w
+		}
+		return c.cheapestWorker(now, t, workers, func(w *worker) bool { return c.mayTryEjected(now, t, w) })
 	}
 	if c.mayUseClosing(now, t) {
 		return c.chooseWorker(now, t, c.closingWorkers(now))
@@ -61,6 +65,12 @@
 	return nil
 }
 
+// mayTryEjected reports whether a task that may use avoided workers may be placed on an
+// ejected one: such a worker gets one task at a time.
+func (c *Cell) mayTryEjected(now time.Time, t *task, w *worker) bool {
+	return w.countLimitedRuns() == 0 && c.taskExclusion(now, t.step, t.step.Reservation(), w) == ExcludedTaskLimit
+}
+
 // closingWorkers returns the workers that are being drained.
 func (c *Cell) closingWorkers(now time.Time) []*worker {
 	var list []*worker
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -413,10 +413,16 @@
 // task, or nil if there is none.
 func (c *Cell) chooseWorker(now time.Time, t *task, usable []*worker) *worker {
 	need := t.step.Reservation()
+	return c.cheapestWorker(now, t, usable, func(w *worker) bool { return c.taskExclusion(now, t.step, need, w) == "" })
+}
+
+// cheapestWorker returns the worker with the least cost among those that match, or nil
+// if there is none.
+func (c *Cell) cheapestWorker(now time.Time, t *task, workers []*worker, match func(*worker) bool) *worker {
 	var best *worker
 	var bestCost float64
-	for _, w := range usable {
-		if c.taskExclusion(now, t.step, need, w) != "" {
+	for _, w := range workers {
+		if !match(w) {
 			continue
 		}
 		cost := c.placementCost(now, t, w)
--- a/core/cell/exclusion.go
+++ b/core/cell/exclusion.go
@@ -72,7 +72,8 @@
 }
 
 // taskExclusion returns why a usable worker may not be given a task of the step, which
-// needs the given resources.
+// needs the given resources. It returns [ExcludedTaskLimit] only if there is no other
+// reason.
 func (c *Cell) taskExclusion(now time.Time, s *step, need rock.Resources, w *worker) Exclusion {
 	switch {
 	case !w.hasLabel(s.Label):
@@ -81,12 +82,12 @@
 		return ExcludedCapacity
 	case now.Before(w.backoffUntil):
 		return ExcludedBackoff
-	case w.atTaskLimit(now):
-		return ExcludedTaskLimit
 	case s.MaxPerWorker > 0 && c.countStepRuns(w, s) >= s.MaxPerWorker:
 		return ExcludedMaxPerWorker
 	case s.job.queue.RequiresTicket && s.advice.tickets[w.id()] == "":
 		return ExcludedNoTicket
+	case w.atTaskLimit(now):
+		return ExcludedTaskLimit
 	}
 	return ""
 }
@@ -96,16 +97,18 @@
 // a returning worker would get no task that shows whether it is healthy.
 func (w *worker) atTaskLimit(now time.Time) bool {
 	limit := w.health.TaskLimit(now, noSlotLimit)
-	if limit > len(w.runs) {
-		return false
-	}
+	return limit <= len(w.runs) && limit <= w.countLimitedRuns()
+}
+
+// countLimitedRuns returns the number of the runs that count towards the task limit.
+func (w *worker) countLimitedRuns() int {
 	n := 0
 	for _, r := range w.runs {
 		if r.task == nil || !r.task.step.Persistent || r.state != running {
 			n++
 		}
 	}
-	return limit <= n
+	return n
 }
 
 // explainExclusion returns why the last placement did not give the task to the worker.
@@ -116,12 +119,15 @@
 		return general
 	}
 	e := c.taskExclusion(now, t.step, t.step.Reservation(), w)
+	if c.mayUseAvoided(now, t) && c.mayTryEjected(now, t, w) {
+		e = ""
+	}
 	switch {
 	case e != "":
 		return e
 	case !closing && !w.freeResources().CanFit(minFreeResources):
 		return ExcludedCapacity
-	case !w.reservedAt.IsZero() && w.reservedAt.Equal(c.placedAt) && !c.mayUseReserved(now, t):
+	case !w.reservedAt.IsZero() && w.reservedAt.Equal(c.placedAt) && !c.mayUseAvoided(now, t):
 		return ExcludedReserved
 	}
 	return ""
