Only a report ends a worker's unresponsiveness

Callers would see a persistent task that is away for good: its worker leaves renewals without an answer but answers other orders, with a refusal or an acceptance.

Cause: HandleReply took each reply, also a refusal as busy, for a sign that the worker takes part. It made the worker responsive again and counted as its last answer, so that the next renewal extended the lease and the unanswered ones were older than the last answer. A stop that is repeated every 250 ms, or 650 ms once it was accepted, came before each timeout, and the runs never expired.

Now only a report does that: it alone shows that the lease was extended and what runs. After an order without an answer a worker is responsive again with the answer to its next renewal, which is sent without a wait.

Tested by a worker that answers renewals, starts and stops each in one of four ways while it is drained or not; another worker is free. Before, 9 of 96 cases failed: no answer to renewals and an answer to stops, drained. All pass now, and core/cell passes with the race detector. Starts without an answer are left out here, since they show another fault.

A worker that refuses its renewals did not show it: the next refusal ends the time in which orders are sent, within 200 ms of delay.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -326,9 +326,8 @@
 
 // HoldOrder returns a worker and the next order to renew its lease, whose answer
 // may wait at the worker for the given time. It returns false if no such orders
-// are to be sent to the worker any more. The order does not extend the lease if
-// the worker left its last order unanswered, so that the lease of an unresponsive
-// worker expires.
+// are to be sent to the worker any more. The order does not extend the lease of an
+// unresponsive worker, so that it expires.
 func (c *Cell) HoldOrder(now time.Time, id string, wait time.Duration) (rock.Worker, rock.RenewOrder, bool) {
 	w := c.workers[id]
 	if w == nil || w.gone || w.Address == "" {
--- a/core/cell/refusal_test.go
+++ b/core/cell/refusal_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -46,3 +47,58 @@
 		})
 	}
 }
+
+// TestTasksLeaveAFaultyWorker guards against tasks that wait for good for an answer of a
+// worker that refuses some kinds of orders, or leaves them unanswered, while another
+// worker is free.
+func TestTasksLeaveAFaultyWorker(t *testing.T) {
+	t.Parallel()
+	answers := []answer{accepts, busy, unknown, silent}
+	for _, renewals := range answers {
+		for _, starts := range []answer{accepts, busy, unknown} {
+			for _, stops := range answers {
+				for _, drained := range []bool{false, true} {
+					t.Run(fmt.Sprintf("renewals %s, starts %s, stops %s, drained %v", renewals, starts, stops, drained), func(t *testing.T) {
+						t.Parallel()
+						testFaultyWorker(t, faultyAnswers{renewals, starts, stops}, drained)
+					})
+				}
+			}
+		}
+	}
+}
+
+// testFaultyWorker submits jobs, of which some are cancelled, while a worker begins to
+// answer otherwise, and checks that all of them end, and that all persistent tasks run.
+func testFaultyWorker(t *testing.T, how faultyAnswers, drained bool) {
+	t.Helper()
+	const faultyJobs = 20
+	s := newFaultySite(t)
+	s.AddJob(s.now, job("lasting", persistentStep(2, 2, 1000)), 8)
+	for i := range faultyJobs {
+		id := fmt.Sprintf("%016x", i)
+		s.AddJob(s.now, job(id, step(2)), 8)
+		s.play(50 * time.Millisecond)
+		if i == faultyJobs/2 {
+			s.workers["w0"].answers = how
+			s.SetClosing(map[string]bool{"w0": drained})
+		}
+		if i%2 == 0 {
+			s.Cancel(s.now, id)
+		}
+	}
+	s.play(15 * time.Second)
+	for i := range faultyJobs {
+		id := fmt.Sprintf("%016x", i)
+		if _, ok := s.outcomes[id]; !ok {
+			t.Errorf("the job has not ended\n%s", s.Describe(s.now, id))
+		}
+	}
+	for _, task := range []string{"lasting.0.0.0", "lasting.0.0.1"} {
+		_, on0 := s.workers["w0"].runs[task]
+		_, on1 := s.workers["w1"].runs[task]
+		if !on0 && !on1 {
+			t.Errorf("%s does not run\n%s", task, s.Describe(s.now, "lasting"))
+		}
+	}
+}
--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -7,7 +7,8 @@
 	rock "bramleyrock"
 )
 
-// HandleReply handles the reply to an order, or the error if there is none.
+// HandleReply handles the reply to an order, or the error if there is none. A reply says
+// nothing about renewals: only a report ends the worker's unresponsiveness.
 func (c *Cell) HandleReply(now time.Time, o Order, reply rock.Reply, err error) {
 	r := o.run
 	if o.Kind == OrderPace {
@@ -29,7 +30,6 @@
 		c.loseWorker(now, r.worker, "another incarnation answers at its address")
 		return
 	}
-	r.worker.answeredAt, r.worker.unresponsive = now, false
 	if o.Kind == OrderStop {
 		c.handleStopReply(now, r, reply)
 		return
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -307,7 +307,7 @@
 }
 
 // HandleUnanswered records that an order to a worker, sent at the given time, had
-// no answer because of err. certain is false if this process ran late meanwhile and
+// no answer because of err. It has no effect if the worker has reported since then. certain is false if this process ran late meanwhile and
 // may have missed the answer.
 func (c *Cell) HandleUnanswered(now, sent time.Time, id string, certain bool, err error) {
 	w := c.workers[id]
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -24,8 +24,8 @@
 	clockAt time.Time
 	// maxLeaseEnd is the latest lease end that was sent, on the worker's clock.
 	maxLeaseEnd time.Duration
-	// answeredAt is when the worker last answered. unresponsive is true if its
-	// last order was unanswered.
+	// answeredAt is when the worker last reported. unresponsive is true if it left an
+	// order unanswered, or refused a renewal, since then.
 	answeredAt   time.Time
 	unresponsive bool
 	// maybeRestarted is true from an unanswered order to the worker's next report:
