A worker that refuses a start is given no tasks for a while

Callers would see a job that waits beside free workers: the worker with the least cost refuses its task for a reason that the program does not know, and is given it again at once.

Cause: only refusals as busy and for lack of resources made the worker wait. An unknown reason also did not count against the worker's health.

Every refused start but one for its ticket, which is asked for first, makes the worker wait now. An unknown reason is handled as busy: the worker waits for 500 ms and may be ejected. A wait that is longer than the new one is kept.

The test failed before for the reasons "old", "late" and "other", and passes.

--- a/core/cell/refusal_test.go
+++ b/core/cell/refusal_test.go
@@ -7,6 +7,8 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/cell"
+
+	"gotest.tools/v3/assert"
 )
 
 // TestWorkerThatRefusesRenewals guards against tasks that wait for good on a worker which
@@ -48,6 +50,39 @@
 	}
 }
 
+// TestTaskLeavesAWorkerThatRefusesIt guards against a task that is given to the same
+// worker again and again, which refuses it, while another one is free.
+func TestTaskLeavesAWorkerThatRefusesIt(t *testing.T) {
+	t.Parallel()
+	for _, refusal := range []rock.Refusal{rock.RefusedCapacity, rock.RefusedLeaseExpired, rock.RefusedStaleRun, rock.RefusedBusy, rock.RefusedOther} {
+		t.Run(string(refusal), func(t *testing.T) {
+			t.Parallel()
+			b := newHarness(t, 2, nil)
+			b.AddJob(b.now, job(jobID, step(1)), 8)
+			var refusedBy string
+			for range 20 {
+				b.Decide(b.now)
+				b.flush()
+				for _, o := range b.Decide(b.now) {
+					assert.Equal(t, o.Kind, cell.OrderStart)
+					if refusedBy == "" {
+						refusedBy = o.Worker.ID
+					}
+					if o.Worker.ID != refusedBy {
+						return
+					}
+					b.HandleReply(b.now, o, rock.Reply{Refusal: refusal, Clock: b.clock()}, nil)
+				}
+				b.advance(50 * time.Millisecond)
+				for _, w := range b.registered {
+					b.report(w.ID, nil, nil)
+				}
+			}
+			t.Errorf("the task waits\n%s", b.Describe(b.now, jobID))
+		})
+	}
+}
+
 // TestTasksLeaveAFaultyWorker guards against tasks that wait for good for an answer of a
 // worker that refuses some kinds of orders, or leaves them unanswered, while another
 // worker is free.
--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -44,22 +44,25 @@
 		return // the reply to the stop decides
 	}
 	switch reply.Refusal {
-	case rock.Accepted, rock.RefusedStaleRun:
-		// If the run is stale, it or a later run of the task has ended or was
-		// stopped on the worker. The next report tells which.
-		r.state, r.answeredAt, r.confirmedAt = running, now, now
-		c.markStarted(now, r)
-		return
-	case rock.RefusedCapacity:
-		w.backoffUntil = now.Add(fullBackoff)
+	case rock.Accepted:
+	case rock.RefusedCapacity, rock.RefusedStaleRun:
+		w.backOff(now, fullBackoff)
 	case rock.RefusedLeaseExpired:
 		w.clock, w.clockAt = reply.Clock, now
+		w.backOff(now, fullBackoff)
 	case rock.RefusedTicket:
 		r.task.step.advice.validUntil = time.Time{}
-	case rock.RefusedBusy:
-		w.backoffUntil = now.Add(busyBackoff)
+	default:
+		w.backOff(now, busyBackoff)
 		c.outliers.Record(now, w.health, true)
 	}
+	if reply.Refusal == rock.Accepted || reply.Refusal == rock.RefusedStaleRun {
+		// If the run is stale, it or a later run of the task has ended or was
+		// stopped on the worker. The next report tells which.
+		r.state, r.answeredAt, r.confirmedAt = running, now, now
+		c.markStarted(now, r)
+		return
+	}
 	c.addEvent("start refused", r, string(reply.Refusal))
 	if r.startUnanswered {
 		c.stopRun(r, "an unanswered copy of the refused start may still arrive")
@@ -86,7 +89,7 @@
 	if rock.VerdictOf(err) == rock.NotRun && o.Kind == OrderStart && !r.startUnanswered && r.state == starting {
 		c.addEvent("start not sent", r, err.Error())
 		r.worker.removeRun(r)
-		r.worker.backoffUntil = now.Add(busyBackoff)
+		r.worker.backOff(now, busyBackoff)
 		return
 	}
 	if o.Kind == OrderStart {
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -47,11 +47,12 @@
 	// resendInterval is the time between repeats of an unanswered order. It is
 	// several times the delay to the farthest worker.
 	resendInterval = 250 * time.Millisecond
-	// fullBackoff is how long a worker that refused a task for lack of resources is
-	// given no new ones, about as long as one of its tasks takes to end.
+	// fullBackoff is how long a worker that refused a start for a reason that may pass
+	// soon, such as a lack of resources, is given no new tasks, about as long as one of
+	// its tasks takes to end.
 	fullBackoff = 60 * time.Millisecond
-	// busyBackoff is how long a worker that is unhealthy or was not reached is
-	// given no new tasks.
+	// busyBackoff is how long a worker that is unhealthy, was not reached, or refused
+	// a start for an unknown reason is given no new tasks.
 	busyBackoff = 500 * time.Millisecond
 	// maxReportAge is the time since a worker's last answer after which it is
 	// given no new tasks. A waiting renewal is answered sooner.
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -125,6 +125,11 @@
 	return e == "" || e == ExcludedClosing
 }
 
+// backOff records that the worker is given no new tasks for a while.
+func (w *worker) backOff(now time.Time, d time.Duration) {
+	w.backoffUntil = later(w.backoffUntil, now.Add(d))
+}
+
 // freeResources returns the worker's free resources.
 func (w *worker) freeResources() rock.Resources { return w.Capacity.Sub(w.used) }
 
