Tickets of full workers do not hold tasks back

Callers would see nothing of an accepted job run while most of the pool was free. A step that needs tickets of the adviser was placed only on the workers of the last query until those tickets expired, also if they had no room. Workers that were asked about before and full when the tickets were renewed were not asked about again, so that the wait did not end with the tickets.

The adviser is now also asked while tickets are valid, if no worker with a ticket has room for a task that waits and another worker would have it. Workers with room are asked about first. Only refused workers are left out of later queries. New tickets are added to those that are still valid.

--- a/core/cell/advice.go
+++ b/core/cell/advice.go
@@ -13,9 +13,9 @@
 	// tickets holds the tickets by worker ID. A start on the worker carries its
 	// ticket.
 	tickets map[string]string
-	// askedWorkers holds the IDs of the workers that were in a query. The answer
+	// refusedWorkers holds the IDs of the workers that may not run the step. The answer
 	// about a worker does not change.
-	askedWorkers map[string]bool
+	refusedWorkers map[string]bool
 	validUntil   time.Time
 	// pending is true while a query has no answer.
 	pending bool
@@ -27,6 +27,14 @@
 	return now.Before(a.validUntil.Add(-minTicketValidity)) && len(a.tickets) > 0
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 const (
 	// maxAdviceWorkers is the greatest number of workers in a query. Each costs
 	// time, and the users expect 30.
@@ -48,30 +56,68 @@
 		return true
 	}
 	a := &s.advice
-	if a.valid(now) {
-		return true
-	}
-	if a.pending || now.Before(a.retryAt) || c.pendingAdvice >= maxPendingAdvice {
-		return false
+	valid := a.valid(now)
+	if a.pending || now.Before(a.retryAt) || c.pendingAdvice >= maxPendingAdvice || valid && !c.lacksTickets(now, s, usable) {
+		return valid
 	}
 	ids := make([]string, 0, maxAdviceWorkers)
-	add := func(match func(id string) bool) {
+	add := func(match func(w *worker) bool) {
 		for _, w := range usable {
-			if id := w.id(); len(ids) < maxAdviceWorkers && match(id) && !slices.Contains(ids, id) {
-				ids = append(ids, id)
+			if len(ids) < maxAdviceWorkers && !a.refusedWorkers[w.id()] && match(w) && !slices.Contains(ids, w.id()) {
+				ids = append(ids, w.id())
 			}
 		}
 	}
-	add(func(id string) bool { return a.tickets[id] != "" })
-	add(func(id string) bool { return !a.askedWorkers[id] })
+	add(func(w *worker) bool { return c.wouldTake(now, s, w) })
+	add(func(w *worker) bool { return a.tickets[w.id()] != "" })
+	add(func(*worker) bool { return true })
 	if len(ids) == 0 {
-		clear(a.askedWorkers) // all usable workers were refused: ask again, as workers change
-		return false
+		clear(a.refusedWorkers) // all usable workers were refused: ask again, as workers change
+		return valid
 	}
 	a.pending = true
 	c.pendingAdvice++
 	c.adviceOrders = append(c.adviceOrders, Order{Kind: OrderAdvise, Step: fmt.Sprintf("%s.%d.%d", s.job.ID, s.occurrence, s.number), Workers: ids, Job: s.job.ID, Queue: s.job.Queue, step: s})
-	return false
+	return valid
+}
+
+// wouldTake reports whether the worker may be given a task of the step, if the adviser
+// allows it.
+func (c *Cell) wouldTake(now time.Time, s *step, w *worker) bool {
+	e := c.taskExclusion(now, s, s.Reservation(), w)
+	return e == "" || e == ExcludedNoTicket
+}
+
+// lacksTickets reports whether tasks of the step wait because the workers that have
+// tickets have no room for them, and others may be asked about.
+func (c *Cell) lacksTickets(now time.Time, s *step, usable []*worker) bool {
+	needed := s.countWaiting()
+	if !s.Gang {
+		needed = min(needed, 1)
+	}
+	lacking := false
+	for _, w := range usable {
+		if needed <= 0 || !c.wouldTake(now, s, w) {
+			continue
+		}
+		if s.advice.tickets[w.id()] != "" {
+			needed--
+		} else if !s.advice.refusedWorkers[w.id()] {
+			lacking = true
+		}
+	}
+	return needed > 0 && lacking
+}
+
+// countWaiting returns the number of the step's tasks that wait to be placed.
+func (s *step) countWaiting() int {
+	n := 0
+	for _, t := range s.tasks {
+		if !t.done && t.current == nil {
+			n++
+		}
+	}
+	return n
 }
 
 // HandleAdvice handles the adviser's answer to a query, or the error if there is
@@ -85,16 +131,19 @@
 		c.events = append(c.events, Event{Name: "advice unanswered", Job: o.Job, Detail: err.Error()})
 		return
 	}
-	if a.askedWorkers == nil {
-		a.askedWorkers = map[string]bool{}
-	}
-	for _, id := range o.Workers {
-		a.askedWorkers[id] = true
+	if a.valid(now) {
+		a.validUntil = earlier(a.validUntil, now.Add(valid))
+	} else {
+		a.tickets, a.validUntil = map[string]string{}, now.Add(valid)
 	}
-	a.tickets = map[string]string{}
 	for _, t := range tickets {
 		a.tickets[t.Worker] = t.Ticket
 	}
-	a.validUntil = now.Add(valid)
+	if a.refusedWorkers == nil {
+		a.refusedWorkers = map[string]bool{}
+	}
+	for _, id := range o.Workers {
+		a.refusedWorkers[id] = a.tickets[id] == ""
+	}
 	c.events = append(c.events, Event{Name: "advice", Job: o.Job, Detail: fmt.Sprintf("step %s: %d of %d workers for %v", o.Step, len(tickets), len(o.Workers), valid)})
 }
