--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -293,12 +293,12 @@
 	return b
 }
 
-// reserveWorker returns the workers without the one that has the most free CPU among
-// those that would have room for a task of the step without their ordinary tasks.
+// reserveWorker returns the workers without the one that has the most free CPU
+// among those that may be reserved for the step.
 func (c *Cell) reserveWorker(now time.Time, s *step, usable []*worker) []*worker {
 	best := -1
 	for i, w := range usable {
-		if !w.hasLabel(s.Label) || !w.canMakeRoom(s.Reservation()) || s.MaxPerWorker > 0 && c.countStepRuns(w, s) >= s.MaxPerWorker {
+		if !c.mayReserve(now, s, w) {
 			continue
 		}
 		if best < 0 || w.freeResources().MilliCores > usable[best].freeResources().MilliCores {
@@ -312,16 +312,11 @@
 	return slices.Delete(slices.Clone(usable), best, best+1)
 }
 
-// canMakeRoom reports whether the worker has room for the resources once its ordinary
-// tasks have ended. Its persistent tasks may never end.
-func (w *worker) canMakeRoom(need rock.Resources) bool {
-	free := w.Capacity
-	for _, r := range w.runs {
-		if r.task != nil && r.task.step.Persistent && r.state != stopping {
-			free = free.Sub(r.resources)
-		}
-	}
-	return free.CanFit(need)
+// mayReserve reports whether the worker may run a task of the step once its ordinary
+// tasks have ended.
+func (c *Cell) mayReserve(now time.Time, s *step, w *worker) bool {
+	return w.hasLabel(s.Label) && w.maxFreeResources().CanFit(s.Reservation()) && !w.atTaskLimit(now) &&
+		(s.MaxPerWorker == 0 || c.countStepRuns(w, s) < s.MaxPerWorker)
 }
 
 // placeStep places the step's waiting tasks until there is no worker for one.
