--- a/core/cell/advice.go
+++ b/core/cell/advice.go
@@ -16,7 +16,7 @@
 	// refusedWorkers holds the IDs of the workers that may not run the step. The answer
 	// about a worker does not change.
 	refusedWorkers map[string]bool
-	validUntil   time.Time
+	validUntil     time.Time
 	// pending is true while a query has no answer.
 	pending bool
 	retryAt time.Time
