A stop that was refused for an unknown reason is repeated

A task could run twice at the same time.

Cause: an unknown reason was taken as if the stop had been carried out. If a start had no answer and its repeat was refused, the next report without the run ended it, the task was started on another worker, and the first copy of the start could still arrive.

The stop is repeated as after a refusal as busy.

--- a/core/cell/refusal_test.go
+++ b/core/cell/refusal_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -83,6 +84,35 @@
 	}
 }
 
+// TestUnknownRefusalOfAStop guards against two runs of a task at the same time: the worker
+// has not carried out the stop, and a copy of the unanswered start may still arrive.
+func TestUnknownRefusalOfAStop(t *testing.T) {
+	t.Parallel()
+	for _, refusal := range []rock.Refusal{rock.RefusedBusy, rock.RefusedOther} {
+		t.Run(string(refusal), func(t *testing.T) {
+			t.Parallel()
+			b := newHarness(t, 2, nil)
+			b.AddJob(b.now, job(jobID, step(1)), 8)
+			b.Decide(b.now)
+			b.flush()
+			first := b.Decide(b.now)
+			assert.Equal(t, len(first), 1)
+			b.HandleReply(b.now, first[0], rock.Reply{}, errors.New("no answer"))
+			for range 20 {
+				b.advance(100 * time.Millisecond)
+				for _, w := range b.registered {
+					b.report(w.ID, nil, nil)
+				}
+				for _, o := range b.Decide(b.now) {
+					assert.Assert(t, o.Kind == cell.OrderStop || o.Start.Run == first[0].Start.Run, "another run starts")
+					b.HandleReply(b.now, o, rock.Reply{Refusal: refusal, Clock: b.clock()}, nil)
+				}
+				b.flush()
+			}
+		})
+	}
+}
+
 // TestTasksLeaveAFaultyWorker guards against tasks that wait for good for an answer of a
 // worker that refuses some kinds of orders, or leaves them unanswered, while another
 // worker is free.
--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -72,9 +72,9 @@
 }
 
 // handleStopReply handles a worker's reply to a stop. Unless the worker refused
-// it as busy, the run ends soon or never starts.
+// it as busy or for an unknown reason, the run ends soon or never starts.
 func (c *Cell) handleStopReply(now time.Time, r *run, reply rock.Reply) {
-	if reply.Refusal == rock.RefusedBusy {
+	if reply.Refusal == rock.RefusedBusy || reply.Refusal == rock.RefusedOther {
 		r.orderedAt = now
 		return
 	}
