A run whose starts have no answer ends

Callers would see a job that waits beside free workers: a worker that answers renewals leaves a start without an answer, and each repeat of it.

Cause: the start was repeated for good. Only an answer to it, or a report with the run, ended that, and renewals kept the lease from expiring. If the repeat was refused, the run waited in the same way for the answer to its stop.

Now a run is stopped after two starts without an answer, which count against the worker's health, and the worker is given no tasks for a while after each. If the stop has no answer or is refused, the run ends once a report was made after the lease end that the last start carried and does not list it: the worker refuses copies of the start that arrive after that.

Tested by the worker that answers each kind of order in one of four ways, now with no answer to starts: 4 of 128 cases failed before, all pass. core/cell passes with the race detector.

--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -91,11 +91,12 @@
 // startOrder returns the order to start a run, with a lease that starts now.
 func (c *Cell) startOrder(now time.Time, r *run) Order {
 	r.orderedAt, r.inFlight = now, true
+	r.startLeaseEnd = r.worker.extendLease(now, c.settings.LeaseDuration)
 	j := r.task.step.job
 	return Order{
 		Kind: OrderStart, Worker: r.worker.Worker, run: r, Job: j.ID, Queue: j.Queue,
 		Start: rock.StartOrder{
-			Task: r.key, Run: r.number, Payload: j.Spec.Payload, LeaseUntil: r.worker.extendLease(now, c.settings.LeaseDuration),
+			Task: r.key, Run: r.number, Payload: j.Spec.Payload, LeaseUntil: r.startLeaseEnd,
 			Fence: c.settings.Fence, Checkpoint: r.task.checkpoint, Ticket: r.task.step.advice.tickets[r.worker.id()],
 		},
 	}
--- a/core/cell/refusal_test.go
+++ b/core/cell/refusal_test.go
@@ -120,7 +120,7 @@
 	t.Parallel()
 	answers := []answer{accepts, busy, unknown, silent}
 	for _, renewals := range answers {
-		for _, starts := range []answer{accepts, busy, unknown} {
+		for _, starts := range answers {
 			for _, stops := range answers {
 				for _, drained := range []bool{false, true} {
 					t.Run(fmt.Sprintf("renewals %s, starts %s, stops %s, drained %v", renewals, starts, stops, drained), func(t *testing.T) {
--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -92,9 +92,15 @@
 		r.worker.backOff(now, busyBackoff)
 		return
 	}
-	if o.Kind == OrderStart {
-		r.startUnanswered = true
-	}
 	r.orderedAt = now
 	c.addEvent(string(o.Kind)+" unanswered", r, fmt.Sprint(err))
+	if o.Kind != OrderStart {
+		return
+	}
+	if r.startUnanswered && r.state == starting {
+		c.outliers.Record(now, r.worker.health, true)
+		c.stopRun(r, "two starts were unanswered")
+	}
+	r.startUnanswered = true
+	r.worker.backOff(now, busyBackoff)
 }
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -228,8 +228,8 @@
 }
 
 // reconcileRuns updates the worker's runs from the runs that its report lists. It
-// adopts unknown runs, and loses runs that were confirmed before the report was
-// requested and are not listed.
+// adopts unknown runs, and loses runs that are not listed and were confirmed before the
+// report was requested, or can start no more.
 func (c *Cell) reconcileRuns(now, sent time.Time, w *worker, report rock.Report) {
 	listed := make(map[runKey]bool, len(report.Running))
 	for i := range report.Running {
@@ -256,8 +256,12 @@
 		return // the list of ends is truncated: the missing runs may be in the rest
 	}
 	for key, r := range w.runs {
-		if !listed[key] && !r.answeredAt.IsZero() && r.answeredAt.Before(sent) {
+		switch {
+		case listed[key]:
+		case !r.answeredAt.IsZero() && r.answeredAt.Before(sent):
 			c.loseRun(now, r, "its worker does not list it")
+		case r.startExpired(report.Clock):
+			c.loseRun(now, r, "its worker does not list it and refuses late copies of its start")
 		}
 	}
 }
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -40,6 +40,9 @@
 	confirmedAt time.Time
 	// startUnanswered is true once a start had no answer.
 	startUnanswered bool
+	// startLeaseEnd is the lease end, on the worker's clock, that the last start carried,
+	// or 0 if this owner has sent none. The worker refuses the start after that.
+	startLeaseEnd time.Duration
 	// inFlight is true while an order about the run waits for its answer.
 	inFlight bool
 	// placeStored is true once the run's worker is stored.
@@ -59,3 +62,13 @@
 }
 
 func (r *run) id() runKey { return runKey{r.key, r.number} }
+
+// startSlack is more than the time between a worker's reading of its clock and the
+// making of its lists.
+const startSlack = 100 * time.Millisecond
+
+// startExpired reports whether the worker, whose clock shows the given time, refuses all
+// copies of the run's start that still arrive.
+func (r *run) startExpired(clock time.Duration) bool {
+	return r.startLeaseEnd > 0 && clock > r.startLeaseEnd+startSlack
+}
