A worker that refuses renewals is asked every 150 ms

Operators would see an entry that keeps a processor busy and a worker that is asked without a pause for as long as it refuses renewals. Each such call also has a price. Found by reading; nothing shows that it made a job wait.

Cause: the poller waited before the next renewal only after a call without an answer.

A refusal has the same delay now.

--- a/io/site/orders.go
+++ b/io/site/orders.go
@@ -200,7 +200,7 @@
 			o.changed = true
 		})
 		wait = leaseOrderWait
-		if err != nil {
+		if err != nil || p.Refusal != rock.Accepted {
 			wait = 0
 			_ = sleep(ctx, leaseOrderRetryDelay) // the loop condition checks ctx
 		}
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -26,8 +26,8 @@
 	// leaseOrderWait is how long a lease order waits for the end of a run. It is a
 	// fraction of the lease, so that the lease does not expire if one answer is lost.
 	leaseOrderWait = 700 * time.Millisecond
-	// leaseOrderRetryDelay is the delay before a worker that did not answer is polled
-	// again.
+	// leaseOrderRetryDelay is the delay before a worker that refused or did not answer
+	// is polled again.
 	leaseOrderRetryDelay = 150 * time.Millisecond
 )
 
