--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -72,9 +72,9 @@
 }
 
 // handleStopReply handles a worker's reply to a stop. Unless the worker refused
-// it as busy, the run ends soon or never starts.
+// it as busy or for an unknown reason, the run ends soon or never starts.
 func (c *Cell) handleStopReply(now time.Time, r *run, reply rock.Reply) {
-	if reply.Refusal == rock.RefusedBusy {
+	if reply.Refusal == rock.RefusedBusy || reply.Refusal == rock.RefusedOther {
 		r.orderedAt = now
 		return
 	}
@@ -92,9 +92,15 @@
 		r.worker.backOff(now, busyBackoff)
 		return
 	}
-	if o.Kind == OrderStart {
-		r.startUnanswered = true
-	}
 	r.orderedAt = now
 	c.addEvent(string(o.Kind)+" unanswered", r, fmt.Sprint(err))
+	if o.Kind != OrderStart {
+		return
+	}
+	if r.startUnanswered && r.state == starting {
+		c.outliers.Record(now, r.worker.health, true)
+		c.stopRun(r, "two starts were unanswered")
+	}
+	r.startUnanswered = true
+	r.worker.backOff(now, busyBackoff)
 }
