--- a/cmd/bramleyrock/soak_test.go
+++ b/cmd/bramleyrock/soak_test.go
@@ -623,6 +623,7 @@
 			cancel()
 			assert.NilError(t, callers.Wait())
 			s.settle()
+			s.checkStoredJobs()
 			watch.Stop()
 			assert.NilError(t, watch.Wait())
 			for _, id := range s.refused {
