A copy of a cell's state holds jobs that are not read yet

Callers saw tasks run again after they were done, and running tasks start a second time. An owner took a cell over while the part with a job's row was down. Then its main home went down as well, the owner copied its state to another home, excluded the first one, and was replaced. The next owner found neither the progress nor the outcome of the job.

The cause: the copy holds the jobs of the cell's state, and a job whose row is unread is not among them. Its progress or outcome stayed in the home that counted as dispensable. A job that was read while the copy went on was not written again either.

The outcomes that are read while parts are unread are kept, so that those of jobs that turn up later are copied until the jobs' rows are marked.

--- a/io/site/commit.go
+++ b/io/site/commit.go
@@ -34,7 +34,7 @@
 			w.outcomeIDs, o.outcomesToCopy = o.outcomesToCopy[:n:n], o.outcomesToCopy[n:]
 		} else {
 			w.batch = o.state.Flush(now)
-			w.completesCopy = o.copying && w.batch.Complete()
+			w.completesCopy = o.copying && w.batch.Complete() && len(o.unreadParts) == 0
 		}
 	}
 	t, err := o.homeTransaction(now, home, w.batch, w.outcomeIDs)
--- a/io/site/intake.go
+++ b/io/site/intake.go
@@ -12,8 +12,11 @@
 // the job that it belongs to.
 func (o *cellOwner) applyJobRows(now time.Time, rows []rock.Row) {
 	ended := o.decodeOutcomes(rows)
-	for id := range ended {
+	for id, outcome := range ended {
 		o.state.RecordEnded(now, id)
+		if len(o.unreadParts) > 0 {
+			o.pendingOutcomes[id] = outcome
+		}
 	}
 	for _, r := range rows {
 		part, name := splitKey(r.Key())
@@ -47,7 +50,11 @@
 		o.extraParts[id] = append(o.extraParts[id], part)
 	}
 	if o.state.HasEnded(id) {
-		if outcome, ok := ended[id]; ok {
+		outcome, ok := ended[id]
+		if !ok {
+			outcome, ok = o.pendingOutcomes[id]
+		}
+		if ok {
 			o.unmarkedOutcomes[id] = outcome
 		}
 		o.addEndedJob(id, true)
--- a/io/site/load.go
+++ b/io/site/load.go
@@ -140,7 +140,7 @@
 	}
 	o.state = cell.New(c)
 	o.state.SetQueues(o.site.view.queues())
-	o.extraParts, o.unmarkedOutcomes = map[string][]string{}, map[string]works.Outcome{}
+	o.extraParts, o.unmarkedOutcomes, o.pendingOutcomes = map[string][]string{}, map[string]works.Outcome{}, map[string]works.Outcome{}
 	o.unreadParts, o.deferredRows, o.outcomesToCopy = nil, nil, nil
 }
 
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -79,6 +79,9 @@
 	extraParts map[string][]string
 	// pendingProgress holds stored progress of jobs whose rows are not known yet.
 	pendingProgress map[string]works.Progress
+	// pendingOutcomes holds the outcomes that were read while parts were unread. The
+	// rows of the jobs may be in these parts.
+	pendingOutcomes map[string]works.Outcome
 	// unreadParts holds the parts that could not be read, and deferredRows the rows
 	// that can be applied only when all parts are read.
 	unreadParts  []string
