A late read of a part does not count after a listing

An accepted job could stay unknown to the owner of its cell, so that none of its tasks ran until another owner took the cell over.

The owner reads parts that were down again and again, beside the feed. When the feed has lost its history, the owner lists the table and follows changes from the version of the listing. If a part is down for the listing, but an earlier read of it is still on its way, that read arrived later and marked the part as read. Jobs that were stored in the part between the read and the listing were in neither.

An unread part now carries the version from which changes are followed, and older contents do not count. The part stays unread and is read in the next round.

--- a/io/site/homes.go
+++ b/io/site/homes.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
+	rock "bramleyrock"
 	"bramleyrock/core/tenure"
 	"bramleyrock/core/works"
 
@@ -117,11 +119,10 @@
 }
 
 // addUnreadParts records that parts could not be read, so that jobs may be missing.
-func (o *cellOwner) addUnreadParts(now time.Time, parts []string) {
+// Changes are followed from the given version.
+func (o *cellOwner) addUnreadParts(now time.Time, parts []string, version uint64) {
 	for _, p := range parts {
-		if !slices.Contains(o.unreadParts, p) {
-			o.unreadParts = append(o.unreadParts, p)
-		}
+		o.unreadParts[p] = version
 	}
 	o.state.SetJobsIncomplete(now, len(o.unreadParts) > 0)
 }
@@ -137,7 +138,7 @@
 			return nil
 		}
 		answers := make(chan []string, 1)
-		o.enqueue(ctx, func(time.Time) { answers <- slices.Clone(o.unreadParts) })
+		o.enqueue(ctx, func(time.Time) { answers <- slices.Sorted(maps.Keys(o.unreadParts)) })
 		var parts []string
 		select {
 		case parts = <-answers:
@@ -149,16 +150,23 @@
 			if err != nil {
 				continue // retried in the next round
 			}
-			o.enqueue(ctx, func(now time.Time) {
-				o.unreadParts = slices.DeleteFunc(o.unreadParts, func(p string) bool { return p == part })
-				o.log.WithField("part", part).WithField("rows", len(c.Rows)).WithField("unread", len(o.unreadParts)).Info("Jobs of a part are read.")
-				o.applyJobRows(now, c.Rows)
-				o.applyDeferred(now)
-			})
+			o.enqueue(ctx, func(now time.Time) { o.handlePart(now, part, c) })
 		}
 	}
 }
 
+// handlePart applies the contents of a part that could not be read before. They do not
+// count if the changes since then are not followed: the table was listed again meanwhile.
+func (o *cellOwner) handlePart(now time.Time, part string, c rock.Changes) {
+	if c.Version < o.unreadParts[part] {
+		return // the part is read again in the next round
+	}
+	delete(o.unreadParts, part)
+	o.log.WithField("part", part).WithField("rows", len(c.Rows)).WithField("unread", len(o.unreadParts)).Info("Jobs of a part are read.")
+	o.applyJobRows(now, c.Rows)
+	o.applyDeferred(now)
+}
+
 // applyDeferred applies the rows that were deferred until all parts are read. It does
 // nothing while a part is unread.
 func (o *cellOwner) applyDeferred(now time.Time) {
--- a/io/site/intake.go
+++ b/io/site/intake.go
@@ -107,7 +107,7 @@
 				return 0, err
 			}
 			o.enqueue(ctx, func(now time.Time) {
-				o.addUnreadParts(now, l.unreadParts)
+				o.addUnreadParts(now, l.unreadParts, l.version)
 				o.handleJobRows(now, sent, l.rows)
 			})
 			return l.version, nil
--- a/io/site/load.go
+++ b/io/site/load.go
@@ -59,9 +59,9 @@
 		former[id] = o.entryTime(w.UntilMS)
 	}
 	o.initState(former)
-	o.addUnreadParts(o.site.now(), jobs.unreadParts)
+	o.addUnreadParts(o.site.now(), jobs.unreadParts, jobs.version)
 	for _, home := range o.lease.ExcludedHomes() {
-		o.addUnreadParts(o.site.now(), []string{homePart(o.cell, home)})
+		o.addUnreadParts(o.site.now(), []string{homePart(o.cell, home)}, jobs.version)
 	}
 	o.loadProgress(jobs.rows)
 	o.applyJobRows(o.site.now(), jobs.rows)
@@ -141,7 +141,7 @@
 	o.state = cell.New(c)
 	o.state.SetQueues(o.site.view.queues())
 	o.extraParts, o.unmarkedOutcomes, o.pendingOutcomes = map[string][]string{}, map[string]works.Outcome{}, map[string]works.Outcome{}
-	o.unreadParts, o.deferredRows, o.outcomesToCopy = nil, nil, nil
+	o.unreadParts, o.deferredRows, o.outcomesToCopy = map[string]uint64{}, nil, nil
 }
 
 // leaseClockFactor is how much longer a lease may last by the entry's clock, because a
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -82,9 +82,10 @@
 	// pendingOutcomes holds the outcomes that were read while parts were unread. The
 	// rows of the jobs may be in these parts.
 	pendingOutcomes map[string]works.Outcome
-	// unreadParts holds the parts that could not be read, and deferredRows the rows
-	// that can be applied only when all parts are read.
-	unreadParts  []string
+	// unreadParts holds the parts that could not be read, and the version from which
+	// changes have been followed since: older contents of the part do not count.
+	// deferredRows holds the rows that can be applied only when all parts are read.
+	unreadParts  map[string]uint64
 	deferredRows []rock.Row
 	// unmarkedOutcomes holds the outcomes of jobs whose rows are not marked as ended
 	// yet, and outcomesToCopy the jobs whose outcomes must be copied to another home.
--- a/io/site/waits.go
+++ b/io/site/waits.go
@@ -121,7 +121,7 @@
 	}
 	o.log.WithFields(logrus.Fields{
 		"fence": o.fence, "held_ms": now.Sub(o.waits.heldSince).Milliseconds(),
-		"unread": len(o.unreadParts), "parts": firstNames(o.unreadParts),
+		"unread": len(o.unreadParts), "parts": firstNames(slices.Sorted(maps.Keys(o.unreadParts))),
 		"deferred": len(deferred), "deferred_jobs": firstNames(slices.Sorted(maps.Keys(deferred))),
 		"rows_missing": len(unknown), "rows_missing_jobs": firstNames(slices.Sorted(maps.Keys(unknown))),
 	}).Info("Jobs are held back.")
--- a/io/site/waits_test.go
+++ b/io/site/waits_test.go
@@ -76,7 +76,7 @@
 	t.Parallel()
 	start := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 	cases := map[string]func(o *cellOwner){
-		"a part is unread":   func(o *cellOwner) { o.unreadParts = []string{"a#1"} },
+		"a part is unread":   func(o *cellOwner) { o.unreadParts = map[string]uint64{"a#1": 1} },
 		"a row is deferred":  func(o *cellOwner) { o.deferredRows = make([]rock.Row, 1) },
 		"a row is not found": func(o *cellOwner) { o.pendingProgress = map[string]works.Progress{"j": {}} },
 	}
