After an outage a cell goes to an entry with enough CPU

Cause, from the logs: parts of the table refused calls until 30.07 s. All 42 entries tried to take a cell without an owner every 70 ms, because the delay that lets entries with more CPU go first had passed for all of them during the outage, and the first to succeed after it was edge-amman-east-a-10, with 0.192 of a core. It kept the cell for 29 s and sent hundreds of starts too late to count ("the entry runs 985ms late"); 899 jobs had tasks that waited, 27.9 s the longest, at 58.9 s.

Why this works: a takeover that a home's part of the table did not carry out is not tried again before a read of the home is answered, and then the entry waits its delay. So entries with enough CPU go first after an outage, too, and an outage no longer causes hundreds of writes a second. A part that does not answer does not hold up takeovers of other cells either.

TestOutageDoesNotLetSlowEntriesTakeCells failed before ("entries with more CPU had no time to take the cell"), and passes.

--- a/core/tenure/challenger.go
+++ b/core/tenure/challenger.go
@@ -25,19 +25,26 @@
 	}
 }
 
-// ObserveEmpty records that a home was read and has no rows. It has no effect if rows
-// of the home were observed before.
-func (c *Challenger) ObserveEmpty(now time.Time, home int) {
-	if v := &c.homes[home]; !v.Known() {
+// ObserveRead records that a home was read, after its rows were observed. A home without
+// rows is known from then on.
+func (c *Challenger) ObserveRead(now time.Time, home int) {
+	v := &c.homes[home]
+	if !v.Known() {
 		v.Observe(now, Owner{}, 0, 0)
 	}
+	v.ObserveAnswer(now)
 }
 
-// UnreadHomes returns the active homes that were not read yet.
-func (c *Challenger) UnreadHomes() []int {
+// ObserveFailure records that the part of the table with a home did not carry out a
+// takeover.
+func (c *Challenger) ObserveFailure(home int) { c.homes[home].ObserveFailure() }
+
+// HomesToRead returns the active homes that were not read yet, or not since a takeover of
+// them failed.
+func (c *Challenger) HomesToRead() []int {
 	var list []int
 	for _, h := range c.Record().Homes {
-		if !c.homes[h].Known() {
+		if v := &c.homes[h]; !v.Known() || v.failed {
 			list = append(list, h)
 		}
 	}
--- a/core/tenure/challenger_test.go
+++ b/core/tenure/challenger_test.go
@@ -62,3 +62,32 @@
 		})
 	}
 }
+
+// TestDelayBeginsAfterAnOutage guards against all challengers taking over at the same time
+// when an outage ends in which their delays passed.
+func TestDelayBeginsAfterAnOutage(t *testing.T) {
+	t.Parallel()
+	const home, delay = 1, time.Second
+	now := start
+	me := tenure.Owner{Name: "me", Session: "1"}
+	var c tenure.Challenger
+	for h := range tenure.HomeCount {
+		c.ObserveOwner(now, h, tenure.Owner{Name: "other", Session: "1"}, 1)
+	}
+	obstacle := func() tenure.Obstacle {
+		_, o := c.Obstacle(now, me, start, delay)
+		return o
+	}
+	now = now.Add(10 * time.Second)
+	assert.Equal(t, obstacle(), tenure.Obstacle(""))
+	c.ObserveFailure(home)
+	now = now.Add(10 * time.Second)
+	assert.Equal(t, obstacle(), tenure.ObstacleSilent)
+	assert.DeepEqual(t, c.HomesToRead(), []int{home})
+	c.ObserveRead(now, home)
+	assert.Equal(t, len(c.HomesToRead()), 0)
+	now = now.Add(delay - time.Millisecond)
+	assert.Equal(t, obstacle(), tenure.ObstacleDelay)
+	now = now.Add(time.Millisecond)
+	assert.Equal(t, obstacle(), tenure.Obstacle(""))
+}
--- a/core/tenure/model_test.go
+++ b/core/tenure/model_test.go
@@ -200,12 +200,11 @@
 		if m.down(i) {
 			continue
 		}
-		if h.renewalVersion == 0 {
-			e.challenger.ObserveEmpty(m.now, i)
-			continue
+		if h.renewalVersion > 0 {
+			e.challenger.ObserveOwner(m.now, i, h.owner, h.ownerVersion)
+			e.challenger.ObserveRenewal(m.now, i, h.record, h.renewalVersion)
 		}
-		e.challenger.ObserveOwner(m.now, i, h.owner, h.ownerVersion)
-		e.challenger.ObserveRenewal(m.now, i, h.record, h.renewalVersion)
+		e.challenger.ObserveRead(m.now, i)
 	}
 }
 
@@ -226,6 +225,7 @@
 		switch {
 		case len(e.toAcquire) > 0:
 			e.toAcquire, e.acquired = nil, nil
+			e.challenger.ObserveFailure(h)
 		case e.lease != nil:
 			e.unreconciled[h] = true
 		}
--- a/core/tenure/tenure.go
+++ b/core/tenure/tenure.go
@@ -44,7 +44,8 @@
 	// ObstacleUnread means that the home was not read.
 	ObstacleUnread Obstacle = "home unread"
 	// ObstacleSilent means that the platform does not answer reads of renewals, or not
-	// for long enough to tell that the owner does not renew.
+	// for long enough to tell that the owner does not renew, or that a takeover of the
+	// home failed and no read of it was answered since.
 	ObstacleSilent Obstacle = "table does not answer"
 	// ObstacleRenewed means that the owner renewed the home recently.
 	ObstacleRenewed Obstacle = "owner renews"
@@ -61,6 +62,10 @@
 	// changedAt is when a newer version of a row was last observed.
 	changedAt time.Time
 	known     bool
+	// failed is true from a failed takeover of the home until a read of it was answered,
+	// at answeredAt.
+	failed     bool
+	answeredAt time.Time
 }
 
 // Observe records the owner of a home and the versions of its owner row and renewal
@@ -74,7 +79,18 @@
 		v.owner, v.ownerVersion = owner, ownerVersion
 	}
 	v.renewalVersion = max(v.renewalVersion, renewalVersion)
-	v.changedAt, v.known = now, true
+	v.changedAt, v.known, v.failed = now, true, false
+}
+
+// ObserveFailure records that the part of the table with the home did not carry out a
+// takeover.
+func (v *HomeView) ObserveFailure() { v.failed = true }
+
+// ObserveAnswer records that a read of the home was answered.
+func (v *HomeView) ObserveAnswer(now time.Time) {
+	if v.failed {
+		v.failed, v.answeredAt = false, now
+	}
 }
 
 // Known reports whether the home was read.
@@ -89,7 +105,8 @@
 // NextAction returns what the challenger me should do about the home. The platform has
 // answered the challenger's reads since answeredSince, which is zero if it does not
 // answer now. Every challenger has its own delay: the least loaded one has the shortest
-// and takes over first.
+// and takes over first. After a failed takeover the delay begins when the home can be read
+// again, because it is over for all challengers if an outage lasts long enough.
 func (v *HomeView) NextAction(now time.Time, me Owner, answeredSince time.Time, delay time.Duration) Action {
 	if v.obstacle(now, me, answeredSince, delay) == "" {
 		return Acquire
@@ -103,7 +120,7 @@
 	switch {
 	case !v.known:
 		return ObstacleUnread
-	case answeredSince.IsZero():
+	case answeredSince.IsZero() || v.failed:
 		return ObstacleSilent
 	}
 	idle := now.Sub(v.changedAt)
@@ -122,5 +139,8 @@
 	case now.Sub(answeredSince) < TakeoverTimeout/2:
 		return ObstacleSilent
 	}
+	if now.Sub(v.answeredAt) < delay {
+		return ObstacleDelay
+	}
 	return ""
 }
--- a/io/site/acquire.go
+++ b/io/site/acquire.go
@@ -40,7 +40,7 @@
 			if s.shouldAcquire(cell) {
 				s.acquire(ctx, g, cell)
 			}
-			s.readUnknownHomes(g, cell)
+			s.readUnreadHomes(g, cell)
 		}
 	}
 }
@@ -102,29 +102,30 @@
 	return jitter + lowCPU + time.Duration(owned)*ownedCellDelay
 }
 
-// unknownHomeRetryDelay is the time between reads of homes whose ownership rows are
-// unknown, for instance because they were unavailable when the entry started.
-const unknownHomeRetryDelay = 500 * time.Millisecond
+// unreadHomeRetryDelay is the time between reads of homes that must be read before the
+// entry can acquire the cell. Until they are, the cell has no owner.
+const unreadHomeRetryDelay = 200 * time.Millisecond
 
-// readUnknownHomes reads the homes of a cell that must be known before any entry can
-// acquire the cell.
-func (s *Site) readUnknownHomes(g *group.Group, cell string) {
+// readUnreadHomes reads the homes of a cell that must be read before the entry can acquire
+// the cell: their part of the table was unavailable when the entry started, or when it
+// tried to acquire the cell.
+func (s *Site) readUnreadHomes(g *group.Group, cell string) {
 	now := s.now()
-	var unknown []int
+	var unread []int
 	s.view.withCell(cell, func(c *cellView) {
-		if !c.owned && !c.readingHomes && now.Sub(c.homesReadAt) >= unknownHomeRetryDelay {
-			unknown = c.challenger.UnreadHomes()
+		if !c.owned && !c.readingHomes && now.Sub(c.homesReadAt) >= unreadHomeRetryDelay {
+			unread = c.challenger.HomesToRead()
 		}
-		if len(unknown) > 0 {
+		if len(unread) > 0 {
 			c.readingHomes, c.homesReadAt = true, now
 		}
 	})
-	if len(unknown) == 0 {
+	if len(unread) == 0 {
 		return
 	}
 	g.Go("read homes", func(ctx context.Context) error {
 		defer s.view.withCell(cell, func(c *cellView) { c.readingHomes = false })
-		_, _ = s.readHomes(ctx, cell, unknown) // readHomes logs failures, and they are retried
+		_, _ = s.readHomes(ctx, cell, unread) // readHomes logs failures, and they are retried
 		return nil
 	})
 }
@@ -228,6 +229,9 @@
 			return tenure.AcquiredHome{Home: home, Version: version, SentAt: sent}, true
 		}
 		log.WithError(err).WithField("home", home).Info("Cell was not taken.")
+		if !isAnswer(err) {
+			s.view.withCell(cell, func(c *cellView) { c.challenger.ObserveFailure(home) })
+		}
 		if _, err := s.readHomes(ctx, cell, []int{home}); err != nil {
 			return tenure.AcquiredHome{}, false
 		}
--- a/io/site/acquire_test.go
+++ b/io/site/acquire_test.go
@@ -1,10 +1,14 @@
 package site
 
 import (
+	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	rock "bramleyrock"
+	"bramleyrock/core/group"
 	"bramleyrock/core/tenure"
 	"bramleyrock/core/works"
 	"bramleyrock/io/logs"
@@ -46,3 +50,62 @@
 		})
 	}
 }
+
+// failingStore answers no calls while it is down, and none but reads that find no rows
+// otherwise.
+type failingStore struct {
+	rock.Store
+	down atomic.Bool
+}
+
+func (s *failingStore) answer(op string) error {
+	if s.down.Load() {
+		return rock.Fail(op, "part", rock.Unavailable, rock.NotRun)
+	}
+	return nil
+}
+
+func (s *failingStore) Apply(context.Context, rock.Transaction) (uint64, error) {
+	return 0, s.answer("write")
+}
+
+func (s *failingStore) List(context.Context, string, string, string, string) (rock.Changes, error) {
+	return rock.Changes{Version: 1}, s.answer("read")
+}
+
+// TestOutageDoesNotLetSlowEntriesTakeCells guards against a cell that goes to an entry with
+// little CPU after an outage in which nobody could take it.
+func TestOutageDoesNotLetSlowEntriesTakeCells(t *testing.T) {
+	t.Parallel()
+	start := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	var clock atomic.Pointer[time.Time]
+	set := func(d time.Duration) { now := start.Add(d); clock.Store(&now) }
+	set(0)
+	store := &failingStore{}
+	s := New(Settings{
+		Clock: func() time.Time { return *clock.Load() }, CPUShare: sufficientCPUShare / 2, Log: logs.Discard(), Scope: tally.NoopScope,
+		Store: store,
+	})
+	s.view.setConfig(works.Config{Pools: []works.Pool{{Name: "a"}}}, 1)
+	s.view.withCell("a", func(v *cellView) {
+		for home := range tenure.HomeCount {
+			v.challenger.ObserveOwner(start, home, tenure.Owner{Name: "other", Session: "1"}, 1)
+		}
+	})
+	s.recordRenewalRead(nil)
+	store.down.Store(true)
+	set(10 * time.Second)
+	assert.Assert(t, s.shouldAcquire("a"))
+	g := group.New(t.Context())
+	s.acquire(t.Context(), g, "a")
+
+	outageEnd := 20 * time.Second
+	set(outageEnd)
+	store.down.Store(false)
+	s.readUnreadHomes(g, "a")
+	assert.NilError(t, g.Wait())
+	set(outageEnd + lowCPUDelay - time.Millisecond)
+	assert.Assert(t, !s.shouldAcquire("a"), "entries with more CPU had no time to take the cell")
+	set(outageEnd + lowCPUDelay + takeoverJitter)
+	assert.Assert(t, s.shouldAcquire("a"))
+}
--- a/io/site/follow.go
+++ b/io/site/follow.go
@@ -290,7 +290,7 @@
 				version = c.Version
 			}
 			s.applyCellRows(c.Rows)
-			s.view.withCell(cell, func(v *cellView) { v.challenger.ObserveEmpty(s.now(), home) })
+			s.view.withCell(cell, func(v *cellView) { v.challenger.ObserveRead(s.now(), home) })
 			return nil
 		})
 	}
