--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -91,11 +91,12 @@
 // startOrder returns the order to start a run, with a lease that starts now.
 func (c *Cell) startOrder(now time.Time, r *run) Order {
 	r.orderedAt, r.inFlight = now, true
+	r.startLeaseEnd = r.worker.extendLease(now, c.settings.LeaseDuration)
 	j := r.task.step.job
 	return Order{
 		Kind: OrderStart, Worker: r.worker.Worker, run: r, Job: j.ID, Queue: j.Queue,
 		Start: rock.StartOrder{
-			Task: r.key, Run: r.number, Payload: j.Spec.Payload, LeaseUntil: r.worker.extendLease(now, c.settings.LeaseDuration),
+			Task: r.key, Run: r.number, Payload: j.Spec.Payload, LeaseUntil: r.startLeaseEnd,
 			Fence: c.settings.Fence, Checkpoint: r.task.checkpoint, Ticket: r.task.step.advice.tickets[r.worker.id()],
 		},
 	}
@@ -265,16 +266,16 @@
 
 // placePersistent places the waiting tasks of a persistent step, and returns the
 // workers on which other tasks may be placed. If there is no worker for one of the
-// tasks, the worker with the most free resources is reserved: smaller tasks would
-// otherwise take whatever becomes free there.
+// tasks, a worker that can make room for it is reserved: smaller tasks would otherwise
+// take whatever becomes free there.
 func (c *Cell) placePersistent(now time.Time, s *step, usable []*worker) []*worker {
 	for _, t := range s.tasks {
 		if t.done || t.current != nil || !c.mayRestart(now, t) {
 			continue
 		}
 		w := c.chooseUsable(now, t, usable)
-		if w == nil && c.mayUseClosing(now, t) {
-			w = c.chooseWorker(now, t, c.closingWorkers(now))
+		if w == nil {
+			w = c.chooseAvoided(now, t)
 		}
 		if w != nil {
 			c.placeRun(now, t, w, c.nextRunNumber(t))
@@ -294,11 +295,11 @@
 }
 
 // reserveWorker returns the workers without the one that has the most free CPU
-// among those that may run the step.
+// among those that may be reserved for the step.
 func (c *Cell) reserveWorker(now time.Time, s *step, usable []*worker) []*worker {
 	best := -1
 	for i, w := range usable {
-		if !w.hasLabel(s.Label) || s.MaxPerWorker > 0 && c.countStepRuns(w, s) >= s.MaxPerWorker {
+		if !c.mayReserve(now, s, w) {
 			continue
 		}
 		if best < 0 || w.freeResources().MilliCores > usable[best].freeResources().MilliCores {
@@ -312,6 +313,13 @@
 	return slices.Delete(slices.Clone(usable), best, best+1)
 }
 
+// mayReserve reports whether the worker may run a task of the step once its ordinary
+// tasks have ended.
+func (c *Cell) mayReserve(now time.Time, s *step, w *worker) bool {
+	return w.hasLabel(s.Label) && w.maxFreeResources().CanFit(s.Reservation()) && !w.atTaskLimit(now) &&
+		(s.MaxPerWorker == 0 || c.countStepRuns(w, s) < s.MaxPerWorker)
+}
+
 // placeStep places the step's waiting tasks until there is no worker for one.
 func (c *Cell) placeStep(now time.Time, s *step, usable []*worker) {
 	for _, t := range s.tasks {
@@ -319,8 +327,8 @@
 			continue
 		}
 		w := c.chooseUsable(now, t, usable)
-		if w == nil && c.mayUseClosing(now, t) {
-			w = c.chooseWorker(now, t, c.closingWorkers(now))
+		if w == nil {
+			w = c.chooseAvoided(now, t)
 		}
 		if w == nil {
 			return
@@ -401,10 +409,16 @@
 // task, or nil if there is none.
 func (c *Cell) chooseWorker(now time.Time, t *task, usable []*worker) *worker {
 	need := t.step.Reservation()
+	return c.cheapestWorker(now, t, usable, func(w *worker) bool { return c.taskExclusion(now, t.step, need, w) == "" })
+}
+
+// cheapestWorker returns the worker with the least cost among those that match, or nil
+// if there is none.
+func (c *Cell) cheapestWorker(now time.Time, t *task, workers []*worker, match func(*worker) bool) *worker {
 	var best *worker
 	var bestCost float64
-	for _, w := range usable {
-		if c.taskExclusion(now, t.step, need, w) != "" {
+	for _, w := range workers {
+		if !match(w) {
 			continue
 		}
 		cost := c.placementCost(now, t, w)
--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -7,7 +7,8 @@
 	rock "bramleyrock"
 )
 
-// HandleReply handles the reply to an order, or the error if there is none.
+// HandleReply handles the reply to an order, or the error if there is none. A reply says
+// nothing about renewals: only a report ends the worker's unresponsiveness.
 func (c *Cell) HandleReply(now time.Time, o Order, reply rock.Reply, err error) {
 	r := o.run
 	if o.Kind == OrderPace {
@@ -29,7 +30,6 @@
 		c.loseWorker(now, r.worker, "another incarnation answers at its address")
 		return
 	}
-	r.worker.answeredAt, r.worker.unresponsive = now, false
 	if o.Kind == OrderStop {
 		c.handleStopReply(now, r, reply)
 		return
@@ -44,22 +44,25 @@
 		return // the reply to the stop decides
 	}
 	switch reply.Refusal {
-	case rock.Accepted, rock.RefusedStaleRun:
-		// If the run is stale, it or a later run of the task has ended or was
-		// stopped on the worker. The next report tells which.
-		r.state, r.answeredAt, r.confirmedAt = running, now, now
-		c.markStarted(now, r)
-		return
-	case rock.RefusedCapacity:
-		w.backoffUntil = now.Add(fullBackoff)
+	case rock.Accepted:
+	case rock.RefusedCapacity, rock.RefusedStaleRun:
+		w.backOff(now, fullBackoff)
 	case rock.RefusedLeaseExpired:
 		w.clock, w.clockAt = reply.Clock, now
+		w.backOff(now, fullBackoff)
 	case rock.RefusedTicket:
 		r.task.step.advice.validUntil = time.Time{}
-	case rock.RefusedBusy:
-		w.backoffUntil = now.Add(busyBackoff)
+	default:
+		w.backOff(now, busyBackoff)
 		c.outliers.Record(now, w.health, true)
 	}
+	if reply.Refusal == rock.Accepted || reply.Refusal == rock.RefusedStaleRun {
+		// If the run is stale, it or a later run of the task has ended or was
+		// stopped on the worker. The next report tells which.
+		r.state, r.answeredAt, r.confirmedAt = running, now, now
+		c.markStarted(now, r)
+		return
+	}
 	c.addEvent("start refused", r, string(reply.Refusal))
 	if r.startUnanswered {
 		c.stopRun(r, "an unanswered copy of the refused start may still arrive")
@@ -69,9 +72,9 @@
 }
 
 // handleStopReply handles a worker's reply to a stop. Unless the worker refused
-// it as busy, the run ends soon or never starts.
+// it as busy or for an unknown reason, the run ends soon or never starts.
 func (c *Cell) handleStopReply(now time.Time, r *run, reply rock.Reply) {
-	if reply.Refusal == rock.RefusedBusy {
+	if reply.Refusal == rock.RefusedBusy || reply.Refusal == rock.RefusedOther {
 		r.orderedAt = now
 		return
 	}
@@ -86,12 +89,18 @@
 	if rock.VerdictOf(err) == rock.NotRun && o.Kind == OrderStart && !r.startUnanswered && r.state == starting {
 		c.addEvent("start not sent", r, err.Error())
 		r.worker.removeRun(r)
-		r.worker.backoffUntil = now.Add(busyBackoff)
+		r.worker.backOff(now, busyBackoff)
 		return
 	}
-	if o.Kind == OrderStart {
-		r.startUnanswered = true
-	}
 	r.orderedAt = now
 	c.addEvent(string(o.Kind)+" unanswered", r, fmt.Sprint(err))
+	if o.Kind != OrderStart {
+		return
+	}
+	if r.startUnanswered && r.state == starting {
+		c.outliers.Record(now, r.worker.health, true)
+		c.stopRun(r, "two starts were unanswered")
+	}
+	r.startUnanswered = true
+	r.worker.backOff(now, busyBackoff)
 }
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -24,8 +24,8 @@
 	clockAt time.Time
 	// maxLeaseEnd is the latest lease end that was sent, on the worker's clock.
 	maxLeaseEnd time.Duration
-	// answeredAt is when the worker last answered. unresponsive is true if its
-	// last order was unanswered.
+	// answeredAt is when the worker last reported. unresponsive is true if it left an
+	// order unanswered, or refused a renewal, since then.
 	answeredAt   time.Time
 	unresponsive bool
 	// maybeRestarted is true from an unanswered order to the worker's next report:
@@ -125,9 +125,31 @@
 	return e == "" || e == ExcludedClosing
 }
 
+// inService reports whether the worker answers and is not drained by the platform.
+func (w *worker) inService() bool {
+	return w.registered && !w.gone && !w.unresponsive && w.State == rock.WorkerReady
+}
+
+// backOff records that the worker is given no new tasks for a while.
+func (w *worker) backOff(now time.Time, d time.Duration) {
+	w.backoffUntil = later(w.backoffUntil, now.Add(d))
+}
+
 // freeResources returns the worker's free resources.
 func (w *worker) freeResources() rock.Resources { return w.Capacity.Sub(w.used) }
 
+// maxFreeResources returns the resources that are free once all tasks on the worker but
+// the persistent ones have ended.
+func (w *worker) maxFreeResources() rock.Resources {
+	free := w.Capacity
+	for _, r := range w.runs {
+		if r.task != nil && r.task.step.Persistent && r.state != stopping {
+			free = free.Sub(r.resources)
+		}
+	}
+	return free
+}
+
 // addRun adds a run and reserves its resources.
 func (w *worker) addRun(r *run) {
 	w.runs[r.id()] = r
