Decisions leave an owner with little CPU time for orders

What callers saw: tasks wait for tens of seconds beside free capacity, because the owner of their cell sends starts too late to count.

Why this works: the time from one decision to the next is at least three times what a decision takes, up to 0.25 s. Owners that decide within 1.6 ms are not slowed down.

--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -23,6 +23,13 @@
 	// minDecideInterval is the least time between decisions, so that many events of
 	// a surge are handled before one decision.
 	minDecideInterval = 5 * time.Millisecond
+	// decideIntervalFactor is the least ratio of the time between decisions to the time
+	// that one takes, so that an entry with little CPU also handles answers and sends
+	// orders in a surge.
+	decideIntervalFactor = 3
+	// maxDecidePause bounds the time between decisions that follows from it. A decision
+	// also takes long if the process is suspended.
+	maxDecidePause = 250 * time.Millisecond
 	// leaseOrderWait is how long a lease order waits for the end of a run. It is a
 	// fraction of the lease, so that the lease does not expire if one answer is lost.
 	leaseOrderWait = 700 * time.Millisecond
@@ -64,6 +71,8 @@
 	// changed is true if something has changed since the last decision, at decidedAt.
 	changed   bool
 	decidedAt time.Time
+	// decideInterval is the least time from decidedAt to the next decision.
+	decideInterval time.Duration
 	// jobsKnownUpTo is the time up to which all changes of the cell's jobs are
 	// applied.
 	jobsKnownUpTo time.Time
@@ -175,7 +184,7 @@
 			return nil
 		}
 		o.advance(now)
-		o.resetTicker(t, now)
+		o.resetTicker(t, o.site.now())
 	}
 	return nil
 }
@@ -198,7 +207,7 @@
 func (o *cellOwner) resetTicker(t *time.Ticker, now time.Time) {
 	next := maxDecideInterval
 	if o.changed {
-		next = max(time.Millisecond, minDecideInterval-now.Sub(o.decidedAt))
+		next = max(time.Millisecond, o.decideInterval-now.Sub(o.decidedAt))
 	}
 	t.Reset(next)
 }
@@ -216,14 +225,21 @@
 	}
 }
 
+// decide makes a decision and sends its orders, if a decision is due.
+func (o *cellOwner) decide(now time.Time) {
+	if !o.changed || now.Sub(o.decidedAt) < o.decideInterval || !now.Before(o.lease.ValidUntil()) {
+		return
+	}
+	o.changed, o.decidedAt = false, now
+	o.dispatchOrders(o.state.Decide(now, o.jobsKnownUpTo))
+	o.startPollers()
+	o.decideInterval = min(maxDecidePause, max(minDecideInterval, decideIntervalFactor*o.site.now().Sub(now)))
+}
+
 // advance decides and sends orders if a decision is due, and starts the writes that are
 // due.
 func (o *cellOwner) advance(now time.Time) {
-	if now.Before(o.lease.ValidUntil()) && o.changed && now.Sub(o.decidedAt) >= minDecideInterval {
-		o.changed, o.decidedAt = false, now
-		o.dispatchOrders(o.state.Decide(now, o.jobsKnownUpTo))
-		o.startPollers()
-	}
+	o.decide(now)
 	o.logEvents()
 	o.logWaits(now)
 	o.updateHomes(now)
