Parts of the table are read again side by side

What callers see: a job waits although the part of the table with its row answers again. That owner had too little CPU, which made it worse; how much of that the order of the reads is to blame for was not measured.

Cause: an owner that could not read some parts at its takeover tries them in turn. Each silent part holds up the ones after it for the timeout of a read, up to 1.2 s, so a round over 16 of 32 parts may take 19 s.

Why this works: the reads of a round run in parallel, as those of the takeover do.

TestSilentPartDelaysNoOthers failed before (a#2 is still unread after 5 s), and passes.

--- a/io/site/homes.go
+++ b/io/site/homes.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bramleyrock/core/group"
 	"bramleyrock/core/tenure"
 	"bramleyrock/core/works"
 
@@ -144,21 +145,33 @@
 		case <-ctx.Done():
 			return nil
 		}
+		g := group.New(ctx)
 		for _, part := range parts {
-			c, err := o.site.settings.Store.List(ctx, o.jobTable, part, "", "")
-			if err != nil {
-				continue // retried in the next round
-			}
-			o.enqueue(ctx, func(now time.Time) {
-				o.unreadParts = slices.DeleteFunc(o.unreadParts, func(p string) bool { return p == part })
-				o.log.WithField("part", part).WithField("rows", len(c.Rows)).WithField("unread", len(o.unreadParts)).Info("Jobs of a part are read.")
-				o.applyJobRows(now, c.Rows)
-				o.applyDeferred(now)
+			g.Go("read unread part", func(ctx context.Context) error {
+				o.readUnreadPart(ctx, part)
+				return nil
 			})
 		}
+		if err := g.Wait(); err != nil {
+			return err
+		}
 	}
 }
 
+// readUnreadPart reads the jobs of a part that could not be read before.
+func (o *cellOwner) readUnreadPart(ctx context.Context, part string) {
+	c, err := o.site.settings.Store.List(ctx, o.jobTable, part, "", "")
+	if err != nil {
+		return // retried in the next round
+	}
+	o.enqueue(ctx, func(now time.Time) {
+		o.unreadParts = slices.DeleteFunc(o.unreadParts, func(p string) bool { return p == part })
+		o.log.WithField("part", part).WithField("rows", len(c.Rows)).WithField("unread", len(o.unreadParts)).Info("Jobs of a part are read.")
+		o.applyJobRows(now, c.Rows)
+		o.applyDeferred(now)
+	})
+}
+
 // applyDeferred applies the rows that were deferred until all parts are read. It does
 // nothing while a part is unread.
 func (o *cellOwner) applyDeferred(now time.Time) {
