--- a/io/site/homes.go
+++ b/io/site/homes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/group"
 	"bramleyrock/core/tenure"
 	"bramleyrock/core/works"
 
@@ -145,16 +146,28 @@
 		case <-ctx.Done():
 			return nil
 		}
+		g := group.New(ctx)
 		for _, part := range parts {
-			c, err := o.site.settings.Store.List(ctx, o.jobTable, part, "", "")
-			if err != nil {
-				continue // retried in the next round
-			}
-			o.enqueue(ctx, func(now time.Time) { o.handlePart(now, part, c) })
+			g.Go("read unread part", func(ctx context.Context) error {
+				o.readUnreadPart(ctx, part)
+				return nil
+			})
+		}
+		if err := g.Wait(); err != nil {
+			return err
 		}
 	}
 }
 
+// readUnreadPart reads the jobs of a part that could not be read before.
+func (o *cellOwner) readUnreadPart(ctx context.Context, part string) {
+	c, err := o.site.settings.Store.List(ctx, o.jobTable, part, "", "")
+	if err != nil {
+		return // retried in the next round
+	}
+	o.enqueue(ctx, func(now time.Time) { o.handlePart(now, part, c) })
+}
+
 // handlePart applies the contents of a part that could not be read before. They do not
 // count if the changes since then are not followed: the table was listed again meanwhile.
 func (o *cellOwner) handlePart(now time.Time, part string, c rock.Changes) {
--- a/io/site/homes_test.go
+++ b/io/site/homes_test.go
@@ -1,11 +1,13 @@
 package site
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	rock "bramleyrock"
 	"bramleyrock/core/cell"
+	"bramleyrock/core/group"
 	"bramleyrock/core/works"
 
 	"github.com/sirupsen/logrus"
@@ -43,3 +45,42 @@
 	assert.Equal(t, len(o.unreadParts), 0)
 	assert.Equal(t, o.state.Load(start).WaitingJobs["q"], 1)
 }
+
+// partStore answers reads of all parts but the silent one.
+type partStore struct {
+	rock.Store
+	silent string
+}
+
+func (s *partStore) List(ctx context.Context, _, part, _, _ string) (rock.Changes, error) {
+	if part == s.silent {
+		<-ctx.Done()
+		return rock.Changes{}, ctx.Err()
+	}
+	return rock.Changes{}, nil
+}
+
+// TestSilentPartDelaysNoOthers guards against jobs that wait because the read of another
+// part has no answer.
+func TestSilentPartDelaysNoOthers(t *testing.T) {
+	t.Parallel()
+	o, _, _ := waitsFixture(time.Now())
+	o.site.settings.Clock = time.Now
+	o.site.settings.Store = &partStore{silent: "a#1"}
+	o.events = make(chan func(time.Time), maxEvents)
+	o.unreadParts = map[string]uint64{"a#1": 0, "a#2": 0}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	g := group.New(ctx)
+	g.Go("read unread parts", o.readUnreadParts)
+	for ctx.Err() == nil && len(o.unreadParts) > 1 {
+		select {
+		case f := <-o.events:
+			f(time.Now())
+		case <-ctx.Done():
+		}
+	}
+	assert.DeepEqual(t, o.unreadParts, map[string]uint64{"a#1": 0})
+	g.Stop()
+	assert.NilError(t, g.Wait())
+}
