A gang keeps the step's limit of tasks on a worker

What callers could see: more tasks of a gang on one worker than its step allows. Found by reading.

Cause: the workers for all tasks of a gang are chosen before any of them has a run, and only runs counted against the limit.

Why this works: the tasks for which a worker is already chosen count, too.

TestGangKeepsMaxPerWorker failed before in two of its five cases (4 tasks start where none may), and passes.

--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -380,6 +380,9 @@
 		}
 		w.used = w.used.Add(s.Reservation())
 		chosen = append(chosen, w)
+		if s.MaxPerWorker > 0 && c.countStepRuns(w, s)+countWorker(chosen, w) >= s.MaxPerWorker {
+			usable = slices.DeleteFunc(slices.Clone(usable), func(o *worker) bool { return o == w })
+		}
 	}
 	for _, w := range chosen {
 		w.used = w.used.Sub(s.Reservation())
@@ -394,6 +397,17 @@
 	}
 }
 
+// countWorker returns how often the worker is in the list.
+func countWorker(list []*worker, w *worker) int {
+	n := 0
+	for _, o := range list {
+		if o == w {
+			n++
+		}
+	}
+	return n
+}
+
 // gangCheckpoint returns the checkpoint of the first task that has one, or "".
 func gangCheckpoint(s *step) string {
 	for _, t := range s.tasks {
