A decision searches avoided workers once for tasks that find no room

What callers could see: an entry runs late, and gives its cells up, while tasks that no worker can run wait in a pool that is mostly free.

Cause: for each step whose task has waited for 2 s, each decision listed and sorted the usable workers and searched them twice more. There are up to 200 decisions a second.

Why this works: the workers are listed once a round, and a need that none of them has room for is not searched for again, as for the usable workers. Which worker is chosen does not change.

--- a/core/cell/bench_test.go
+++ b/core/cell/bench_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"bramleyrock/core/works"
 )
 
 // BenchmarkDecideInSurge measures a decision while 80 almost full workers leave the tasks of
@@ -25,6 +27,29 @@
 	}
 }
 
+// BenchmarkDecideBesideHopelessTasks measures a decision while 80 idle workers leave the
+// tasks of 100 jobs waiting, which can run on none of them.
+func BenchmarkDecideBesideHopelessTasks(b *testing.B) {
+	large, labelled := step(8), step(8)
+	large.Need.MilliCores, labelled.Label = 9000, "none"
+	for name, s := range map[string]works.Step{"too large": large, "unknown label": labelled} {
+		b.Run(name, func(b *testing.B) {
+			h := newHarness(&testing.T{}, 80, nil)
+			for range 10 {
+				h.flush()
+			}
+			for i := range 100 {
+				h.AddJob(h.now, job(fmt.Sprintf("%016x", i), s), 9)
+			}
+			h.decideWhileWaiting(nil)
+			for b.Loop() {
+				h.advance(time.Microsecond)
+				h.Decide(h.now)
+			}
+		})
+	}
+}
+
 // TestShortageHidesNoFreeWorker guards against small tasks that wait because larger ones
 // of the same round found no room.
 func TestShortageHidesNoFreeWorker(t *testing.T) {
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -48,6 +48,11 @@
 	placedAt time.Time
 	// shortage holds what no usable worker had room for since then.
 	shortage shortage
+	// avoided holds the workers on which tasks that have waited for long may be placed,
+	// or nil if they were not needed since then, and avoidedShortage what none of them
+	// had room for.
+	avoided         []*worker
+	avoidedShortage shortage
 	// mostlyFree is true if most of the capacity was free when tasks were last placed.
 	mostlyFree bool
 	// startsPaused is true while no task is started because the known state of
--- a/core/cell/closing.go
+++ b/core/cell/closing.go
@@ -53,11 +53,14 @@
 // are closing, reserved or ejected, or nil if there is none.
 func (c *Cell) chooseAvoided(now time.Time, t *task) *worker {
 	if c.mayUseAvoided(now, t) {
-		workers := append(c.usable(now), c.closingWorkers(now)...)
-		if w := c.chooseWorker(now, t, workers); w != nil {
+		if c.avoided == nil {
+			c.avoided = append(c.usable(now), c.closingWorkers(now)...)
+		}
+		w, roomy := c.searchUnlessShort(now, t, c.avoided, &c.avoidedShortage)
+		if w != nil || !roomy {
 			return w
 		}
-		return c.cheapestWorker(now, t, workers, func(w *worker) bool { return c.mayTryEjected(now, t, w) })
+		return c.cheapestWorker(now, t, c.avoided, func(w *worker) bool { return c.mayTryEjected(now, t, w) })
 	}
 	if c.mayUseClosing(now, t) {
 		return c.chooseWorker(now, t, c.closingWorkers(now))
@@ -68,7 +71,7 @@
 // mayTryEjected reports whether a task that may use avoided workers may be placed on an
 // ejected one: such a worker gets one task at a time.
 func (c *Cell) mayTryEjected(now time.Time, t *task, w *worker) bool {
-	return w.countLimitedRuns() == 0 && c.taskExclusion(now, t.step, t.step.Reservation(), w) == ExcludedTaskLimit
+	return c.taskExclusion(now, t.step, t.step.Reservation(), w) == ExcludedTaskLimit && w.countLimitedRuns() == 0
 }
 
 // closingWorkers returns the workers that are being drained.
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -219,7 +219,7 @@
 // are ordered once the placements are stored.
 func (c *Cell) placeTasks(now time.Time) {
 	c.placedAt = now
-	c.shortage = c.shortage[:0]
+	c.shortage, c.avoidedShortage, c.avoided = c.shortage[:0], c.avoidedShortage[:0], nil
 	c.updateMostlyFree()
 	usable := c.usable(now)
 	if len(usable) == 0 && len(c.closingWorkers(now)) == 0 {
--- a/core/cell/shortage.go
+++ b/core/cell/shortage.go
@@ -20,13 +20,23 @@
 // chooseUsable returns the worker for a task among the usable ones, or nil if there is
 // none. Their free resources must not grow between calls for the same shortage.
 func (c *Cell) chooseUsable(now time.Time, t *task, usable []*worker) *worker {
+	w, _ := c.searchUnlessShort(now, t, usable, &c.shortage)
+	return w
+}
+
+// searchUnlessShort returns the worker for a task, or nil if there is none, and whether a
+// worker has room for it. It does not search if the shortage tells that none has.
+func (c *Cell) searchUnlessShort(now time.Time, t *task, workers []*worker, known *shortage) (chosen *worker, roomy bool) {
 	need := t.step.Reservation()
-	if c.shortage.covers(need) {
-		return nil
+	if known.covers(need) {
+		return nil, false
 	}
-	w := c.chooseWorker(now, t, usable)
-	if w == nil && !slices.ContainsFunc(usable, func(w *worker) bool { return w.freeResources().CanFit(need) }) {
-		c.shortage = append(c.shortage, need)
+	if w := c.chooseWorker(now, t, workers); w != nil {
+		return w, true
 	}
-	return w
+	if slices.ContainsFunc(workers, func(w *worker) bool { return w.freeResources().CanFit(need) }) {
+		return nil, true
+	}
+	*known = append(*known, need)
+	return nil, false
 }
