A task is not tried on ejected workers until its job fails

What callers could see: a job that could be done is shown as failed.

Cause: a task that has waited for 2 s and has room only on an ejected worker is placed there, and was again after it had failed there. An ejected worker may fail all that it starts, and a job fails with its second failure, although its task could run once the ejection is over or a host has come.

Why this works: an ejected worker is given no task whose next failure fails its job.

TestEjectedWorkerFailsNoJob failed before (the task is tried there a second time while the worker is still ejected), and passes.

--- a/core/cell/avoided_test.go
+++ b/core/cell/avoided_test.go
@@ -80,3 +80,26 @@
 	assert.Equal(t, len(runs["w0"]), 1, "an ejected worker gets one task at a time")
 	assert.Assert(t, !b.startsWithin(500*time.Millisecond, "waiting", runs))
 }
+
+// TestEjectedWorkerFailsNoJob guards against a job that fails because its task was tried
+// on the same ejected worker until no attempt was left.
+func TestEjectedWorkerFailsNoJob(t *testing.T) {
+	b := newHarness(t, 3, nil)
+	runs := map[string][]rock.Run{}
+	b.ejectWorker("w0", runs)
+	b.AddJob(b.now, job("lasting", persistentStep(2, 1, 1500)), 9)
+	assert.Assert(t, b.startsWithin(time.Second, "lasting", runs))
+	b.AddJob(b.now, job("waiting", largeStep(1)), 9)
+	for tries := 0; b.startsWithin(2200*time.Millisecond, "waiting", runs); tries++ {
+		assert.Equal(t, tries, 0, "the task is tried again")
+		var ended []rock.End
+		for _, r := range runs["w0"] {
+			ended = append(ended, rock.End{Task: r.Task, Run: r.Run, Reason: rock.EndFailed})
+		}
+		assert.Equal(t, len(ended), 1)
+		runs["w0"] = nil
+		b.report("w0", nil, ended)
+	}
+	b.flush()
+	assert.Equal(t, b.outcomes["waiting"], works.State(""))
+}
--- a/core/cell/closing.go
+++ b/core/cell/closing.go
@@ -69,8 +69,12 @@
 }
 
 // mayTryEjected reports whether a task that may use avoided workers may be placed on an
-// ejected one: such a worker gets one task at a time.
+// ejected one: such a worker gets one task at a time, and none whose failure would fail
+// the job.
 func (c *Cell) mayTryEjected(now time.Time, t *task, w *worker) bool {
+	if !t.step.Persistent && len(t.failedRuns)+1 >= t.step.job.queue.Attempts {
+		return false
+	}
 	return c.taskExclusion(now, t.step, t.step.Reservation(), w) == ExcludedTaskLimit && w.countLimitedRuns() == 0
 }
 
