A late refusal from a former address does not end a worker that is back

What callers could see: a worker that answers and is registered gets no tasks, for good, and its runs end with their lease while their tasks are started elsewhere.

Cause: if an order was refused because another worker is at the address, its worker counted as gone, whenever the refusal was handled. A worker that had come back meanwhile, under its ID and at another address, was then gone although it had reported. Only a later incarnation ends that.

Why this works: such a refusal counts only if the worker has not reported since the order was sent. If it is gone all the same, the next renewal is refused, too.

TestLateRefusalOfAFormerAddress failed before in "the worker has come back" (it is not polled any more), and passes.

--- a/core/cell/late_test.go
+++ b/core/cell/late_test.go
@@ -50,3 +50,40 @@
 	b.flush()
 	assert.Equal(t, b.outcomes[jobID], works.Completed)
 }
+
+// TestLateRefusalOfAFormerAddress guards against a worker that counts as gone for good: it
+// has come back at another address, and a refusal from its former one is handled late.
+func TestLateRefusalOfAFormerAddress(t *testing.T) {
+	for name, cameBack := range map[string]bool{"the worker has come back": true, "the worker is gone": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 1, nil)
+			b.AddJob(b.now, job(jobID, step(1)), 8)
+			b.Decide(b.now)
+			b.flush()
+			first := b.Decide(b.now)
+			assert.Equal(t, len(first), 1)
+			b.advance(500 * time.Millisecond)
+			born := b.now
+			report := func() {
+				b.HandleReport(b.now, b.now, "w0", rock.Report{Clock: b.now.Sub(born), WorkerStartedAt: born})
+			}
+			if cameBack {
+				w := &b.registered[0]
+				w.Address, w.StartedAt, w.ReadAt, w.Clock = "10.0.0.9:80", born, born, 0
+				b.SetWorkers(b.now, b.registered)
+				report()
+			}
+			b.HandleReply(b.now, first[0], rock.Reply{Refusal: rock.RefusedIdentity}, nil)
+			_, _, polled := b.HoldOrder(b.now, "w0", 0)
+			assert.Equal(t, polled, cameBack)
+			if !cameBack {
+				return
+			}
+			b.advance(500 * time.Millisecond)
+			report()
+			starts := b.startTasks()
+			assert.Equal(t, len(starts), 1, b.Describe(b.now, jobID))
+			assert.Equal(t, starts[0].Worker.Address, "10.0.0.9:80")
+		})
+	}
+}
--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -27,7 +27,7 @@
 		c.fenced = true
 		return
 	case rock.RefusedIdentity:
-		c.loseWorker(now, r.worker, "another incarnation answers at its address")
+		c.handleOtherIdentity(now, r.orderedAt, r.worker)
 		return
 	}
 	if o.Kind == OrderStop {
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -24,7 +24,7 @@
 		c.fenced = true
 		return
 	case rock.RefusedIdentity:
-		c.loseWorker(now, w, "another incarnation answers at its address")
+		c.handleOtherIdentity(now, sent, w)
 		return
 	default:
 		c.HandleUnanswered(now, sent, id, true, fmt.Errorf("renewal refused: %s", report.Refusal))
@@ -88,6 +88,16 @@
 	}
 }
 
+// handleOtherIdentity handles the refusal of an order, sent at the given time, because
+// another worker or incarnation is at the address. A worker that has reported since then
+// has come back or has another address, and the next renewal tells.
+func (c *Cell) handleOtherIdentity(now, sent time.Time, w *worker) {
+	if sent.Before(w.answeredAt) {
+		return
+	}
+	c.loseWorker(now, w, "another incarnation answers at its address")
+}
+
 // loseWorker records that the worker's incarnation is over, and its runs with it.
 func (c *Cell) loseWorker(now time.Time, w *worker, reason string) {
 	w.gone = true
