--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -219,7 +219,7 @@
 // are ordered once the placements are stored.
 func (c *Cell) placeTasks(now time.Time) {
 	c.placedAt = now
-	c.shortage = c.shortage[:0]
+	c.shortage, c.avoidedShortage, c.avoided = c.shortage[:0], c.avoidedShortage[:0], nil
 	c.updateMostlyFree()
 	usable := c.usable(now)
 	if len(usable) == 0 && len(c.closingWorkers(now)) == 0 {
@@ -381,6 +381,9 @@
 		}
 		w.used = w.used.Add(s.Reservation())
 		chosen = append(chosen, w)
+		if s.MaxPerWorker > 0 && c.countStepRuns(w, s)+countWorker(chosen, w) >= s.MaxPerWorker {
+			usable = slices.DeleteFunc(slices.Clone(usable), func(o *worker) bool { return o == w })
+		}
 	}
 	for _, w := range chosen {
 		w.used = w.used.Sub(s.Reservation())
@@ -395,6 +398,17 @@
 	}
 }
 
+// countWorker returns how often the worker is in the list.
+func countWorker(list []*worker, w *worker) int {
+	n := 0
+	for _, o := range list {
+		if o == w {
+			n++
+		}
+	}
+	return n
+}
+
 // gangCheckpoint returns the checkpoint of the first task that has one, or "".
 func gangCheckpoint(s *step) string {
 	for _, t := range s.tasks {
