A late refusal from a former address does not end a worker

Callers would see a pool with one worker less for as long as its cell has the same owner, and tasks that run twice at the same time.

Cause: an order that was sent to a worker's former address may be refused by the worker that answers there now, after the first one has restarted under its ID at another address and has reported. The refusal ended the new incarnation, and only a later registration makes a worker that is gone return.

A refusal of an order that was sent before the last report is passed over, and the order is repeated. The test failed before and passes.

--- a/core/cell/refusal_test.go
+++ b/core/cell/refusal_test.go
@@ -113,6 +113,36 @@
 	}
 }
 
+// TestLateRefusalOfAnotherIncarnation guards against a worker that is taken for gone for
+// good: a call to its former address is answered after it has restarted at another one.
+func TestLateRefusalOfAnotherIncarnation(t *testing.T) {
+	t.Parallel()
+	b := newHarness(t, 1, nil)
+	b.AddJob(b.now, job(jobID, step(1)), 8)
+	b.Decide(b.now)
+	b.flush()
+	first := b.Decide(b.now)
+	assert.Equal(t, len(first), 1)
+	b.advance(500 * time.Millisecond)
+	restarted := b.now
+	b.registered[0].Address, b.registered[0].StartedAt = "10.0.0.2:80", restarted
+	report := func() {
+		b.SetWorkers(b.now, b.registered)
+		b.HandleReport(b.now, b.now, "w0", rock.Report{Clock: b.now.Sub(restarted), WorkerStartedAt: restarted})
+		b.flush()
+	}
+	report()
+	b.HandleReply(b.now, first[0], rock.Reply{Refusal: rock.RefusedIdentity}, nil)
+	for range 10 {
+		b.advance(100 * time.Millisecond)
+		report()
+		if len(b.startTasks()) > 0 {
+			return
+		}
+	}
+	t.Errorf("the task waits\n%s", b.Describe(b.now, jobID))
+}
+
 // TestTasksLeaveAFaultyWorker guards against tasks that wait for good for an answer of a
 // worker that refuses some kinds of orders, or leaves them unanswered, while another
 // worker is free.
--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -27,8 +27,10 @@
 		c.fenced = true
 		return
 	case rock.RefusedIdentity:
-		c.loseWorker(now, r.worker, "another incarnation answers at its address")
-		return
+		if !r.orderedAt.Before(r.worker.answeredAt) {
+			c.loseWorker(now, r.worker, "another incarnation answers at its address")
+		}
+		return // the order is repeated if the worker has reported since it was sent
 	}
 	if o.Kind == OrderStop {
 		c.handleStopReply(now, r, reply)
