--- a/core/cell/faultyworker_test.go
+++ b/core/cell/faultyworker_test.go
@@ -18,8 +18,10 @@
 const (
 	accepts answer = "accepted"
 	busy    answer = "busy"
-	unknown answer = "unknown reason"
-	silent  answer = "no answer"
+	// lateBusy is a refusal that comes after lateTime.
+	lateBusy answer = "busy, late"
+	unknown  answer = "unknown reason"
+	silent   answer = "no answer"
 )
 
 // faultyAnswers holds the answers to the orders of each kind.
@@ -53,6 +55,7 @@
 const (
 	// orderTime is how long an order, or the answer to it, takes to arrive.
 	orderTime = 5 * time.Millisecond
+	lateTime  = 400 * time.Millisecond
 	// faultyRun is how long the runs of other jobs than "lasting" last.
 	faultyRun = 300 * time.Millisecond
 )
@@ -79,9 +82,12 @@
 func (s *faultySite) exchange(how answer, do func() rock.Refusal, handle func(rock.Refusal, error)) {
 	s.after(orderTime, func() {
 		var refusal rock.Refusal
+		back := orderTime
 		switch how {
 		case busy:
 			refusal = rock.RefusedBusy
+		case lateBusy:
+			refusal, back = rock.RefusedBusy, lateTime
 		case unknown:
 			refusal = rock.RefusedOther
 		case silent:
@@ -90,7 +96,7 @@
 		default:
 			refusal = do()
 		}
-		s.after(orderTime, func() { handle(refusal, nil) })
+		s.after(back, func() { handle(refusal, nil) })
 	})
 }
 
--- a/core/cell/refusal_test.go
+++ b/core/cell/refusal_test.go
@@ -149,7 +149,7 @@
 func TestTasksLeaveAFaultyWorker(t *testing.T) {
 	t.Parallel()
 	answers := []answer{accepts, busy, unknown, silent}
-	for _, renewals := range answers {
+	for _, renewals := range append(answers, lateBusy) {
 		for _, starts := range answers {
 			for _, stops := range answers {
 				for _, drained := range []bool{false, true} {
