The soak has workers that refuse renewals or ignore starts

One worker of a seed may answer renewals with 503 until the end, or leave orders to start tasks without a response, beside those that refuse starts or all orders.

--- a/cmd/bramleyrock/soak_test.go
+++ b/cmd/bramleyrock/soak_test.go
@@ -436,6 +436,7 @@
 		return func() {}
 	}},
 	unhealthyFault(stand.RefuseStarts), unhealthyFault(stand.RefuseAll),
+	unhealthyFault(stand.RefuseRenewals), unhealthyFault(stand.IgnoreStarts),
 }
 
 // disturb makes faults come, in series and overlapping, until the time is over.
