--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -28,7 +28,7 @@
 		return
 	case rock.RefusedIdentity:
 		c.handleOtherIdentity(now, r.orderedAt, r.worker)
-		return
+		return // the order is repeated if the worker has reported since it was sent
 	}
 	if o.Kind == OrderStop {
 		c.handleStopReply(now, r, reply)
