The model of a cell has more kinds of steps and faults

TestRandomFleetKinds plays what workers, the adviser, the table and owners can do beyond TestRandomFleetSchedules: gangs, labels, limits per worker, tickets and tasks that fit on few workers; orders refused while renewals succeed and the reverse, also for an unknown reason; orders answered with errors, or carried out without an answer; workers on which each task fails, up to all; batches that fail for seconds, stored or not; failing queries to the adviser; owners that are paused for seconds or overlap; a worker that returns with its ID and an earlier start time. The schedules of TestRandomFleetSchedules do not change.

Narrowed with traces: a step counts as done only if its ends can still be stored (a worker that left took one with it), and a worker that answers orders with errors, or not at all, recovers with the time of faults: a task that was given to it waits for the end of a lease.

--- a/core/cell/model_test.go
+++ b/core/cell/model_test.go
@@ -84,9 +84,12 @@
 func (m *model) submit(id string) {
 	m.version++
 	j := job(id, step(1+m.random.IntN(3)), step(1+m.random.IntN(2), 0))
-	if m.fleet != nil {
+	if m.fleet != nil && !m.hasKinds() {
 		j.Spec = m.fleetSpec()
 	}
+	if m.hasKinds() {
+		j.Spec, j.Queue = m.kindsSpec()
+	}
 	j.Accepted = m.now
 	m.rows.jobs[id], m.rows.versions[id], m.specs[id] = j, m.version, j
 	if m.owner != nil {
@@ -151,7 +154,7 @@
 			break
 		}
 	}
-	if len(m.rows.outcomes) < modelJobs {
+	if len(m.rows.outcomes) < modelJobs && !m.hasKinds() { // with all kinds, no worker may fit
 		for id := range m.rows.jobs {
 			m.fail("LOST: %s has not ended: %s", id, m.owner.core.Describe(m.now, id))
 		}
--- a/core/cell/modelfaults_test.go
+++ b/core/cell/modelfaults_test.go
@@ -138,6 +138,9 @@
 	clear(m.fleet.hidden)
 	clear(m.fleet.draining)
 	clear(m.fleet.partsDown)
+	if m.hasKinds() {
+		m.endKinds()
+	}
 }
 
 // killOwner ends the owner. Another one takes over, which may not be able to read some
@@ -209,6 +212,9 @@
 			m.fleet.workerCount++
 			w = m.newWorker(fmt.Sprint("w", m.fleet.workerCount-1))
 			w.capacity.MilliCores = m.fleetCapacity()
+			if m.hasKinds() {
+				w.label = modelLabels[m.random.IntN(len(modelLabels))]
+			}
 			m.workers = append(m.workers, w)
 			if m.owner.alive {
 				m.owner.poll(w)
--- a/core/cell/modelfleet_test.go
+++ b/core/cell/modelfleet_test.go
@@ -33,6 +33,8 @@
 	workerCount    int
 	persistentJobs int
 	waits          modelWaits
+	// kinds is nil if there are only the common kinds of steps and faults.
+	kinds *modelKinds
 }
 
 // newFleetModel returns a model whose workers come and go.
@@ -63,7 +65,12 @@
 func (f *modelFleet) list(m *model, w *modelWorker) {
 	f.listed[w.id] = rock.Worker{
 		ID: w.id, Address: "10.0.0.1:80", Pool: "tins", State: rock.WorkerReady, Capacity: w.capacity,
-		StartedAt: w.startedAt, Clock: w.clock(m.now), ReadAt: m.now,
+		StartedAt: w.born, Clock: w.clock(m.now), ReadAt: m.now,
+	}
+	if w.label != "" {
+		r := f.listed[w.id]
+		r.Labels = []string{w.label}
+		f.listed[w.id] = r
 	}
 	f.listedSince[w.id] = m.now
 }
@@ -73,7 +80,7 @@
 	var list []rock.Worker
 	for _, id := range slices.Sorted(maps.Keys(f.listed)) {
 		r := f.listed[id]
-		if w := m.findWorker(id); w.startedAt.Equal(r.StartedAt) && !w.left {
+		if w := m.findWorker(id); w.born.Equal(r.StartedAt) && !w.left {
 			r.Clock, r.ReadAt = w.clock(m.now), m.now
 			f.listed[id] = r
 		}
--- a/core/cell/modelowner_test.go
+++ b/core/cell/modelowner_test.go
@@ -32,6 +32,10 @@
 	incarnations map[string]time.Time
 	// pendingProgress holds the progress of jobs that are not read yet.
 	pendingProgress map[string]works.Progress
+	// pausedUntil is when the owner goes on, or the end of its last pause. delayed is the
+	// number of calls that waited for that.
+	pausedUntil time.Time
+	delayed     int
 }
 
 // takeOver creates a new owner from the stored rows.
@@ -45,7 +49,10 @@
 		Pool: "tins", Fence: m.version, LeaseDuration: modelLease, MaxLeaseDuration: modelMaxLease, MaxStopDuration: 400 * time.Millisecond,
 		FormerLeasesEndAt: m.now.Add(modelLease*103/100 + time.Second), FormerWorkers: former,
 	})}
-	o.core.SetQueues([]works.Queue{{Name: "q", Pool: "tins", Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond}})
+	o.core.SetQueues([]works.Queue{
+		{Name: plainQueue, Pool: "tins", Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond},
+		{Name: ticketQueue, Pool: "tins", Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond, RequiresTicket: true},
+	})
 	o.readJobs()
 	o.core.SetWorkers(m.now, m.registered())
 	m.log("take fence %d former %v progress %v", m.version, former, m.rows.progress)
@@ -100,6 +107,10 @@
 		return
 	}
 	m := o.m
+	if m.now.Before(o.pausedUntil) {
+		m.after(o.pausedUntil.Sub(m.now), o.decideLoop)
+		return
+	}
 	for _, n := range o.core.TakeEvents() {
 		m.log("%v", n)
 	}
@@ -109,6 +120,10 @@
 		return cmp.Or(cmp.Compare(a.Worker.ID, b.Worker.ID), cmp.Compare(a.Start.Task+a.Stop.Task, b.Start.Task+b.Stop.Task), cmp.Compare(a.Start.Run+a.Stop.Run, b.Start.Run+b.Stop.Run))
 	})
 	for _, d := range orders {
+		if d.Kind == cell.OrderAdvise {
+			o.advise(d)
+			continue
+		}
 		m.checkStop(o, d)
 		o.sendOrder(d)
 	}
@@ -124,20 +139,26 @@
 	b := o.core.Flush(m.now)
 	o.committing = true
 	m.after(m.delay(), func() {
-		if !o.alive {
+		if !o.alive || m.owner != o {
 			return // the write is conditional on the owner
 		}
 		applied := !m.happens(20, time.Second)
+		answered := true
+		if m.hasKinds() && m.fleet.kinds.storeDown {
+			applied, answered = m.random.IntN(2) == 0, false
+		}
 		if applied {
 			m.write(b)
 		}
 		m.after(m.delay(), func() {
-			o.committing = false
-			if applied && !m.happens(20, time.Second) {
-				o.core.Flushed(m.now, b)
-			} else {
-				o.core.FlushFailed(m.now, b)
-			}
+			o.handle(func() {
+				o.committing = false
+				if applied && answered && !m.happens(20, time.Second) {
+					o.core.Flushed(m.now, b)
+				} else {
+					o.core.FlushFailed(m.now, b)
+				}
+			})
 		})
 	})
 }
@@ -172,12 +193,7 @@
 	m, sent := o.m, o.m.now
 	w := m.findWorker(d.Worker.ID)
 	timeOut := func() {
-		m.after(modelTimeout, func() {
-			if o.alive {
-				o.core.HandleReply(m.now, d, rock.Reply{}, rock.Fail("order", d.Worker.ID, rock.OutcomeUnknown, rock.MayHaveRun))
-				o.core.HandleUnanswered(m.now, sent, d.Worker.ID, true, fmt.Errorf("no answer"))
-			}
-		})
+		m.after(modelTimeout, func() { o.handleOrderError(d, sent) })
 	}
 	run := func() rock.Reply {
 		if d.Kind == cell.OrderStop {
@@ -186,6 +202,15 @@
 		return m.handleStart(w, d.Start)
 	}
 	switch {
+	case w.erring:
+		m.after(m.delay(), func() { o.handleOrderError(d, sent) })
+	case w.mute:
+		m.after(m.delay(), func() {
+			if w.reachable() {
+				run()
+			}
+		})
+		timeOut()
 	case m.happens(40, 6*time.Second+modelTimeout):
 		incarnation := w.startedAt
 		m.after(2*time.Second+time.Duration(m.random.Int64N(int64(4*time.Second))), func() {
@@ -214,19 +239,30 @@
 				return
 			}
 			m.after(m.answerDelay(), func() {
-				if o.alive {
-					o.core.HandleReply(m.now, d, p, nil)
-				}
+				o.handle(func() { o.core.HandleReply(m.now, d, p, nil) })
 			})
 		})
 	}
 }
 
+// handleOrderError handles an order without a reply.
+func (o *modelOwner) handleOrderError(d cell.Order, sent time.Time) {
+	m := o.m
+	o.handle(func() {
+		o.core.HandleReply(m.now, d, rock.Reply{}, rock.Fail("order", d.Worker.ID, rock.OutcomeUnknown, rock.MayHaveRun))
+		o.core.HandleUnanswered(m.now, sent, d.Worker.ID, o.ranSince(sent), fmt.Errorf("no answer"))
+	})
+}
+
 // poll keeps renewing a worker's lease.
 func (o *modelOwner) poll(w *modelWorker) {
 	if !o.alive {
 		return
 	}
+	if o.m.now.Before(o.pausedUntil) {
+		o.handle(func() { o.poll(w) })
+		return
+	}
 	m, sent := o.m, o.m.now
 	_, h, ok := o.core.HoldOrder(m.now, w.id, 0)
 	if !ok {
@@ -251,10 +287,10 @@
 				m.renew(w, h) // the answer is lost
 			}
 			m.after(modelTimeout, func() {
-				if o.alive {
-					o.core.HandleUnanswered(m.now, sent, w.id, true, fmt.Errorf("no answer"))
-				}
-				o.poll(w)
+				o.handle(func() {
+					o.core.HandleUnanswered(m.now, sent, w.id, o.ranSince(sent), fmt.Errorf("no answer"))
+					o.poll(w)
+				})
 			})
 			return
 		}
@@ -266,13 +302,13 @@
 func (o *modelOwner) handleReport(w *modelWorker, sent time.Time, p rock.Report) {
 	m := o.m
 	m.after(m.answerDelay(), func() {
-		if o.alive {
+		o.handle(func() {
 			o.core.HandleReport(m.now, sent, w.id, p)
 			if o.core.Fenced() {
 				o.alive = false
 			}
-		}
-		m.after(30*time.Millisecond, func() { o.poll(w) })
+			m.after(30*time.Millisecond, func() { o.poll(w) })
+		})
 	})
 }
 
--- a/core/cell/modelwaits_test.go
+++ b/core/cell/modelwaits_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -65,25 +66,73 @@
 			s := &j.Spec.Steps[0]
 			for i := range s.Count {
 				task := works.TaskName{Job: id, Index: i}.String()
-				m.checkWait(id, task, running[task], s.Need, s.MaxPerWorker, maxPersistentWait)
+				m.checkWait(id, task, running[task], m.hasRoomFor(id, s, 0, 1), maxPersistentWait)
 			}
+		case m.hasKinds():
+			m.checkWait(id, id, running[id], m.hasRoomForNextStep(j), maxWait)
 		default:
 			var need rock.Resources
 			for _, s := range j.Spec.Steps {
 				need.MilliCores, need.MemoryMB = max(need.MilliCores, s.Need.MilliCores), max(need.MemoryMB, s.Need.MemoryMB)
 			}
-			m.checkWait(id, id, running[id], need, 0, maxWait)
+			m.checkWait(id, id, running[id], m.hasRoomTwice(id, need, 0), maxWait)
 		}
 	}
 }
 
+// hasRoomForNextStep reports whether a step of the job may start and has room twice over.
+func (m *model) hasRoomForNextStep(j works.Job) bool {
+	for i := range j.Spec.Steps {
+		s := &j.Spec.Steps[i]
+		ready := !m.isStepDone(j, i)
+		for _, d := range s.DependsOn {
+			ready = ready && m.isStepDone(j, d)
+		}
+		tasks := 1
+		if s.Gang {
+			tasks = s.Count
+		}
+		if ready && m.hasRoomFor(j.ID, s, i, tasks) {
+			return true
+		}
+	}
+	return false
+}
+
+// isStepDone reports whether all tasks of a step are done. A worker that has left, or
+// whose lease expired, takes ends with it that are not stored.
+func (m *model) isStepDone(j works.Job, step int) bool {
+	ended := map[string]bool{}
+	for _, w := range m.workers {
+		for _, e := range w.ended {
+			if e.Reason == rock.EndDone && w.leaseExpiredAt.Before(w.endedAt[e.Number]) {
+				ended[e.Task] = true
+			}
+		}
+	}
+	for _, p := range m.rows.progress[j.ID].Tasks {
+		if p.Done {
+			ended[works.TaskName{Job: j.ID, Step: p.Step, Index: p.Index}.String()] = true
+		}
+	}
+	s := &j.Spec.Steps[step]
+	done := 0
+	for i := range s.Count {
+		task := works.TaskName{Job: j.ID, Step: step, Index: i}.String()
+		if m.acked[task] || ended[task] {
+			done++
+		}
+	}
+	return done == s.Count || s.Gang && done > 0
+}
+
 // checkWait checks the wait of a job, or of one of its persistent tasks.
-func (m *model) checkWait(id, subject string, running bool, need rock.Resources, maxPerWorker int, limit time.Duration) {
+func (m *model) checkWait(id, subject string, running, room bool, limit time.Duration) {
 	ws := &m.fleet.waits
 	if running || ws.idleSince[subject].IsZero() {
 		ws.idleSince[subject] = m.now
 	}
-	if !m.hasRoomTwice(id, need, maxPerWorker) || ws.roomSince[subject].IsZero() {
+	if !room || ws.roomSince[subject].IsZero() {
 		ws.roomSince[subject] = m.now
 	}
 	settled := m.fleet.faultsEndAt.Add(settleTime)
@@ -97,7 +146,7 @@
 		return
 	}
 	m.t.Log(m.owner.core.Describe(m.now, id))
-	for _, x := range m.owner.core.Waiting(m.now, cell.WaitQuery{Longer: limit / 2, MaxJobs: 10}).Waiting {
+	for _, x := range m.owner.core.Waiting(m.now, cell.WaitQuery{Longer: limit / 2, MaxJobs: 100}).Waiting {
 		m.t.Logf("%+v run %+v", x, x.Run)
 	}
 	m.fail("LOST: %s waits since %v, settled %v, room since %v", id, ws.idleSince[subject].Sub(start), settled.Sub(start), ws.roomSince[subject].Sub(start))
@@ -111,35 +160,45 @@
 // hasRoomTwice reports whether more than half of the capacity is free, and there is
 // room for two more tasks.
 func (m *model) hasRoomTwice(id string, need rock.Resources, maxPerWorker int) bool {
+	return m.hasRoomFor(id, &works.Step{Need: need, MaxPerWorker: maxPerWorker}, 0, 1)
+}
+
+// hasRoomFor reports whether more than half of the capacity is free, and there is room
+// for twice the given number of tasks of a step.
+func (m *model) hasRoomFor(id string, s *works.Step, step, tasks int) bool {
 	var used, all rock.Resources
 	room := 0
+	name := fmt.Sprintf("%s.0.%d", id, step)
 	for _, w := range m.workers {
 		if !m.counts(w) {
 			continue
 		}
 		used, all = used.Add(w.used()), all.Add(w.capacity)
+		if s.Label != "" && s.Label != w.label || m.specs[id].Queue == ticketQueue && !allows(name, w.id) {
+			continue
+		}
 		free := w.capacity.Sub(w.used())
-		for n := w.countRuns(id); free.CanFit(need) && (maxPerWorker == 0 || n < maxPerWorker); n++ {
-			free = free.Sub(need)
+		for n := w.countStepRuns(id, step); free.CanFit(s.Need) && (s.MaxPerWorker == 0 || n < s.MaxPerWorker); n++ {
+			free = free.Sub(s.Need)
 			room++
 		}
 	}
-	return room >= 2 && 2*used.MilliCores < all.MilliCores && 2*used.MemoryMB < all.MemoryMB
+	return room >= 2*tasks && 2*used.MilliCores < all.MilliCores && 2*used.MemoryMB < all.MemoryMB
 }
 
 // counts reports whether a worker counts as capacity.
 func (m *model) counts(w *modelWorker) bool {
 	f := m.fleet
 	r, listed := f.listed[w.id]
-	return w.reachable() && !w.busy && listed && r.StartedAt.Equal(w.startedAt) && m.now.Sub(f.listedSince[w.id]) >= joinTime &&
+	return w.reachable() && !w.busy && !w.impaired() && listed && r.StartedAt.Equal(w.born) && m.now.Sub(f.listedSince[w.id]) >= joinTime &&
 		!f.closing[w.id] && !f.draining[w.id] && !m.now.Before(f.hidden[w.id])
 }
 
-// countRuns returns the number of a job's runs on the worker.
-func (w *modelWorker) countRuns(id string) int {
+// countStepRuns returns the number of runs of a job's step on the worker.
+func (w *modelWorker) countStepRuns(id string, step int) int {
 	count := 0
 	for task := range w.running {
-		if n, _ := works.ParseTaskName(task); n.Job == id {
+		if n, _ := works.ParseTaskName(task); n.Job == id && n.Step == step {
 			count++
 		}
 	}
--- a/core/cell/modelworker_test.go
+++ b/core/cell/modelworker_test.go
@@ -15,7 +15,9 @@
 type modelRun struct {
 	number int64
 	alive  bool
-	need   rock.Resources
+	// working is true once all runs of its gang are present.
+	working bool
+	need    rock.Resources
 }
 
 // modelWorker is a worker of the model. Its clock runs at its own rate.
@@ -30,6 +32,19 @@
 	replaced bool
 	// busy is true while the worker answers with 503.
 	busy bool
+	// born is the start of the worker by the time of day of its host.
+	born time.Time
+	// label is the worker's label, or empty.
+	label string
+	// orderRefusal and renewalRefusal are why the worker refuses all starts and stops, and
+	// all renewals, or empty. It answers starts and stops with an error while erring is
+	// true, and carries them out without an answer while mute is true. Each of its runs
+	// fails soon while failing is true.
+	orderRefusal   rock.Refusal
+	renewalRefusal rock.Refusal
+	erring         bool
+	mute           bool
+	failing        bool
 	// lasting is true while its silence or refusals outlast the time of faults.
 	lasting  bool
 	capacity rock.Resources
@@ -63,7 +78,7 @@
 // newWorker returns a worker that starts now.
 func (m *model) newWorker(id string) *modelWorker {
 	return &modelWorker{
-		id: id, startedAt: m.now, rate: 0.98 + 0.02*m.random.Float64(), capacity: rock.Resources{MilliCores: 3000, MemoryMB: 8000},
+		id: id, startedAt: m.now, born: m.now, rate: 0.98 + 0.02*m.random.Float64(), capacity: rock.Resources{MilliCores: 3000, MemoryMB: 8000},
 		endedAt: map[int64]time.Time{}, restartedAfter: map[int64]bool{}, running: map[string]*modelRun{}, stopped: map[string]int64{},
 	}
 }
@@ -83,12 +98,16 @@
 	switch r := w.running[s.Task]; {
 	case w.busy:
 		p.Refusal = rock.RefusedBusy
+	case w.orderRefusal != "":
+		p.Refusal = w.orderRefusal
 	case r != nil && r.number == s.Run:
 		return p
 	case s.Run <= w.stopped[s.Task]:
 		p.Refusal = rock.RefusedStaleRun
 	case s.LeaseUntil < w.clock(m.now):
 		p.Refusal = rock.RefusedLeaseExpired
+	case !m.acceptsTicket(w, s):
+		p.Refusal = rock.RefusedTicket
 	case !w.capacity.Sub(w.used()).CanFit(need):
 		p.Refusal = rock.RefusedCapacity
 	default:
@@ -131,7 +150,15 @@
 	r := &modelRun{number: s.Run, alive: true, need: m.need(s.Task)}
 	w.running[s.Task] = r
 	w.extendLease(m, s.LeaseUntil)
+	m.checkPlace(w, s.Task)
+	if st := m.step(s.Task); st != nil && st.Gang {
+		m.joinGang(w, s.Task, r)
+		return
+	}
 	runTime, how := m.runTime(s.Task)
+	if w.failing {
+		runTime, how = 50*time.Millisecond, rock.EndFailed
+	}
 	if runTime == 0 {
 		return
 	}
@@ -188,6 +215,11 @@
 	return sum
 }
 
+// impaired reports whether the worker does not carry out or answer all orders.
+func (w *modelWorker) impaired() bool {
+	return w.orderRefusal != "" || w.renewalRefusal != "" || w.erring || w.mute
+}
+
 // extendLease extends the worker's lease, at whose end its runs end.
 func (w *modelWorker) extendLease(m *model, until time.Duration) {
 	until = min(until, w.clock(m.now)+modelMaxLease)
@@ -203,7 +235,9 @@
 		}
 		w.leaseExpiredAt = m.now
 		for _, task := range slices.Sorted(maps.Keys(w.running)) {
-			m.endRun(w, task, rock.EndLeaseExpired)
+			if w.running[task] != nil { // it ends with the first run of its gang
+				m.endRun(w, task, rock.EndLeaseExpired)
+			}
 		}
 	})
 }
@@ -220,6 +254,23 @@
 	if how == rock.EndDone {
 		m.done[task] = true
 	}
+	m.breakGang(task, r.number, how)
+}
+
+// checkPlace fails the test if the worker may not run the task.
+func (m *model) checkPlace(w *modelWorker, task string) {
+	st := m.step(task)
+	if st == nil {
+		return
+	}
+	n, err := works.ParseTaskName(task)
+	assert.NilError(m.t, err)
+	if st.Label != "" && w.label != st.Label {
+		m.fail("ROUTE: %s needs label %s and runs on %s", task, st.Label, w.id)
+	}
+	if st.MaxPerWorker > 0 && w.countStepRuns(n.Job, n.Step) > st.MaxPerWorker {
+		m.fail("ROUTE: %s is one of too many on %s", task, w.id)
+	}
 }
 
 func (m *model) stopRun(w *modelWorker, s rock.StopOrder) rock.Reply {
@@ -233,6 +284,10 @@
 		p.Refusal = rock.RefusedBusy
 		return p
 	}
+	if w.orderRefusal != "" {
+		p.Refusal = w.orderRefusal
+		return p
+	}
 	w.stopped[s.Task] = max(w.stopped[s.Task], s.Run)
 	if r := w.running[s.Task]; r != nil && r.number <= s.Run {
 		m.endRun(w, s.Task, rock.EndStopped)
@@ -242,7 +297,7 @@
 
 // renew carries out a renewal on a worker.
 func (m *model) renew(w *modelWorker, h rock.RenewOrder) rock.Report {
-	p := rock.Report{Clock: w.clock(m.now), WorkerStartedAt: w.startedAt}
+	p := rock.Report{Clock: w.clock(m.now), WorkerStartedAt: w.born}
 	if h.Fence < w.fence {
 		p.Refusal = rock.RefusedFence
 		return p
@@ -252,12 +307,16 @@
 		p.Refusal = rock.RefusedBusy
 		return p
 	}
+	if w.renewalRefusal != "" {
+		p.Refusal = w.renewalRefusal
+		return p
+	}
 	w.extendLease(m, h.LeaseUntil)
 	for len(w.ended) > 0 && w.ended[0].Number <= h.AckedUpTo {
 		e := w.ended[0]
 		m.log("noted %s run %d on %s by fence %d", e.Task, e.Run, w.id, h.Fence)
 		if e.Reason == rock.EndDone && !w.leaseExpiredAt.After(w.endedAt[e.Number]) {
-			m.acked[e.Task] = true
+			m.ackDone(e.Task)
 			if w.restartedAfter[e.Number] {
 				m.fail("TWICE: %s run %d on %s was noted as done and had been started again", e.Task, e.Run, w.id)
 			}
@@ -275,6 +334,22 @@
 	return p
 }
 
+// ackDone records that the end of a task as done is acknowledged. It stands for all
+// tasks of a gang.
+func (m *model) ackDone(task string) {
+	m.acked[task] = true
+	st := m.step(task)
+	if st == nil || !st.Gang {
+		return
+	}
+	n, err := works.ParseTaskName(task)
+	assert.NilError(m.t, err)
+	for i := range st.Count {
+		n.Index = i
+		m.acked[n.String()] = true
+	}
+}
+
 // restart replaces a worker by a new incarnation with the same ID.
 func (m *model) restart(w *modelWorker) {
 	m.log("restart of %s", w.id)
@@ -282,6 +357,7 @@
 		r.alive = false
 		delete(w.running, task)
 	}
+	w.born = m.now
 	w.startedAt, w.fence, w.leaseEnd, w.ended, w.lastEnd = m.now, 0, 0, nil, 0
 	w.stopped, w.endedAt, w.restartedAfter = map[string]int64{}, map[int64]time.Time{}, map[int64]bool{}
 }
