A worker whose host's time was set back returns

Callers would see tasks wait while a pool has free workers: a worker that was known to be gone and started again under its ID got no tasks from its cell's owner if the time of day of its host had been set back, because its start time has to be later than the former one.

A registration with another start time than the last registration and the last known incarnation also makes a worker that is gone return now. A registration that has not changed does not: it may be older than what is known of the worker.

TestWorkerReturnsWithAnEarlierStartTime failed before in the case "set back" and passes.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -269,7 +269,7 @@
 				c.cancelPlacements(w)
 			}
 		}
-		if w.gone && s.StartedAt.After(w.incarnationStart) {
+		if w.gone && w.isNextIncarnation(s) {
 			w.gone, w.incarnationStart, w.handledEnd, w.storedEnd, w.deferredEnds = false, s.StartedAt, 0, 0, nil
 			w.clock, w.clockAt, w.maxLeaseEnd = s.Clock, s.ReadAt, 0
 		}
@@ -284,6 +284,13 @@
 	}
 }
 
+// isNextIncarnation reports whether the registration is one of a later incarnation of the
+// worker than the last known one. Its start time may be earlier, because the time of day
+// of its host was set back, but then the former registration had another one.
+func (w *worker) isNextIncarnation(s rock.Worker) bool {
+	return s.StartedAt.After(w.incarnationStart) || !s.StartedAt.Equal(w.incarnationStart) && !s.StartedAt.Equal(w.StartedAt)
+}
+
 // removeIfUnused removes a worker that is no longer registered, has no runs, and
 // can hold no orders of a former owner. While jobs may be unread, it may have runs of
 // them, and ends that are not handled yet.
--- a/core/cell/late_test.go
+++ b/core/cell/late_test.go
@@ -50,3 +50,29 @@
 	b.flush()
 	assert.Equal(t, b.outcomes[jobID], works.Completed)
 }
+
+// TestWorkerReturnsWithAnEarlierStartTime guards against a worker that is given no tasks
+// for good, because the time of day of its host was set back before it started again.
+func TestWorkerReturnsWithAnEarlierStartTime(t *testing.T) {
+	cases := map[string]struct {
+		restarted time.Time
+		want      bool
+	}{
+		"set back":               {restarted: start.Add(-time.Minute), want: true},
+		"not set back":           {restarted: start.Add(time.Second), want: true},
+		"its registration stays": {restarted: start},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 1, nil)
+			b.MarkWorkerGone(b.now, "w0", "its host was taken down")
+			b.advance(2 * time.Second)
+			b.registered[0].StartedAt, b.registered[0].ReadAt = c.restarted, b.now
+			b.SetWorkers(b.now, b.registered)
+			b.SetWorkers(b.now, b.registered)
+			b.HandleReport(b.now, b.now, "w0", rock.Report{WorkerStartedAt: c.restarted})
+			b.AddJob(b.now, job("a", step(1)), 9)
+			assert.Equal(t, len(b.startTasks()) == 1, c.want)
+		})
+	}
+}
