A gang keeps the limit of its tasks per worker

A gang with a limit of tasks per worker could be started with more of them on a worker: the tasks that were chosen for a worker counted towards its resources, but not towards the limit, nor towards that of a returning worker.

The runs are now added to the workers while the others are chosen, and removed again if there is no worker for one of them.

Found by reading. TestGangKeepsMaxPerWorker failed before with too few workers and passes.

--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -354,10 +354,20 @@
 
 // placeRun places a run of the task on the worker, to be stored and then started.
 func (c *Cell) placeRun(now time.Time, t *task, w *worker, number int64) {
-	t.lastRun = number
-	r := &run{key: t.key, number: number, task: t, worker: w, resources: t.step.Reservation(), state: placed}
-	t.current = r
+	r := newRun(t, w, number)
 	w.addRun(r)
+	c.markPlaced(now, r)
+}
+
+// newRun returns a run of the task that is placed on the worker.
+func newRun(t *task, w *worker, number int64) *run {
+	return &run{key: t.key, number: number, task: t, worker: w, resources: t.step.Reservation(), state: placed}
+}
+
+// markPlaced makes a run the current one of its task, to be stored and then started.
+func (c *Cell) markPlaced(now time.Time, r *run) {
+	t := r.task
+	t.lastRun, t.current = r.number, r
 	t.step.job.dirty, t.step.job.placed = true, true
 	c.unstoredRuns = append(c.unstoredRuns, r)
 	c.markDirty(now, true)
@@ -373,25 +383,23 @@
 		}
 		number = max(number, c.nextRunNumber(t))
 	}
-	chosen := make([]*worker, 0, len(s.tasks))
+	runs := make([]*run, 0, len(s.tasks))
 	for _, t := range s.tasks {
 		w := c.chooseWorker(now, t, usable)
 		if w == nil {
-			break
+			for _, r := range runs {
+				r.worker.removeRun(r)
+			}
+			return
 		}
-		w.used = w.used.Add(s.Reservation())
-		chosen = append(chosen, w)
-	}
-	for _, w := range chosen {
-		w.used = w.used.Sub(s.Reservation())
-	}
-	if len(chosen) < len(s.tasks) {
-		return
+		r := newRun(t, w, number)
+		w.addRun(r)
+		runs = append(runs, r)
 	}
 	saved := gangCheckpoint(s)
-	for i, t := range s.tasks {
-		t.checkpoint = saved
-		c.placeRun(now, t, chosen[i], number)
+	for _, r := range runs {
+		r.task.checkpoint = saved
+		c.markPlaced(now, r)
 	}
 }
 
