A gang may use workers that are being drained

Callers would see a gang wait while most of the pool is free: other tasks that have waited for long may be placed on workers that are being drained, reserved or ejected, but gangs were not.

TestGangWaitsBesideDrainedWorkers failed before and passes.

--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -386,6 +386,9 @@
 	runs := make([]*run, 0, len(s.tasks))
 	for _, t := range s.tasks {
 		w := c.chooseWorker(now, t, usable)
+		if w == nil {
+			w = c.chooseAvoided(now, t)
+		}
 		if w == nil {
 			for _, r := range runs {
 				r.worker.removeRun(r)
--- a/core/cell/gang_test.go
+++ b/core/cell/gang_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"testing"
+	"time"
+
+	rock "bramleyrock"
 
 	"gotest.tools/v3/assert"
 )
@@ -24,3 +27,14 @@
 		})
 	}
 }
+
+// TestGangWaitsBesideDrainedWorkers guards against a gang that waits although most of the
+// pool is free, because some of the workers with room for it are being drained.
+func TestGangWaitsBesideDrainedWorkers(t *testing.T) {
+	b := newHarness(t, 4, nil)
+	b.drain(2, nil)
+	gang := largeStep(3)
+	gang.Gang = true
+	b.AddJob(b.now, job("a", gang), 9)
+	assert.Assert(t, b.startsWithin(2500*time.Millisecond, "a", map[string][]rock.Run{}))
+}
