A gang that does not fit hides no free worker from other tasks

What callers could see: a task waits beside free workers while a gang of a better rank waits.

Cause: the tasks of a gang are placed tentatively, and the need for which no worker has room beside them is recorded as a shortage. When the gang is taken back, the record stayed, so that in this round, and every later one, tasks with that need were not placed on reserved or ejected workers that had room again.

Why this works: the record goes back with the gang. Free resources only shrink between searches then, as the shortage requires.

TestGangThatDoesNotFitHoldsNothing failed before in "it does not fit" (not started after 4 s), and passes.

--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -384,6 +384,7 @@
 		number = max(number, c.nextRunNumber(t))
 	}
 	runs := make([]*run, 0, len(s.tasks))
+	known := len(c.avoidedShortage)
 	for _, t := range s.tasks {
 		w := c.chooseWorker(now, t, usable)
 		if w == nil {
@@ -393,6 +394,7 @@
 			for _, r := range runs {
 				r.worker.removeRun(r)
 			}
+			c.avoidedShortage = c.avoidedShortage[:known] // it was found beside these runs
 			return
 		}
 		r := newRun(t, w, number)
--- a/core/cell/gang_test.go
+++ b/core/cell/gang_test.go
@@ -1,10 +1,12 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/works"
 
 	"gotest.tools/v3/assert"
 )
@@ -47,3 +49,26 @@
 	b.AddJob(b.now, job("a", gang), 9)
 	assert.Assert(t, b.startsWithin(2500*time.Millisecond, "a", map[string][]rock.Run{}))
 }
+
+// TestGangThatDoesNotFitHoldsNothing guards against a task that waits beside free workers,
+// because a gang that finds too few of them was placed tentatively before.
+func TestGangThatDoesNotFitHoldsNothing(t *testing.T) {
+	for name, gangTasks := range map[string]int{"it fits": 2, "it does not fit": 4} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 3, nil)
+			b.SetQueues([]works.Queue{{Name: "q", Pool: "tins", Attempts: 2}, {Name: "second", Pool: "tins", Attempts: 2, Priority: 1}})
+			runs := map[string][]rock.Run{}
+			b.AddJob(b.now, job("beside", spreadStep(3, 1000)), 9)
+			assert.Assert(t, b.startsWithin(time.Second, "beside", runs))
+			for i := range 3 { // the workers are reserved for these
+				b.AddJob(b.now, job(fmt.Sprint("lasting", i), persistentStep(1, 0, 3500)), 9)
+			}
+			gang, second := step(gangTasks), job("b", step(1))
+			gang.Gang, gang.Need.MilliCores = true, 2000
+			second.Queue, second.Spec.Steps[0].Need.MilliCores = "second", 2000
+			b.AddJob(b.now, job("a", gang), 9)
+			b.AddJob(b.now, second, 10)
+			assert.Assert(t, b.startsWithin(4*time.Second, "b", runs))
+		})
+	}
+}
