Tasks leave a worker that ignores starts within 3 s

A task whose start had no answer twice waited 2.8 s until its run was given up, and was then given to the same worker again, which had less work than the others: in a simulation of eight jobs and two workers the last job ended after 8.8 s, and after 17.3 s if stops had no answer or were refused.

Causes: the worker was given new tasks 0.5 s after an unanswered start, before the run was given up. The interval to the repeat counted from the end of the timeout. The report that decides about a run which is not there waited for the end of a run.

The worker is given no new tasks for 4 s after two unanswered starts, the interval counts from the time of the order, and an answer to a renewal waits for at most 100 ms while a start is unanswered.

The test failed before in all three cases and passes; core/cell passes with the race detector.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -342,6 +342,9 @@
 		return rock.Worker{}, rock.RenewOrder{}, false
 	}
 	o := rock.RenewOrder{Fence: c.settings.Fence, AckedUpTo: w.storedEnd, Wait: wait}
+	if w.hasUnansweredStart() {
+		o.Wait = min(wait, unansweredWait)
+	}
 	if w.maybeRestarted {
 		o.AckedUpTo, o.Wait = 0, 0
 	}
--- a/core/cell/faultyworker_test.go
+++ b/core/cell/faultyworker_test.go
@@ -56,6 +56,8 @@
 	// orderTime is how long an order, or the answer to it, takes to arrive.
 	orderTime = 5 * time.Millisecond
 	lateTime  = 400 * time.Millisecond
+	// renewalWait is how long the answer to a renewal waits for the end of a run.
+	renewalWait = 700 * time.Millisecond
 	// faultyRun is how long the runs of other jobs than "lasting" last.
 	faultyRun = 300 * time.Millisecond
 )
@@ -78,38 +80,48 @@
 }
 
 // exchange carries out an order, unless the worker answers it otherwise, and passes the
-// refusal or the error on.
-func (s *faultySite) exchange(how answer, do func() rock.Refusal, handle func(rock.Refusal, error)) {
+// refusal or the error on. The worker's answer may wait until done reports true.
+func (s *faultySite) exchange(how answer, do func() rock.Refusal, done func() bool, handle func(rock.Refusal, error)) {
 	s.after(orderTime, func() {
-		var refusal rock.Refusal
-		back := orderTime
 		switch how {
 		case busy:
-			refusal = rock.RefusedBusy
+			s.after(orderTime, func() { handle(rock.RefusedBusy, nil) })
 		case lateBusy:
-			refusal, back = rock.RefusedBusy, lateTime
+			s.after(lateTime, func() { handle(rock.RefusedBusy, nil) })
 		case unknown:
-			refusal = rock.RefusedOther
+			s.after(orderTime, func() { handle(rock.RefusedOther, nil) })
 		case silent:
 			s.after(modelTimeout, func() { handle("", rock.Fail("order", "w", rock.OutcomeUnknown, rock.MayHaveRun)) })
-			return
 		default:
-			refusal = do()
+			refusal := do()
+			var wait func()
+			wait = func() {
+				if !done() {
+					s.after(orderTime, wait)
+					return
+				}
+				s.after(orderTime, func() { handle(refusal, nil) })
+			}
+			wait()
 		}
-		s.after(back, func() { handle(refusal, nil) })
 	})
 }
 
 // poll renews the lease of a worker until the end.
 func (s *faultySite) poll(w *faultyWorker) {
 	sent := s.now
-	_, order, _ := s.HoldOrder(s.now, w.id, 0)
+	_, order, _ := s.HoldOrder(s.now, w.id, renewalWait)
 	var report rock.Report
 	s.exchange(w.answers.renewals, func() rock.Refusal {
 		w.leaseEnd = max(w.leaseEnd, order.LeaseUntil)
 		w.ended = slices.DeleteFunc(w.ended, func(e rock.End) bool { return e.Number <= order.AckedUpTo })
-		report = rock.Report{WorkerStartedAt: start, Clock: s.clock(), Running: slices.Collect(maps.Values(w.runs)), Ended: slices.Clone(w.ended)}
 		return rock.Accepted
+	}, func() bool {
+		if len(w.ended) == 0 && s.now.Before(sent.Add(order.Wait)) {
+			return false
+		}
+		report = rock.Report{WorkerStartedAt: start, Clock: s.clock(), Running: slices.Collect(maps.Values(w.runs)), Ended: slices.Clone(w.ended)}
+		return true
 	}, func(refusal rock.Refusal, err error) {
 		if err != nil {
 			s.HandleUnanswered(s.now, sent, w.id, true, err)
@@ -132,7 +144,7 @@
 			return rock.Accepted
 		}
 	}
-	s.exchange(how, do, func(refusal rock.Refusal, err error) {
+	s.exchange(how, do, func() bool { return true }, func(refusal rock.Refusal, err error) {
 		s.HandleReply(s.now, o, rock.Reply{Refusal: refusal, Clock: s.clock()}, err)
 		if err != nil {
 			s.HandleUnanswered(s.now, sent, w.id, true, err)
--- a/core/cell/refusal_test.go
+++ b/core/cell/refusal_test.go
@@ -163,6 +163,26 @@
 	}
 }
 
+// TestTaskLeavesAWorkerThatIgnoresStarts guards against tasks that are given to a worker
+// which leaves starts unanswered for longer than the platform's rules allow tasks to wait.
+func TestTaskLeavesAWorkerThatIgnoresStarts(t *testing.T) {
+	t.Parallel()
+	const leaseEnd = 4 * time.Second // of a start that is not stopped
+	for stops, limit := range map[answer]time.Duration{accepts: 3 * time.Second, busy: leaseEnd + 3*time.Second, silent: leaseEnd + 3*time.Second} {
+		t.Run("stops "+string(stops), func(t *testing.T) {
+			t.Parallel()
+			const jobs = 8
+			s := newFaultySite(t)
+			s.workers["w0"].answers = faultyAnswers{accepts, silent, stops}
+			for i := range jobs {
+				s.AddJob(s.now, job(fmt.Sprintf("%016x", i), step(1)), 8)
+			}
+			s.play(limit)
+			assert.Equal(t, len(s.outcomes), jobs)
+		})
+	}
+}
+
 // testFaultyWorker submits jobs, of which some are cancelled, while a worker begins to
 // answer otherwise, and checks that all of them end, and that all persistent tasks run.
 func testFaultyWorker(t *testing.T, how faultyAnswers, drained bool) {
--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -92,15 +92,16 @@
 		r.worker.backOff(now, busyBackoff)
 		return
 	}
-	r.orderedAt = now
 	c.addEvent(string(o.Kind)+" unanswered", r, fmt.Sprint(err))
 	if o.Kind != OrderStart {
 		return
 	}
-	if r.startUnanswered && r.state == starting {
-		c.outliers.Record(now, r.worker.health, true)
-		c.stopRun(r, "two starts were unanswered")
+	if !r.startUnanswered || r.state != starting {
+		r.startUnanswered = true
+		r.worker.backOff(now, busyBackoff)
+		return
 	}
-	r.startUnanswered = true
-	r.worker.backOff(now, busyBackoff)
+	r.worker.backOff(now, unansweredBackoff)
+	c.outliers.Record(now, r.worker.health, true)
+	c.stopRun(r, "two starts were unanswered")
 }
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -54,6 +54,12 @@
 	// busyBackoff is how long a worker that is unhealthy, was not reached, or refused
 	// a start for an unknown reason is given no new tasks.
 	busyBackoff = 500 * time.Millisecond
+	// unansweredBackoff is how long a worker that left two starts of a run unanswered is
+	// given no new tasks, longer than it takes to give the run up.
+	unansweredBackoff = 4 * time.Second
+	// unansweredWait bounds how long the answer to a renewal may wait while a start is
+	// unanswered, since no end of a run may come.
+	unansweredWait = 100 * time.Millisecond
 	// maxReportAge is the time since a worker's last answer after which it is
 	// given no new tasks. A waiting renewal is answered sooner.
 	maxReportAge = 1500 * time.Millisecond
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -167,5 +167,15 @@
 	}
 }
 
+// hasUnansweredStart reports whether a run of which a start had no answer is not confirmed.
+func (w *worker) hasUnansweredStart() bool {
+	for _, r := range w.runs {
+		if r.startUnanswered && r.state != running {
+			return true
+		}
+	}
+	return false
+}
+
 // hasLabel reports whether the worker has the label, which may be empty for any.
 func (w *worker) hasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
