A worker that registers after it was taken for gone is used again

Callers would see a pool with one worker less for as long as its cell has the same owner.

Cause: only a registration of a later incarnation ended the belief that a worker is gone. If it was wrong, for example because an old list of hosts was handled after the worker had returned under its ID, nothing ended it: a worker that is gone is not asked any more.

The registration holds a reading of the worker's own clock. If it is past the moment at which the worker was taken for gone, the same incarnation lives on. Until it reports, it is unresponsive: it is given no tasks and its lease is not extended. The registration of a worker that is gone for real does not change, which the third case of the test shows.

The test failed before in the two cases in which the worker lives, and passes; core/cell passes with the race detector.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -252,7 +253,11 @@
 	}
 }
 
-// SetWorkers sets the registered workers. Workers of other pools are ignored.
+// goneClockSlack is more than the error of the owner's estimate of a worker's clock.
+const goneClockSlack = time.Second
+
+// SetWorkers sets the registered workers. Workers of other pools are ignored. A worker
+// that has registered since it was taken for gone is not gone.
 func (c *Cell) SetWorkers(now time.Time, list []rock.Worker) {
 	listed := map[string]bool{}
 	for _, s := range list {
@@ -266,6 +271,7 @@
 		}
 		if w.Address == "" {
 			w.clock, w.clockAt, w.incarnationStart, w.answeredAt = s.Clock, s.ReadAt, s.StartedAt, now
+			w.goneClock = s.Clock
 			w.rack = rackOf(s.Labels)
 		}
 		if w.State != s.State && w.Address != "" {
@@ -274,9 +280,14 @@
 				c.cancelPlacements(w)
 			}
 		}
-		if w.gone && s.StartedAt.After(w.incarnationStart) {
+		switch {
+		case !w.gone:
+		case s.StartedAt.After(w.incarnationStart):
 			w.gone, w.incarnationStart, w.handledEnd, w.storedEnd, w.deferredEnds = false, s.StartedAt, 0, 0, nil
 			w.clock, w.clockAt, w.maxLeaseEnd = s.Clock, s.ReadAt, 0
+		case s.StartedAt.Equal(w.incarnationStart) && s.Clock > w.goneClock+goneClockSlack:
+			c.events = append(c.events, Event{Name: "worker not gone", Worker: s.ID, Detail: fmt.Sprintf("it has registered at %v on its clock", s.Clock)})
+			w.gone, w.unresponsive, w.maybeRestarted = false, true, true // until it reports
 		}
 		w.Worker, w.registered = s, true
 	}
--- a/core/cell/late_test.go
+++ b/core/cell/late_test.go
@@ -87,3 +87,43 @@
 		})
 	}
 }
+
+// TestWorkerThatWasWronglyTakenForGone guards against a worker that is never used again
+// because its host was said to be taken down, or another worker answered in its place,
+// although it lives on.
+func TestWorkerThatWasWronglyTakenForGone(t *testing.T) {
+	cases := map[string]struct {
+		lose func(b *harness)
+		// registers is true if the worker writes its registration again.
+		registers bool
+	}{
+		"its host was taken down":        {func(b *harness) { b.MarkWorkerGone(b.now, "w0", "its host was taken down") }, true},
+		"another incarnation answers":    {func(b *harness) { b.HandleReport(b.now, b.now, "w0", rock.Report{Refusal: rock.RefusedIdentity}) }, true},
+		"it is gone and was not removed": {func(b *harness) { b.MarkWorkerGone(b.now, "w0", "its host was taken down") }, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 1, nil)
+			b.advance(time.Minute)
+			b.report("w0", nil, nil)
+			b.registered[0].Clock, b.registered[0].ReadAt = b.clock(), b.now
+			b.SetWorkers(b.now, b.registered)
+			c.lose(b)
+			b.AddJob(b.now, job(jobID, step(1)), 8)
+			started := false
+			for range 10 {
+				b.advance(500 * time.Millisecond)
+				if c.registers {
+					b.registered[0].Clock, b.registered[0].ReadAt = b.clock(), b.now
+				}
+				b.SetWorkers(b.now, b.registered)
+				if _, _, ok := b.HoldOrder(b.now, "w0", 0); ok {
+					b.report("w0", nil, nil)
+				}
+				b.flush()
+				started = started || len(b.startTasks()) > 0
+			}
+			assert.Equal(t, started, c.registers, b.Describe(b.now, jobID))
+		})
+	}
+}
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -100,7 +100,7 @@
 
 // loseWorker records that the worker's incarnation is over, and its runs with it.
 func (c *Cell) loseWorker(now time.Time, w *worker, reason string) {
-	w.gone = true
+	w.gone, w.goneClock = true, w.clock+now.Sub(w.clockAt)
 	for _, r := range w.runs {
 		c.loseRun(now, r, reason)
 	}
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -17,8 +17,10 @@
 	// acceptedFence is true once the worker has answered an order that carried
 	// the cell's epoch.
 	acceptedFence bool
-	// gone is true once this incarnation of the worker is known to be over.
-	gone bool
+	// gone is true once this incarnation of the worker is known to be over. Its clock
+	// would have shown goneClock then.
+	gone      bool
+	goneClock time.Duration
 	// clock is the last reading of the worker's clock, which arrived at clockAt.
 	clock   time.Duration
 	clockAt time.Time
