Owners renew their lease while they read the cell

While the platform was slow, a cell whose owner had stopped was not served until the platform was fast again: accepted jobs waited, although workers were free and the cell had an owner all the time.

A new owner read the whole cell before its first renewal. The reads follow one another: the rows of each home, the parts with the jobs, the progress. The next owner did the same.

The loop of the owner now runs while the cell is read in another goroutine, and renews the lease in all homes. It gives up after 5 s, so that an entry that cannot read does not keep the cell. No order is sent before the cell is read, as before.

TestOwnerRenewsWhileItReadsTheCell failed (no renewal for 2.55 s) and passes.

--- a/io/site/commit.go
+++ b/io/site/commit.go
@@ -29,7 +29,7 @@
 // changes.
 func (o *cellOwner) commit(now time.Time, home int) {
 	w := &homeWrite{}
-	if home == o.lease.Main() {
+	if home == o.lease.Main() && o.state != nil {
 		if n := min(len(o.outcomesToCopy), maxCopiedOutcomes); n > 0 {
 			w.outcomeIDs, o.outcomesToCopy = o.outcomesToCopy[:n:n], o.outcomesToCopy[n:]
 		} else {
@@ -140,6 +140,9 @@
 
 // newRenewal returns a renewal that contains the record and the cell's load.
 func (o *cellOwner) newRenewal(now time.Time, r tenure.Record) renewal {
+	if o.state == nil {
+		return renewal{Record: r} // the cell is being read
+	}
 	l := o.state.Load(now)
 	sinceSurge, surged := o.activity.SinceSurge(now)
 	return renewal{
--- a/io/site/load.go
+++ b/io/site/load.go
@@ -16,61 +16,129 @@
 // loadRetryDelay is the delay before a failed read of a cell is retried.
 const loadRetryDelay = 50 * time.Millisecond
 
+// maxLoadTime is how long an owner may take to read its cell. After that, another entry
+// may be able to.
+const maxLoadTime = 5 * time.Second
+
+// cellRows holds the rows of a cell.
+type cellRows struct {
+	// homes holds the rows of the cell table, by home.
+	homes map[int][]rock.Row
+	jobs  jobListing
+	// jobsReadAt is when the reading of the jobs began.
+	jobsReadAt time.Time
+	// epochEarliest and epochLatest bound the time of the entry's clock at which the
+	// clock of the platform's table was zero.
+	epochEarliest time.Time
+	epochLatest   time.Time
+}
+
 // load reads the cell's rows and creates its state. It returns the version from which
-// changes of the jobs must be followed. It retries while the lease is valid.
-func (o *cellOwner) load(ctx context.Context) (uint64, error) {
+// changes of the jobs must be followed, and false if the cell is not to be served. It
+// renews the ownership meanwhile: while the platform is slow, reading takes longer than
+// the lease lasts.
+func (o *cellOwner) load(ctx context.Context) (uint64, bool) {
+	results := make(chan cellRows, 1)
+	homes := o.lease.HeldHomes()
+	read := func(delay time.Duration) {
+		o.group.Go("read cell", func(ctx context.Context) error {
+			o.readRows(ctx, homes, delay, results)
+			return nil
+		})
+	}
+	read(0)
+	t := time.NewTicker(maxDecideInterval)
+	defer t.Stop()
 	for {
-		version, err := o.tryLoad(ctx)
-		if err == nil || ctx.Err() != nil || o.site.now().After(o.lease.ValidUntil()) {
-			return version, err
+		select {
+		case f := <-o.events:
+			f(o.site.now())
+		case rows := <-results:
+			if err := o.applyRows(o.site.now(), rows); err != nil {
+				o.log.WithError(err).Info("Cell cannot be read yet.")
+				read(loadRetryDelay)
+				break
+			}
+			return rows.jobs.version, true
+		case <-t.C:
+		case <-ctx.Done():
+			return 0, false
 		}
-		o.log.WithError(err).Info("Cell cannot be read yet.")
-		if err := sleep(ctx, loadRetryDelay); err != nil {
-			return 0, err
+		now := o.site.now()
+		if o.lostReason != "" {
+			return 0, false
+		}
+		if now.Sub(o.acquiredAt) > maxLoadTime {
+			o.log.Warn("Cell cannot be read, its ownership is left to expire.")
+			return 0, false
+		}
+		for _, home := range o.lease.HomesToRenew(now, false) {
+			o.commit(now, home)
 		}
 	}
 }
 
-// tryLoad makes one attempt to load the cell.
-func (o *cellOwner) tryLoad(ctx context.Context) (uint64, error) {
-	workers := map[string]workerRow{}
-	homes := o.lease.HeldHomes()
-	o.stateOutsideMain = false
+// readRows reads the rows of the cell after a delay, with retries, and sends them to
+// results, unless ctx ends first.
+func (o *cellOwner) readRows(ctx context.Context, homes []int, delay time.Duration, results chan<- cellRows) {
+	for sleep(ctx, delay) == nil {
+		rows, err := o.site.readCellRows(ctx, o.cell, homes)
+		if err == nil {
+			results <- rows
+			return
+		}
+		o.log.WithError(err).Info("Cell cannot be read yet.")
+		delay = loadRetryDelay
+	}
+}
+
+// readCellRows reads the rows of a cell from its intake parts and the given homes.
+func (s *Site) readCellRows(ctx context.Context, cell string, homes []int) (cellRows, error) {
+	r := cellRows{homes: map[int][]rock.Row{}}
 	for i, home := range homes {
-		sent := o.site.now()
-		rows, err := o.site.settings.Store.List(ctx, cellTable, homePart(o.cell, home), "", "")
+		sent := s.now()
+		c, err := s.settings.Store.List(ctx, cellTable, homePart(cell, home), "", "")
 		if err != nil {
-			return 0, err
+			return r, err
 		}
 		if i == 0 {
-			o.tableEpochEarliest, o.tableEpochLatest = sent.Add(-rows.Now), o.site.now().Add(-rows.Now)
-		}
-		if err := o.loadHome(home, rows.Rows, workers); err != nil {
-			return 0, err
+			r.epochEarliest, r.epochLatest = sent.Add(-c.Now), s.now().Add(-c.Now)
 		}
+		r.homes[home] = c.Rows
 	}
-	o.jobsKnownUpTo = o.site.now()
-	jobs, err := o.site.listJobs(ctx, o.cell, homes)
-	if err != nil {
-		return 0, err
+	r.jobsReadAt = s.now()
+	var err error
+	r.jobs, err = s.listJobs(ctx, cell, homes)
+	return r, err
+}
+
+// applyRows creates the state of the cell from its rows.
+func (o *cellOwner) applyRows(now time.Time, r cellRows) error {
+	workers := map[string]workerRow{}
+	o.stateOutsideMain = false
+	for _, home := range o.lease.HeldHomes() {
+		if err := o.loadHome(home, r.homes[home], workers); err != nil {
+			return err
+		}
 	}
+	o.tableEpochEarliest, o.tableEpochLatest, o.jobsKnownUpTo = r.epochEarliest, r.epochLatest, r.jobsReadAt
 	former := map[string]time.Time{}
 	for id, w := range workers {
 		former[id] = o.entryTime(w.UntilMS)
 	}
-	o.initState(former)
-	o.addUnreadParts(o.site.now(), jobs.unreadParts, jobs.version)
+	o.initState(now, former)
+	o.addUnreadParts(now, r.jobs.unreadParts, r.jobs.version)
 	for _, home := range o.lease.ExcludedHomes() {
-		o.addUnreadParts(o.site.now(), []string{homePart(o.cell, home)}, jobs.version)
+		o.addUnreadParts(now, []string{homePart(o.cell, home)}, r.jobs.version)
 	}
-	o.loadProgress(jobs.rows)
-	o.applyJobRows(o.site.now(), jobs.rows)
+	o.loadProgress(r.jobs.rows)
+	o.applyJobRows(now, r.jobs.rows)
 	if o.stateOutsideMain {
-		o.startCopy(o.site.now())
+		o.startCopy(now)
 	} else {
 		o.lease.CompleteCopy()
 	}
-	return jobs.version, nil
+	return nil
 }
 
 // loadHome checks the owner row of one home, and adds the home's worker rows to
@@ -129,14 +197,14 @@
 
 // initState creates the cell's state. former holds the workers of former owners and
 // the ends of their last leases.
-func (o *cellOwner) initState(former map[string]time.Time) {
+func (o *cellOwner) initState(now time.Time, former map[string]time.Time) {
 	s := &o.site.settings
 	c := cell.Settings{
 		Pool: o.pool, Fence: o.fence, LeaseDuration: s.LeaseDuration, MaxLeaseDuration: s.MaxLeaseDuration, FormerWorkers: former,
 		MaxStopDuration: s.MaxStopDuration, RemoteSlowdown: s.RemoteSlowdown, MaxEarlyStart: s.MaxEarlyStart, EndedRetention: retentionFactor * s.OutcomeRetention,
 	}
 	if !o.firstOwner {
-		c.FormerLeasesEndAt = o.site.now().Add(time.Duration(float64(s.LeaseDuration)*leaseClockFactor) + formerLeaseMargin)
+		c.FormerLeasesEndAt = now.Add(time.Duration(float64(s.LeaseDuration)*leaseClockFactor) + formerLeaseMargin)
 	}
 	o.state = cell.New(c)
 	o.state.SetQueues(o.site.view.queues())
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -112,26 +112,14 @@
 
 // run loads and serves the cell until ctx ends or the cell is lost or released.
 func (o *cellOwner) run(ctx context.Context) {
-	jobs, err := o.load(ctx)
-	if err != nil {
-		o.log.WithError(err).Warn("Cell cannot be read, its ownership is left to expire.")
-		return
-	}
 	o.pollers = map[string]bool{}
 	o.group = group.New(ctx)
-	defer o.site.view.subscribe(func() { o.enqueue(o.group.Context(), func(now time.Time) { o.refresh(now) }) })()
-	o.refresh(o.site.now())
-	o.group.Go("follow jobs", func(ctx context.Context) error { return o.followJobs(ctx, jobs) })
-	o.group.Go("manage hosts", o.manageHosts)
-	o.group.Go("sweep outcomes", o.sweep)
-	o.group.Go("mark ended jobs", o.markEndedJobs)
-	o.group.Go("read unread parts", o.readUnreadParts)
-	for _, home := range o.lease.ExcludedHomes() {
-		o.reconcileHome(home, nil)
-	}
 	o.group.Go("decide", func(ctx context.Context) error {
 		defer o.group.Stop()
-		return o.loop(ctx)
+		if version, ok := o.load(ctx); ok {
+			return o.serve(ctx, version)
+		}
+		return nil
 	})
 	if err := o.group.Wait(); err != nil {
 		o.log.WithError(err).Error("Owner of the cell failed.")
@@ -142,7 +130,25 @@
 		o.log.WithField("reason", o.lostReason).Warn("Cell lost.")
 		return
 	}
-	o.release()
+	if o.state != nil {
+		o.release()
+	}
+}
+
+// serve serves the cell, whose jobs are known up to a version, until ctx ends or the
+// cell is lost or must be released.
+func (o *cellOwner) serve(ctx context.Context, version uint64) error {
+	defer o.site.view.subscribe(func() { o.enqueue(ctx, func(now time.Time) { o.refresh(now) }) })()
+	o.refresh(o.site.now())
+	o.group.Go("follow jobs", func(ctx context.Context) error { return o.followJobs(ctx, version) })
+	o.group.Go("manage hosts", o.manageHosts)
+	o.group.Go("sweep outcomes", o.sweep)
+	o.group.Go("mark ended jobs", o.markEndedJobs)
+	o.group.Go("read unread parts", o.readUnreadParts)
+	for _, home := range o.lease.ExcludedHomes() {
+		o.reconcileHome(home, nil)
+	}
+	return o.loop(ctx)
 }
 
 // enqueue queues an event for the loop, unless ctx ends first.
