Progress of ended jobs is not reported as held back

The log said "Jobs are held back." every few seconds for the whole ownership of a cell, with rows_missing_jobs that had ended long ago. That hides the line's purpose on call.

A home that was excluded keeps the progress of jobs that ended in another home since. The next owner that reads both kept that progress, waiting for the rows of the jobs.

The progress of jobs with a known outcome is now dropped once the cell is read. Progress without an outcome and without a row of its job is still reported.

TestStaleProgressIsNotHeldBack failed before (1 job held back) and passes.

--- a/io/site/load.go
+++ b/io/site/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strings"
 	"time"
 
@@ -133,6 +134,7 @@
 	}
 	o.loadProgress(r.jobs.rows)
 	o.applyJobRows(now, r.jobs.rows)
+	maps.DeleteFunc(o.pendingProgress, func(id string, _ works.Progress) bool { return o.state.HasEnded(id) })
 	if o.stateOutsideMain {
 		o.startCopy(now)
 	} else {
--- a/io/site/load_test.go
+++ b/io/site/load_test.go
@@ -107,3 +107,32 @@
 		assert.Check(t, gap < tenure.LeaseDuration, "no renewal for %v", gap)
 	}
 }
+
+// TestStaleProgressIsNotHeldBack guards against lines about jobs that are held back
+// although they have ended. A home that was excluded has progress of such a job.
+func TestStaleProgressIsNotHeldBack(t *testing.T) {
+	t.Parallel()
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	progress, err := works.EncodeProgress(works.Progress{Started: true})
+	assert.NilError(t, err)
+	outcome, err := works.EncodeOutcome(works.Outcome{State: works.Completed, At: now})
+	assert.NilError(t, err)
+	table := jobTable("a")
+	cases := map[string]struct {
+		rows []rock.Row
+		want int
+	}{
+		"the job has ended":  {[]rock.Row{rock.NewRow(key(table, homePart("a", 1), "j"+outcomeSuffix), 2, outcome)}, 0},
+		"its row is missing": {nil, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o, _, _ := waitsFixture(now)
+			o.site.view = newView()
+			rows := append(c.rows, rock.NewRow(key(table, homePart("a", 0), "j"+progressSuffix), 1, progress))
+			assert.NilError(t, o.applyRows(now, cellRows{jobs: jobListing{rows: rows, version: 2}}))
+			assert.Equal(t, len(o.pendingProgress), c.want)
+		})
+	}
+}
