--- a/cmd/bramleyrock/soak_test.go
+++ b/cmd/bramleyrock/soak_test.go
@@ -436,6 +436,7 @@
 		return func() {}
 	}},
 	unhealthyFault(stand.RefuseStarts), unhealthyFault(stand.RefuseAll),
+	unhealthyFault(stand.RefuseRenewals), unhealthyFault(stand.IgnoreStarts),
 }
 
 // disturb makes faults come, in series and overlapping, until the time is over.
@@ -623,6 +624,7 @@
 			cancel()
 			assert.NilError(t, callers.Wait())
 			s.settle()
+			s.checkStoredJobs()
 			watch.Stop()
 			assert.NilError(t, watch.Wait())
 			for _, id := range s.refused {
