No entry takes a cell that it has not read since its owner fell silent

Cause: the delay of an entry with little CPU passed in the outage, and it had not tried yet, so that no failed takeover told it of the outage.

Why this works: a home of an owner that does not renew must be read after the owner's lease has expired, 0.25 s before a takeover is due, and the delay begins with the first answer. A silent part answers no read. A normal takeover is not slower.

TestOutageDoesNotLetSlowEntriesTakeCells/it_has_not_tried failed before, and passes. The tests of takeovers read the home once the lease has expired, and have cases without that.

--- a/core/tenure/challenger.go
+++ b/core/tenure/challenger.go
@@ -39,12 +39,13 @@
 // takeover.
 func (c *Challenger) ObserveFailure(home int) { c.homes[home].ObserveFailure() }
 
-// HomesToRead returns the active homes that were not read yet, or not since a takeover of
-// them failed.
-func (c *Challenger) HomesToRead() []int {
+// HomesToRead returns the active homes that the challenger me must read before it may take
+// over the cell: those that were not read yet, or not since a takeover of them failed or
+// their owner's lease expired.
+func (c *Challenger) HomesToRead(now time.Time, me Owner) []int {
 	var list []int
 	for _, h := range c.Record().Homes {
-		if v := &c.homes[h]; !v.Known() || v.failed {
+		if c.homes[h].mustBeRead(now, me) {
 			list = append(list, h)
 		}
 	}
--- a/core/tenure/challenger_test.go
+++ b/core/tenure/challenger_test.go
@@ -1,6 +1,7 @@
 package tenure_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -17,7 +18,7 @@
 	me, other := tenure.Owner{Name: "me", Session: "2"}, tenure.Owner{Name: "other", Session: "1"}
 	const delay = time.Second
 	cases := map[string]struct {
-		read    bool
+		read    bool // also after the owner's lease expired
 		owner   tenure.Owner
 		idle    time.Duration // since the home was seen to change
 		silent  bool
@@ -47,7 +48,9 @@
 				}
 			}
 			if c.read {
-				ch.ObserveOwner(now.Add(-c.idle), home, c.owner, 1)
+				changed := now.Add(-c.idle)
+				ch.ObserveOwner(changed, home, c.owner, 1)
+				ch.ObserveRead(changed.Add(tenure.LeaseDuration), home)
 			}
 			answeredSince := now.Add(-c.answers)
 			if c.silent {
@@ -68,26 +71,46 @@
 func TestDelayBeginsAfterAnOutage(t *testing.T) {
 	t.Parallel()
 	const home, delay = 1, time.Second
-	now := start
 	me := tenure.Owner{Name: "me", Session: "1"}
-	var c tenure.Challenger
-	for h := range tenure.HomeCount {
-		c.ObserveOwner(now, h, tenure.Owner{Name: "other", Session: "1"}, 1)
+	cases := map[string]struct {
+		begin  time.Duration // of the outage
+		failed bool          // a takeover fails in it
+	}{
+		"before the owner's lease expires": {tenure.LeaseDuration / 2, false},
+		"after the delay":                  {10 * time.Second, true},
 	}
-	obstacle := func() tenure.Obstacle {
-		_, o := c.Obstacle(now, me, start, delay)
-		return o
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var ch tenure.Challenger
+			for h := range tenure.HomeCount {
+				ch.ObserveOwner(start, h, tenure.Owner{Name: "other", Session: "1"}, 1)
+			}
+			now := start.Add(c.begin)
+			obstacle := func() tenure.Obstacle {
+				_, o := ch.Obstacle(now, me, start, delay)
+				return o
+			}
+			for h := range tenure.HomeCount {
+				ch.ObserveRead(now, h)
+			}
+			now = now.Add(delay)
+			assert.Equal(t, obstacle() == "", c.failed)
+			if c.failed {
+				ch.ObserveFailure(home)
+			}
+			now = start.Add(20 * time.Second)
+			assert.Equal(t, obstacle(), tenure.ObstacleSilent)
+			unread := ch.HomesToRead(now, me)
+			assert.Assert(t, slices.Contains(unread, home))
+			for _, h := range unread {
+				ch.ObserveRead(now, h)
+			}
+			assert.Equal(t, len(ch.HomesToRead(now, me)), 0)
+			now = now.Add(delay - time.Millisecond)
+			assert.Equal(t, obstacle(), tenure.ObstacleDelay)
+			now = now.Add(time.Millisecond)
+			assert.Equal(t, obstacle(), tenure.Obstacle(""))
+		})
 	}
-	now = now.Add(10 * time.Second)
-	assert.Equal(t, obstacle(), tenure.Obstacle(""))
-	c.ObserveFailure(home)
-	now = now.Add(10 * time.Second)
-	assert.Equal(t, obstacle(), tenure.ObstacleSilent)
-	assert.DeepEqual(t, c.HomesToRead(), []int{home})
-	c.ObserveRead(now, home)
-	assert.Equal(t, len(c.HomesToRead()), 0)
-	now = now.Add(delay - time.Millisecond)
-	assert.Equal(t, obstacle(), tenure.ObstacleDelay)
-	now = now.Add(time.Millisecond)
-	assert.Equal(t, obstacle(), tenure.Obstacle(""))
 }
--- a/core/tenure/doc.go
+++ b/core/tenure/doc.go
@@ -6,8 +6,9 @@
 // The owner of a cell renews a row of the platform's table again and again. It may
 // act until [LeaseDuration] after it sent its last successful renewal. A challenger,
 // which is any other entry, may take over the cell when it has seen no renewal for
-// [TakeoverTimeout], which is longer, although the platform answered its reads. The
-// takeover is written on condition that the row has not changed since.
+// [TakeoverTimeout], which is longer, although the platform answered its reads. Its own
+// delay orders the challengers, and begins once the row can be read. The takeover is
+// written on condition that the row has not changed since.
 //
 // Times are compared only with times of the same clock. That clock must also count
 // the time for which the process is suspended.
@@ -30,6 +31,7 @@
 //	var c tenure.Challenger
 //	c.ObserveOwner(now, home, owner, ownerVersion)
 //	c.ObserveRenewal(now, home, record, renewalVersion)
+//	c.ObserveRead(now, home) // for each of c.HomesToRead(now, me)
 //	if c.NextAction(now, me, answeredSince, delay) == tenure.Acquire {
 //		// Take over all homes of c.Record(), each on condition of both versions.
 //	}
--- a/core/tenure/tenure.go
+++ b/core/tenure/tenure.go
@@ -44,8 +44,8 @@
 	// ObstacleUnread means that the home was not read.
 	ObstacleUnread Obstacle = "home unread"
 	// ObstacleSilent means that the platform does not answer reads of renewals, or not
-	// for long enough to tell that the owner does not renew, or that a takeover of the
-	// home failed and no read of it was answered since.
+	// for long enough to tell that the owner does not renew, or that no read of the home
+	// was answered since its owner's lease expired or a takeover of it failed.
 	ObstacleSilent Obstacle = "table does not answer"
 	// ObstacleRenewed means that the owner renewed the home recently.
 	ObstacleRenewed Obstacle = "owner renews"
@@ -62,9 +62,12 @@
 	// changedAt is when a newer version of a row was last observed.
 	changedAt time.Time
 	known     bool
-	// failed is true from a failed takeover of the home until a read of it was answered,
-	// at answeredAt.
-	failed     bool
+	// failed is true from a failed takeover of the home until a read of it is answered,
+	// which was last so at recoveredAt.
+	failed      bool
+	recoveredAt time.Time
+	// answeredAt is when the first read was answered after the owner's lease expired.
+	// Until then it is the time of the last answered read.
 	answeredAt time.Time
 }
 
@@ -89,8 +92,27 @@
 // ObserveAnswer records that a read of the home was answered.
 func (v *HomeView) ObserveAnswer(now time.Time) {
 	if v.failed {
-		v.failed, v.answeredAt = false, now
+		v.failed, v.recoveredAt = false, now
 	}
+	if !v.readSinceExpiry() {
+		v.answeredAt = now
+	}
+}
+
+// expiry returns when the lease of an owner that does not renew has expired.
+func (v *HomeView) expiry() time.Time { return v.changedAt.Add(LeaseDuration) }
+
+// readSinceExpiry reports whether a read was answered after the owner's lease expired.
+func (v *HomeView) readSinceExpiry() bool { return !v.answeredAt.Before(v.expiry()) }
+
+// mustBeRead reports whether the challenger me needs an answered read of the home before it
+// may take it over. If the owner does not renew, the home's part of the table may be down
+// for the challenger, too.
+func (v *HomeView) mustBeRead(now time.Time, me Owner) bool {
+	if !v.known || v.failed {
+		return true
+	}
+	return v.owner.Name != "" && v.owner.Name != me.Name && !now.Before(v.expiry()) && !v.readSinceExpiry()
 }
 
 // Known reports whether the home was read.
@@ -105,8 +127,8 @@
 // NextAction returns what the challenger me should do about the home. The platform has
 // answered the challenger's reads since answeredSince, which is zero if it does not
 // answer now. Every challenger has its own delay: the least loaded one has the shortest
-// and takes over first. After a failed takeover the delay begins when the home can be read
-// again, because it is over for all challengers if an outage lasts long enough.
+// and takes over first. The delay does not begin before the home can be read: in an outage
+// it would pass for all challengers.
 func (v *HomeView) NextAction(now time.Time, me Owner, answeredSince time.Time, delay time.Duration) Action {
 	if v.obstacle(now, me, answeredSince, delay) == "" {
 		return Acquire
@@ -123,24 +145,33 @@
 	case answeredSince.IsZero() || v.failed:
 		return ObstacleSilent
 	}
-	idle := now.Sub(v.changedAt)
+	delayedSince := v.recoveredAt
 	switch {
 	case v.owner.Name == "" || v.owner == me:
 		// If the owner is me, this entry has taken over the home but does not own the
 		// cell: it did not get all homes, or it has released the cell.
-		if idle < delay {
-			return ObstacleDelay
-		}
+		delayedSince = later(delayedSince, v.changedAt)
 	case v.owner.Name == me.Name: // the owner was an earlier start of this process
-	case idle < TakeoverTimeout:
+	case now.Sub(v.changedAt) < TakeoverTimeout:
 		return ObstacleRenewed
-	case idle < TakeoverTimeout+delay:
-		return ObstacleDelay
-	case now.Sub(answeredSince) < TakeoverTimeout/2:
+	case v.mustBeRead(now, me):
 		return ObstacleSilent
+	default:
+		delayedSince = later(delayedSince, later(v.changedAt.Add(TakeoverTimeout), v.answeredAt))
+		if now.Sub(delayedSince) >= delay && now.Sub(answeredSince) < TakeoverTimeout/2 {
+			return ObstacleSilent
+		}
 	}
-	if now.Sub(v.answeredAt) < delay {
+	if now.Sub(delayedSince) < delay {
 		return ObstacleDelay
 	}
 	return ""
 }
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/core/tenure/tenure_test.go
+++ b/core/tenure/tenure_test.go
@@ -21,23 +21,29 @@
 		idle     time.Duration
 		answered time.Duration
 		delay    time.Duration
+		unread   bool // since the lease expired
 		want     tenure.Action
 	}{
-		"another renews":                                 {other, time.Second, time.Minute, 0, tenure.Wait},
-		"another stopped renewing":                       {other, tenure.TakeoverTimeout, time.Minute, 0, tenure.Acquire},
-		"less loaded entries go first":                   {other, tenure.TakeoverTimeout, time.Minute, time.Second, tenure.Wait},
-		"the table did not answer":                       {other, time.Minute, 100 * time.Millisecond, 0, tenure.Wait},
-		"the table is down":                              {other, time.Minute, -1, 0, tenure.Wait},
-		"the owner released the cell":                    {tenure.Owner{}, 0, time.Minute, 0, tenure.Acquire},
-		"an earlier session of this entry":               {tenure.Owner{Name: "e1", Session: "s0"}, 0, time.Minute, time.Second, tenure.Acquire},
-		"this session took it but does not own the cell": {me, time.Second, time.Minute, 0, tenure.Acquire},
-		"this session released it to others":             {me, time.Second, time.Minute, 2 * time.Second, tenure.Wait},
+		"another renews":                                 {other, time.Second, time.Minute, 0, false, tenure.Wait},
+		"another stopped renewing":                       {other, tenure.TakeoverTimeout, time.Minute, 0, false, tenure.Acquire},
+		"less loaded entries go first":                   {other, tenure.TakeoverTimeout, time.Minute, time.Second, false, tenure.Wait},
+		"the table did not answer":                       {other, time.Minute, 100 * time.Millisecond, 0, false, tenure.Wait},
+		"the home is not read":                           {other, time.Minute, time.Minute, 0, true, tenure.Wait},
+		"the table is down":                              {other, time.Minute, -1, 0, false, tenure.Wait},
+		"the owner released the cell":                    {tenure.Owner{}, 0, time.Minute, 0, false, tenure.Acquire},
+		"an earlier session of this entry":               {tenure.Owner{Name: "e1", Session: "s0"}, 0, time.Minute, time.Second, false, tenure.Acquire},
+		"this session took it but does not own the cell": {me, time.Second, time.Minute, 0, false, tenure.Acquire},
+		"this session released it to others":             {me, time.Second, time.Minute, 2 * time.Second, false, tenure.Wait},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			var v tenure.HomeView
 			v.Observe(start, c.owner, 5, 7)
+			v.ObserveAnswer(start)
 			now := start.Add(c.idle)
+			if !c.unread && c.idle >= tenure.LeaseDuration {
+				v.ObserveAnswer(start.Add(tenure.LeaseDuration))
+			}
 			since := now.Add(-c.answered)
 			if c.answered < 0 {
 				since = time.Time{}
@@ -60,6 +66,7 @@
 	other := tenure.Owner{Name: "e2"}
 	v.Observe(start, other, 5, 9)
 	v.Observe(start.Add(time.Second), tenure.Owner{Name: "e0"}, 4, 8) // a late answer
+	v.ObserveAnswer(start.Add(tenure.LeaseDuration))
 	assert.Equal(t, v.Owner(), other)
 	owner, renewal := v.Versions()
 	assert.Equal(t, owner, uint64(5))
--- a/io/site/acquire_test.go
+++ b/io/site/acquire_test.go
@@ -40,6 +40,7 @@
 				for home := range tenure.HomeCount {
 					v.challenger.ObserveOwner(start, home, tenure.Owner{Name: "other", Session: "1"}, 1)
 					v.challenger.ObserveRenewal(start, home, tenure.Record{}, 1)
+					v.challenger.ObserveRead(start.Add(tenure.LeaseDuration), home)
 				}
 			})
 			clock = start.Add(c.readSince)
@@ -78,34 +79,48 @@
 func TestOutageDoesNotLetSlowEntriesTakeCells(t *testing.T) {
 	t.Parallel()
 	start := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
-	var clock atomic.Pointer[time.Time]
-	set := func(d time.Duration) { now := start.Add(d); clock.Store(&now) }
-	set(0)
-	store := &failingStore{}
-	s := New(Settings{
-		Clock: func() time.Time { return *clock.Load() }, CPUShare: sufficientCPUShare / 2, Log: logs.Discard(), Scope: tally.NoopScope,
-		Store: store,
-	})
-	s.view.setConfig(works.Config{Pools: []works.Pool{{Name: "a"}}}, 1)
-	s.view.withCell("a", func(v *cellView) {
-		for home := range tenure.HomeCount {
-			v.challenger.ObserveOwner(start, home, tenure.Owner{Name: "other", Session: "1"}, 1)
-		}
-	})
-	s.recordRenewalRead(nil)
-	store.down.Store(true)
-	set(10 * time.Second)
-	assert.Assert(t, s.shouldAcquire("a"))
-	g := group.New(t.Context())
-	s.acquire(t.Context(), g, "a")
+	for name, failed := range map[string]bool{"its takeover failed": true, "it has not tried": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var clock atomic.Pointer[time.Time]
+			set := func(d time.Duration) { now := start.Add(d); clock.Store(&now) }
+			set(0)
+			store := &failingStore{}
+			s := New(Settings{
+				Clock: func() time.Time { return *clock.Load() }, CPUShare: sufficientCPUShare / 2, Log: logs.Discard(), Scope: tally.NoopScope,
+				Store: store,
+			})
+			s.view.setConfig(works.Config{Pools: []works.Pool{{Name: "a"}}}, 1)
+			s.view.withCell("a", func(v *cellView) {
+				for home := range tenure.HomeCount {
+					v.challenger.ObserveOwner(start, home, tenure.Owner{Name: "other", Session: "1"}, 1)
+				}
+			})
+			s.recordRenewalRead(nil)
+			read := func() {
+				g := group.New(t.Context())
+				s.readUnreadHomes(g, "a")
+				assert.NilError(t, g.Wait())
+			}
+			if failed {
+				set(6 * time.Second)
+				read()
+				set(10 * time.Second)
+				assert.Assert(t, s.shouldAcquire("a"))
+			}
+			store.down.Store(true)
+			if failed {
+				s.acquire(t.Context(), group.New(t.Context()), "a")
+			}
 
-	outageEnd := 20 * time.Second
-	set(outageEnd)
-	store.down.Store(false)
-	s.readUnreadHomes(g, "a")
-	assert.NilError(t, g.Wait())
-	set(outageEnd + lowCPUDelay - time.Millisecond)
-	assert.Assert(t, !s.shouldAcquire("a"), "entries with more CPU had no time to take the cell")
-	set(outageEnd + lowCPUDelay + takeoverJitter)
-	assert.Assert(t, s.shouldAcquire("a"))
+			outageEnd := 20 * time.Second
+			set(outageEnd)
+			store.down.Store(false)
+			read()
+			set(outageEnd + lowCPUDelay - time.Millisecond)
+			assert.Assert(t, !s.shouldAcquire("a"), "entries with more CPU had no time to take the cell")
+			set(outageEnd + lowCPUDelay + takeoverJitter)
+			assert.Assert(t, s.shouldAcquire("a"))
+		})
+	}
 }
--- a/io/site/waits_test.go
+++ b/io/site/waits_test.go
@@ -107,6 +107,7 @@
 	lines := 0
 	for d := time.Duration(0); d < 12*time.Second; d += acquireInterval {
 		now := start.Add(d)
+		v.challenger.ObserveRead(now, 0)
 		_, obstacle := v.challenger.Obstacle(now, tenure.Owner{Name: "me"}, start, 0)
 		if idle, due := v.stalled(now, obstacle); due {
 			lines++
