Homes are read with the timeouts of other reads before a takeover

Cause: such a read was given up after 0.5 s. The timeout of reads grows while the platform is slow, but only when a read runs into it, so that every read was given up too early.

Why this works: the reads are given up by that timeout alone.

TestHomesAreReadWhileTheTableIsSlow failed before (3 homes unread), and passes.

--- a/io/site/acquire.go
+++ b/io/site/acquire.go
@@ -106,10 +106,6 @@
 // entry can acquire the cell. Until they are, the cell has no owner.
 const unreadHomeRetryDelay = 200 * time.Millisecond
 
-// unreadHomeTimeout bounds such a read, so that the end of an outage is soon noticed. While
-// the platform is slow, an answer takes up to 0.3 s.
-const unreadHomeTimeout = 500 * time.Millisecond
-
 // readUnreadHomes reads the homes of a cell that must be read before the entry can acquire
 // the cell: their part of the table may be down.
 func (s *Site) readUnreadHomes(g *group.Group, cell string) {
@@ -128,8 +124,6 @@
 	}
 	g.Go("read homes", func(ctx context.Context) error {
 		defer s.view.withCell(cell, func(c *cellView) { c.readingHomes = false })
-		ctx, cancel := context.WithTimeout(ctx, unreadHomeTimeout)
-		defer cancel()
 		_, _ = s.readHomes(ctx, cell, unread) // readHomes logs failures, and they are retried
 		return nil
 	})
--- a/io/site/acquire_test.go
+++ b/io/site/acquire_test.go
@@ -57,6 +57,8 @@
 type failingStore struct {
 	rock.Store
 	down atomic.Bool
+	// slow is how long a read takes.
+	slow time.Duration
 }
 
 func (s *failingStore) answer(op string) error {
@@ -70,8 +72,13 @@
 	return 0, s.answer("write")
 }
 
-func (s *failingStore) List(context.Context, string, string, string, string) (rock.Changes, error) {
-	return rock.Changes{Version: 1}, s.answer("read")
+func (s *failingStore) List(ctx context.Context, _, _, _, _ string) (rock.Changes, error) {
+	select {
+	case <-time.After(s.slow):
+		return rock.Changes{Version: 1}, s.answer("read")
+	case <-ctx.Done():
+		return rock.Changes{}, ctx.Err()
+	}
 }
 
 // TestOutageDoesNotLetSlowEntriesTakeCells guards against a cell that goes to an entry with
@@ -124,3 +131,15 @@
 		})
 	}
 }
+
+// TestHomesAreReadWhileTheTableIsSlow guards against homes that are never read because the
+// entry does not wait as long as the table takes.
+func TestHomesAreReadWhileTheTableIsSlow(t *testing.T) {
+	t.Parallel()
+	s := New(Settings{Clock: time.Now, CPUShare: 1, Log: logs.Discard(), Scope: tally.NoopScope, Store: &failingStore{slow: 700 * time.Millisecond}})
+	s.view.setConfig(works.Config{Pools: []works.Pool{{Name: "a"}}}, 1)
+	g := group.New(t.Context())
+	s.readUnreadHomes(g, "a")
+	assert.NilError(t, g.Wait())
+	s.view.withCell("a", func(v *cellView) { assert.Equal(t, len(v.challenger.HomesToRead(time.Now(), s.self)), 0) })
+}
