--- a/io/site/acquire.go
+++ b/io/site/acquire.go
@@ -107,14 +107,13 @@
 const unreadHomeRetryDelay = 200 * time.Millisecond
 
 // readUnreadHomes reads the homes of a cell that must be read before the entry can acquire
-// the cell: their part of the table was unavailable when the entry started, or when it
-// tried to acquire the cell.
+// the cell: their part of the table may be down.
 func (s *Site) readUnreadHomes(g *group.Group, cell string) {
 	now := s.now()
 	var unread []int
 	s.view.withCell(cell, func(c *cellView) {
 		if !c.owned && !c.readingHomes && now.Sub(c.homesReadAt) >= unreadHomeRetryDelay {
-			unread = c.challenger.HomesToRead()
+			unread = c.challenger.HomesToRead(now, s.self)
 		}
 		if len(unread) > 0 {
 			c.readingHomes, c.homesReadAt = true, now
