A batch does not acknowledge ends of a later incarnation

Callers could see a task run twice. A batch records up to which end of each worker it holds the effects. If the worker started again under its ID while the batch was being written, and the next incarnation, which numbers its ends from 1, had listed as many, these were acknowledged as well. The worker drops them, and after a change of owners before the next batch the task would run again.

The batch records the incarnation too. Found by reading. TestBatchOfAFormerIncarnationAcknowledgesNothing failed before and passes. The tests of core/cell pass with the race detector on this commit.

--- a/core/cell/flush.go
+++ b/core/cell/flush.go
@@ -29,7 +29,7 @@
 	Workers        []WorkerRow
 	DeletedWorkers []string
 
-	resolvedEnds map[string]int64
+	resolvedEnds map[string]resolvedEnds
 	endedJobs    []*job
 	// placedRuns holds the runs whose workers the batch stores.
 	placedRuns []*run
@@ -38,6 +38,13 @@
 	more      bool
 }
 
+// resolvedEnds are the ends of an incarnation of a worker up to the last one whose effects
+// a batch holds.
+type resolvedEnds struct {
+	incarnationStart time.Time
+	last             int64
+}
+
 // Complete reports whether the batch holds all changes that were to be written.
 func (b *Batch) Complete() bool { return !b.more }
 
@@ -56,7 +63,7 @@
 // [Cell.Flushed] or [Cell.FlushFailed] is called with the batch.
 func (c *Cell) Flush(now time.Time) *Batch {
 	c.flushing = true
-	b := &Batch{resolvedEnds: map[string]int64{}}
+	b := &Batch{resolvedEnds: map[string]resolvedEnds{}}
 	rows := 0
 	for len(c.endedJobs) > 0 && rows < maxBatchRows {
 		rows += rowsPerEndedJob
@@ -103,7 +110,7 @@
 	c.flushWorkers(now, b)
 	if !b.more {
 		for id, w := range c.workers {
-			b.resolvedEnds[id] = w.resolvedEnd()
+			b.resolvedEnds[id] = resolvedEnds{w.incarnationStart, w.resolvedEnd()}
 		}
 		c.dirtySince, c.urgent = time.Time{}, false
 	}
@@ -113,9 +120,9 @@
 // Flushed records that the batch is stored.
 func (c *Cell) Flushed(now time.Time, b *Batch) {
 	c.flushing = false
-	for id, n := range b.resolvedEnds {
-		if w := c.workers[id]; w != nil && n <= w.resolvedEnd() {
-			w.storedEnd = max(w.storedEnd, n)
+	for id, e := range b.resolvedEnds {
+		if w := c.workers[id]; w != nil && e.incarnationStart.Equal(w.incarnationStart) && e.last <= w.resolvedEnd() {
+			w.storedEnd = max(w.storedEnd, e.last)
 		}
 	}
 	c.flushedWorkers(b)
--- a/core/cell/late_test.go
+++ b/core/cell/late_test.go
@@ -76,3 +76,23 @@
 		})
 	}
 }
+
+// TestBatchOfAFormerIncarnationAcknowledgesNothing guards against a task that runs twice:
+// its end is acknowledged before it is stored, because a batch that was written while its
+// worker restarted holds an end with the same number.
+func TestBatchOfAFormerIncarnationAcknowledgesNothing(t *testing.T) {
+	b := newHarness(t, 1, nil)
+	b.AddJob(b.now, job("a", step(2)), 9)
+	s := b.startTasks()
+	assert.Equal(t, len(s), 2)
+	b.report("w0", running(s[1]), []rock.End{end(s[0], rock.EndDone)})
+	batch := b.Flush(b.now)
+	b.advance(time.Second)
+	// A late copy of the other start has reached the next incarnation.
+	other := rock.End{Number: 1, Task: s[1].Start.Task, Run: s[1].Start.Run, Reason: rock.EndDone}
+	b.HandleReport(b.now, b.now, "w0", rock.Report{WorkerStartedAt: b.now, Ended: []rock.End{other}})
+	b.Flushed(b.now, batch)
+	assert.Equal(t, b.ackedUpTo("w0"), int64(0))
+	b.flush()
+	assert.Equal(t, b.ackedUpTo("w0"), int64(1))
+}
