Nothing is placed on a worker whose host is being taken down

What callers could see: a task starts on a worker that is killed with its host a moment later, by the owner's own order to move or to maintain the host. The work is lost, and for a persistent step more tasks may be away than MaxUnavailable allows.

Cause: the owner takes a host down once its worker is closing and has no runs, and took that to last. But a task that has waited for 1.2 s may be placed on a worker that is being drained (persistent ones always, ordinary ones while most of the pool is free), so that one could be placed between the reading of the occupancy and the order, while the order was announced in the table.

Why this works: the owner's loop marks the worker before the order is announced, if it has got no tasks since its occupancy was read. A marked worker gets no tasks at all. The mark ends when the order is refused, not received or not sent, and by itself 1.5 s after the last time at which the order may be sent. Orders whose outcome stays unknown cannot hold the worker: the next mark must wait 0.3 s after such a mark has ended, in which a waiting task is placed. A host whose order has no answer is therefore ordered again only after at most 3.3 s, instead of in the next round, unless the list of hosts shows that its worker is gone.

"Task waits." names the new exclusion "being taken down".

TestTaskWaitsForFailedTakeDowns, TestTakeDownOfAWorkerThatGotATask and TestTakeDownCancelsPlacements fail in trials without the pause, without the check of the occupancy and without the cancelling, respectively.

--- a/core/cell/closing.go
+++ b/core/cell/closing.go
@@ -127,6 +127,36 @@
 	return o
 }
 
+// takeDownPause is the least time between two take-downs of a worker if the first one
+// ended because its time was over. It is longer than the time between decisions, so that
+// a task that waits for the worker comes first.
+const takeDownPause = 300 * time.Millisecond
+
+// BeginTakeDown records that the host of a worker is about to be taken down. Until the
+// given time or [Cell.EndTakeDown], the worker gets no tasks at all. It returns false, and
+// records nothing, if the worker has got tasks since its occupancy was seen, or until
+// takeDownPause after the time of an earlier take-down.
+func (c *Cell) BeginTakeDown(now, until time.Time, id string, seen Occupancy) bool {
+	w := c.workers[id]
+	if w == nil || w.gone {
+		return true
+	}
+	o := c.Occupancy(now, id)
+	if o.Usable || o.Runs > seen.Runs || o.PersistentRuns > seen.PersistentRuns || now.Before(w.takenDownUntil.Add(takeDownPause)) {
+		return false
+	}
+	w.takenDownUntil = until
+	c.cancelPlacements(w)
+	return true
+}
+
+// EndTakeDown records that the host of a worker is not taken down after all.
+func (c *Cell) EndTakeDown(id string) {
+	if w := c.workers[id]; w != nil {
+		w.takenDownUntil = time.Time{}
+	}
+}
+
 // evacuate stops the persistent tasks on workers that are being drained, by this
 // cell or by the platform, if they can be placed on other workers. Workers that the
 // platform drains come first: their tasks end soon in any case, and count as
--- a/core/cell/closing_test.go
+++ b/core/cell/closing_test.go
@@ -132,3 +132,58 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Worker.ID, "w1")
 }
+
+// TestTaskWaitsForFailedTakeDowns guards against a task that waits for good, because orders
+// for the host of the only worker are sent again and again and never carried out.
+func TestTaskWaitsForFailedTakeDowns(t *testing.T) {
+	b := newHarness(t, 1, nil)
+	b.drain(1, nil)
+	b.AddJob(b.now, job(jobID, step(1)), 9)
+	began := 0
+	for end := b.now.Add(10 * time.Second); b.now.Before(end); b.advance(50 * time.Millisecond) {
+		b.report("w0", nil, nil)
+		seen := b.Occupancy(b.now, "w0")
+		if seen.Runs == 0 && !seen.Usable && b.BeginTakeDown(b.now, b.now.Add(3*time.Second), "w0", seen) {
+			began++
+		}
+		if len(b.startTasks()) > 0 {
+			assert.Equal(t, began, 1)
+			assert.Assert(t, b.now.Sub(start) >= 3*time.Second)
+			return
+		}
+	}
+	t.Errorf("the task waits, %d take-downs\n%s", began, b.Describe(b.now, jobID))
+}
+
+// TestTakeDownOfAWorkerThatGotATask guards against the loss of a task that was placed on an
+// empty worker just before its host is taken down.
+func TestTakeDownOfAWorkerThatGotATask(t *testing.T) {
+	b := newHarness(t, 1, nil)
+	b.drain(1, nil)
+	seen := b.Occupancy(b.now, "w0")
+	assert.DeepEqual(t, seen, cell.Occupancy{Known: true})
+	b.AddJob(b.now, job(jobID, persistentStep(1, 0, 1000)), 9)
+	b.advance(1300 * time.Millisecond)
+	b.report("w0", nil, nil)
+	b.Decide(b.now)
+	assert.Assert(t, !b.BeginTakeDown(b.now, b.now.Add(time.Second), "w0", seen))
+	assert.Equal(t, len(b.startTasks()), 1)
+}
+
+// TestTakeDownCancelsPlacements guards against a start on a worker whose host is taken down
+// although tasks run there.
+func TestTakeDownCancelsPlacements(t *testing.T) {
+	b := newHarness(t, 1, nil)
+	b.drain(1, nil)
+	b.AddJob(b.now, job(jobID, step(2)), 9)
+	b.advance(1300 * time.Millisecond)
+	b.report("w0", nil, nil)
+	b.Decide(b.now)
+	b.flush()
+	seen := b.Occupancy(b.now, "w0")
+	assert.Equal(t, seen.Runs, 2)
+	assert.Assert(t, b.BeginTakeDown(b.now, b.now.Add(time.Second), "w0", seen))
+	assert.Equal(t, len(b.startTasks()), 0)
+	b.EndTakeDown("w0")
+	assert.Equal(t, len(b.startTasks()), 2)
+}
--- a/core/cell/exclusion.go
+++ b/core/cell/exclusion.go
@@ -28,6 +28,9 @@
 	ExcludedBackoff Exclusion = "backoff"
 	// ExcludedReportAge means that the last answer of the worker is too old.
 	ExcludedReportAge Exclusion = "report too old"
+	// ExcludedTakenDown means that an order to move or to maintain the worker's host is
+	// being sent.
+	ExcludedTakenDown Exclusion = "being taken down"
 	// ExcludedClosing means that the cell drains the worker.
 	ExcludedClosing Exclusion = "closing"
 
@@ -65,6 +68,8 @@
 		return ExcludedBackoff
 	case now.Sub(w.answeredAt) >= maxReportAge:
 		return ExcludedReportAge
+	case now.Before(w.takenDownUntil):
+		return ExcludedTakenDown
 	case w.closing:
 		return ExcludedClosing
 	}
--- a/core/cell/waiting_test.go
+++ b/core/cell/waiting_test.go
@@ -235,6 +235,10 @@
 			b.startTasks() // tasks may go to a worker that is being drained while most is free
 			b.SetClosing(map[string]bool{"w0": true})
 		},
+		cell.ExcludedTakenDown: func(b *harness) {
+			b.SetClosing(map[string]bool{"w0": true})
+			assert.Assert(b.t, b.BeginTakeDown(b.now, b.now.Add(time.Second), "w0", b.Occupancy(b.now, "w0")))
+		},
 		cell.ExcludedCapacity: func(b *harness) {
 			b.registered[0].Capacity = small
 			b.SetWorkers(b.now, b.registered)
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -37,8 +37,11 @@
 	backoffUntil time.Time
 	// closing is true while the worker is being drained; see [Cell.SetClosing].
 	closing bool
-	used    rock.Resources
-	runs    map[runKey]*run
+	// takenDownUntil is when the worker may be given new tasks again unless its host is
+	// taken down; see [Cell.BeginTakeDown].
+	takenDownUntil time.Time
+	used           rock.Resources
+	runs           map[runKey]*run
 	// hasRow is true once a stored row states that the cell manages the worker.
 	hasRow bool
 	// rewriteRow is true while that row is to be written again unchanged.
--- a/io/site/maintenance.go
+++ b/io/site/maintenance.go
@@ -183,37 +183,41 @@
 	if err != nil {
 		return nil, err
 	}
-	var ready []string
+	var empty []rock.PlatformHost
 	for _, name := range slices.Sorted(maps.Keys(state.Claims)) {
 		c, h := state.Claims[name], hosts[name]
 		if !c.Ordered && h.Pool == m.owner.pool && m.canTakeDown(name, s.occupancy[h.Worker]) && m.mayOrder(name) {
-			ready = append(ready, name)
+			empty = append(empty, h)
 		}
 	}
-	if len(ready) == 0 {
-		return nil, nil
+	ready, err := m.beginTakeDowns(ctx, empty, s)
+	if err != nil || len(ready) == 0 {
+		return nil, err
 	}
-	if err := m.announceOrders(ctx, s, ready); err != nil {
+	defer func() { m.endTakeDowns(ctx, ready) }() // of the hosts that were not ordered
+	if err := m.announceOrders(ctx, s, hostNames(ready)); err != nil {
 		return nil, err
 	}
 	ordered := map[string]string{}
-	for chunk := range slices.Chunk(ready, maxParallelOrders) {
+	for len(ready) > 0 {
 		if !m.owner.site.now().Before(s.validUntil) {
 			return ordered, errOwnershipUncertain // the process was suspended, or the orders took too long
 		}
+		n := min(len(ready), maxParallelOrders)
 		g := group.New(ctx)
-		for _, name := range chunk {
+		for _, h := range ready[:n] {
 			g.Go("maintain host", func(ctx context.Context) error {
-				accepted, err := m.maintainHost(ctx, w, name, s)
+				accepted, err := m.maintainHost(ctx, w, h, s)
 				if accepted {
 					m.endingMu.Lock()
 					defer m.endingMu.Unlock()
-					m.endingWorkers[hosts[name].Worker] = name
-					ordered[name] = hosts[name].Worker
+					m.endingWorkers[h.Worker] = h.Name
+					ordered[h.Name] = h.Worker
 				}
 				return err
 			})
 		}
+		ready = ready[n:]
 		if err := g.Wait(); err != nil {
 			return ordered, err
 		}
@@ -223,10 +227,13 @@
 
 // maintainHost sends the order to maintain one host, and reports whether it was
 // accepted.
-func (m *hostManager) maintainHost(ctx context.Context, w rock.MaintenanceWave, name string, s cellSnapshot) (bool, error) {
+func (m *hostManager) maintainHost(ctx context.Context, w rock.MaintenanceWave, h rock.PlatformHost, s cellSnapshot) (bool, error) {
 	settings := &m.owner.site.settings
-	p, err := settings.Hosts.Maintain(ctx, rock.DutyHolder{Name: settings.Holder, FencingToken: s.fencingToken}, name, w.Number)
-	logger := m.owner.log.WithField("host", name).WithField("wave", w.Number).WithField("token", s.fencingToken)
+	p, err := settings.Hosts.Maintain(ctx, rock.DutyHolder{Name: settings.Holder, FencingToken: s.fencingToken}, h.Name, w.Number)
+	if certainlyNotOrdered(p, err) {
+		m.endTakeDowns(ctx, []rock.PlatformHost{h})
+	}
+	logger := m.owner.log.WithField("host", h.Name).WithField("wave", w.Number).WithField("token", s.fencingToken)
 	if err != nil {
 		logger.WithError(err).Warn("Outcome of a maintenance order is unknown.")
 		return false, err
--- a/io/site/move.go
+++ b/io/site/move.go
@@ -136,18 +136,16 @@
 // moveEmptyHosts orders the moves of the departing hosts that are empty, a few at a
 // time.
 func (m *hostManager) moveEmptyHosts(ctx context.Context, movable []rock.PlatformHost) error {
-	ready, s, err := m.emptyDepartures(ctx, movable)
+	empty, s, err := m.emptyDepartures(ctx, movable)
 	if err != nil {
 		return err
 	}
-	if len(ready) == 0 {
-		return nil
-	}
-	var names []string
-	for _, h := range ready {
-		names = append(names, h.Name)
+	ready, err := m.beginTakeDowns(ctx, empty, s)
+	if err != nil || len(ready) == 0 {
+		return err
 	}
-	if err := m.announceOrders(ctx, s, names); err != nil {
+	defer func() { m.endTakeDowns(ctx, ready) }() // of the hosts that were not ordered
+	if err := m.announceOrders(ctx, s, hostNames(ready)); err != nil {
 		return err
 	}
 	for len(ready) > 0 {
@@ -203,6 +201,9 @@
 	o := m.owner
 	p, err := o.site.settings.Hosts.Move(ctx, rock.DutyHolder{Name: o.site.settings.Holder, FencingToken: token}, h.Name, to)
 	logger := o.log.WithFields(logrus.Fields{"host": h.Name, "to": to, "token": token, "worker": h.Worker, "refusal": p.Refusal})
+	if certainlyNotOrdered(p, err) {
+		m.endTakeDowns(ctx, []rock.PlatformHost{h})
+	}
 	if err != nil {
 		logger.WithError(err).Warn("Outcome of a move order is unknown.")
 		return err
