Gangs no longer wait beside drained workers of a pool that is mostly free

What callers could see: a gang waits while most of the pool is free, because some of the workers with room for it are being drained.

Why this works: once it has waited for 1.2 s, and while more than half of the pool is free, each task of a gang that no usable worker can take may be placed on a worker that is being drained. Workers whose hosts are being taken down get none. As with ordinary tasks, such a run ends with its host if the host's drain takes too long.

TestGangWaitsBesideDrainedWorkers failed before in "one is left" and "all are drained" (0 starts instead of 2), and passes.

--- a/core/cell/closing_test.go
+++ b/core/cell/closing_test.go
@@ -73,6 +73,44 @@
 	}
 }
 
+// TestGangWaitsBesideDrainedWorkers guards against a gang that waits although most of the
+// pool is free, because some of the workers with room for it are being drained.
+func TestGangWaitsBesideDrainedWorkers(t *testing.T) {
+	cases := map[string]struct {
+		busy, drained int
+		want          int
+	}{
+		"none is drained":          {want: 2},
+		"one is left":              {drained: 4, want: 2},
+		"all are drained":          {drained: 5, want: 2},
+		"two are left":             {drained: 3, want: 2},
+		"most of the pool is busy": {busy: 3, drained: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 5, nil)
+			runs := map[string][]rock.Run{}
+			if c.busy > 0 {
+				b.AddJob(b.now, job("busy", largeStep(c.busy)), 9)
+				runs = liveRuns(b.startTasks())
+			}
+			assert.Equal(t, len(runs), c.busy)
+			b.drain(c.drained, runs)
+			gang := largeStep(2)
+			gang.Gang = true
+			b.AddJob(b.now, job("waiting", gang), 9)
+			started := 0
+			for end := b.now.Add(3 * time.Second); b.now.Before(end) && started == 0; b.advance(100 * time.Millisecond) {
+				for _, w := range b.registered {
+					b.report(w.ID, runs[w.ID], nil)
+				}
+				started = len(b.startTasks())
+			}
+			assert.Equal(t, started, c.want)
+		})
+	}
+}
+
 // TestPlatformDrainCountsBeforeOwnDrain guards against more tasks of a step away than may
 // be, because one was stopped for a drain of the owner just before those on a worker that
 // the platform drains.
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -373,29 +373,47 @@
 		}
 		number = max(number, c.nextRunNumber(t))
 	}
+	chosen := c.chooseGang(now, s, usable)
+	if chosen == nil {
+		return
+	}
+	saved := gangCheckpoint(s)
+	for i, t := range s.tasks {
+		t.checkpoint = saved
+		c.placeRun(now, t, chosen[i], number)
+	}
+}
+
+// chooseGang returns a worker for each task of a gang, or nil if not all of them can be
+// placed. A gang that has waited for long may use workers that are being drained.
+func (c *Cell) chooseGang(now time.Time, s *step, usable []*worker) []*worker {
+	var closing []*worker
+	if c.mayUseClosing(now, s.tasks[0]) {
+		closing = c.closingWorkers(now)
+	}
 	chosen := make([]*worker, 0, len(s.tasks))
 	for _, t := range s.tasks {
 		w := c.chooseWorker(now, t, usable)
+		if w == nil {
+			w = c.chooseWorker(now, t, closing)
+		}
 		if w == nil {
 			break
 		}
 		w.used = w.used.Add(s.Reservation())
 		chosen = append(chosen, w)
 		if s.MaxPerWorker > 0 && c.countStepRuns(w, s)+countWorker(chosen, w) >= s.MaxPerWorker {
-			usable = slices.DeleteFunc(slices.Clone(usable), func(o *worker) bool { return o == w })
+			isFull := func(o *worker) bool { return o == w }
+			usable, closing = slices.DeleteFunc(slices.Clone(usable), isFull), slices.DeleteFunc(slices.Clone(closing), isFull)
 		}
 	}
 	for _, w := range chosen {
 		w.used = w.used.Sub(s.Reservation())
 	}
 	if len(chosen) < len(s.tasks) {
-		return
-	}
-	saved := gangCheckpoint(s)
-	for i, t := range s.tasks {
-		t.checkpoint = saved
-		c.placeRun(now, t, chosen[i], number)
+		return nil
 	}
+	return chosen
 }
 
 // countWorker returns how often the worker is in the list.
