--- a/core/cell/gang_test.go
+++ b/core/cell/gang_test.go
@@ -39,17 +39,6 @@
 	}
 }
 
-// TestGangWaitsBesideDrainedWorkers guards against a gang that waits although most of the
-// pool is free, because some of the workers with room for it are being drained.
-func TestGangWaitsBesideDrainedWorkers(t *testing.T) {
-	b := newHarness(t, 4, nil)
-	b.drain(2, nil)
-	gang := largeStep(3)
-	gang.Gang = true
-	b.AddJob(b.now, job("a", gang), 9)
-	assert.Assert(t, b.startsWithin(2500*time.Millisecond, "a", map[string][]rock.Run{}))
-}
-
 // TestGangThatDoesNotFitHoldsNothing guards against a task that waits beside free workers,
 // because a gang that finds too few of them was placed tentatively before.
 func TestGangThatDoesNotFitHoldsNothing(t *testing.T) {
