A claimed host that is not up is ordered every 2 s after a refusal

What is seen: for as long as a host that is claimed for maintenance is down, its owner writes a row and sends an order, which is refused, in each round of 200 ms.

Cause: nothing runs on such a host, so that it may always be taken down, and its phase is not looked at. Leaving it out is no way: the platform accepts an order that it has carried out, so that an order whose answer was lost can be recorded while the host is not up.

Why this works: after a refusal a host that is not up is ordered again after 2 s, or once it is listed as up.

TestDownHostIsOrderedRarely failed before in "down", "moving" and "up again" (50 orders in 10 s instead of at most 6), and passes. It held before for hosts that are up and for orders that were carried out.

--- a/io/site/hostmanager.go
+++ b/io/site/hostmanager.go
@@ -50,11 +50,13 @@
 	activity resize.Activity
 	// listedAt is when the hosts were last listed.
 	listedAt time.Time
+	// refusedAt is when the last maintenance order for a host was refused.
+	refusedAt map[string]time.Time
 	// endingWorkers maps workers whose end was ordered to their hosts. The platform
 	// also accepts an order that it carried out earlier, so that only the list of
 	// hosts shows when the worker is gone.
 	endingWorkers map[string]string
-	endingMu      sync.Mutex // guards endingWorkers and the results of orders that are sent in parallel
+	endingMu      sync.Mutex // guards refusedAt, endingWorkers and the results of orders that are sent in parallel
 	// pendingWaves holds the waves whose orders are sent in this round.
 	pendingWaves []pendingWave
 }
@@ -63,7 +65,7 @@
 func newHostManager(o *cellOwner) *hostManager {
 	return &hostManager{
 		owner: o, inPoolSince: map[string]time.Time{}, announcedOrders: map[string]time.Time{}, claimedAt: map[string]time.Time{}, orderedUpSince: map[string]time.Time{},
-		completedWaves: map[string]bool{}, announcedWaves: map[string]bool{}, endingWorkers: map[string]string{}, departures: map[string]departure{}, activity: o.activity, listedAt: o.site.now(),
+		completedWaves: map[string]bool{}, announcedWaves: map[string]bool{}, endingWorkers: map[string]string{}, refusedAt: map[string]time.Time{}, departures: map[string]departure{}, activity: o.activity, listedAt: o.site.now(),
 	}
 }
 
--- a/io/site/maintenance.go
+++ b/io/site/maintenance.go
@@ -186,7 +186,7 @@
 	var empty []rock.PlatformHost
 	for _, name := range slices.Sorted(maps.Keys(state.Claims)) {
 		c, h := state.Claims[name], hosts[name]
-		if !c.Ordered && h.Pool == m.owner.pool && m.canTakeDown(name, s.occupancy[h.Worker]) && m.mayOrder(name) {
+		if !c.Ordered && h.Pool == m.owner.pool && m.canTakeDown(name, s.occupancy[h.Worker]) && m.mayOrder(name) && m.mayOrderAgain(h) {
 			empty = append(empty, h)
 		}
 	}
@@ -239,9 +239,24 @@
 		return false, err
 	}
 	logger.WithField("refusal", p.Refusal).Info("Maintenance order.")
+	if p.Refusal != rock.Accepted {
+		m.endingMu.Lock()
+		defer m.endingMu.Unlock()
+		m.refusedAt[h.Name] = m.owner.site.now()
+	}
 	return p.Refusal == rock.Accepted, nil
 }
 
+// refusedOrderDelay is the time between two maintenance orders for a host that is not up,
+// if the first one was refused.
+const refusedOrderDelay = 2 * time.Second
+
+// mayOrderAgain reports whether an order for a claimed host may be accepted now. A host
+// that is not up is ordered too: the platform accepts an order that it has carried out.
+func (m *hostManager) mayOrderAgain(h rock.PlatformHost) bool {
+	return h.Phase == rock.HostUp || m.owner.site.now().Sub(m.refusedAt[h.Name]) >= refusedOrderDelay
+}
+
 // maxRecordAttempts bounds the attempts to write a wave's state, which the owners of
 // other pools write too.
 const maxRecordAttempts = 8
--- a/io/site/takedown_test.go
+++ b/io/site/takedown_test.go
@@ -156,3 +156,71 @@
 		}
 	}
 }
+
+// TestDownHostIsOrderedRarely guards against a write and a refused call in each round, for as
+// long as a claimed host is down.
+func TestDownHostIsOrderedRarely(t *testing.T) {
+	t.Parallel()
+	refused := rock.Reply{Refusal: rock.RefusedBusy}
+	cases := map[string]struct {
+		phase rock.HostPhase
+		reply rock.Reply
+		// then is the phase after 10 s, when all orders are accepted.
+		then rock.HostPhase
+		// most bounds the orders in the 10 s, and within the time to the next one.
+		most   int
+		within time.Duration
+	}{
+		"down":           {rock.HostDown, refused, rock.HostDown, 6, 2 * time.Second},
+		"moving":         {rock.HostMoving, refused, rock.HostMoving, 6, 2 * time.Second},
+		"up again":       {rock.HostDown, refused, rock.HostUp, 6, 0},
+		"up":             {rock.HostUp, refused, rock.HostUp, 50, 0},
+		"was maintained": {rock.HostDown, rock.Reply{}, rock.HostDown, 50, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			clock := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+			hosts := &replyingHosts{reply: c.reply}
+			s := &Site{settings: Settings{Clock: func() time.Time { return clock }, Hosts: hosts, Store: &orderStore{rows: map[string][]byte{}}}}
+			o := &cellOwner{site: s, pool: "a", events: make(chan func(time.Time)), log: logs.Discard().WithField("cell", "a"), state: cell.New(cell.Settings{Pool: "a"})}
+			m := newHostManager(o)
+			m.inPoolSince["h1"] = clock.Add(-time.Minute)
+			g := group.New(t.Context())
+			g.Go("events", func(ctx context.Context) error {
+				for {
+					select {
+					case event := <-o.events:
+						o.lease = tenure.NewLease(tenure.Record{}, []tenure.AcquiredHome{{Version: 1, SentAt: clock}})
+						event(clock)
+					case <-ctx.Done():
+						return nil
+					}
+				}
+			})
+			round := func(phase rock.HostPhase) bool {
+				state := maint.State{Claims: map[string]maint.Claim{"h1": {}}}
+				host := rock.PlatformHost{Name: "h1", Pool: "a", Phase: phase}
+				ordered, err := m.orderMaintenance(t.Context(), rock.MaintenanceWave{Number: 1}, state, map[string]rock.PlatformHost{"h1": host})
+				assert.NilError(t, err)
+				_, err = m.snapshot(t.Context(), nil) // all events are handled then
+				assert.NilError(t, err)
+				clock = clock.Add(hostInterval)
+				return len(ordered) > 0
+			}
+			for end := clock.Add(10 * time.Second); clock.Before(end); {
+				round(c.phase)
+			}
+			assert.Assert(t, hosts.orders > 0 && hosts.orders <= c.most, "%d orders", hosts.orders)
+			hosts.reply = rock.Reply{}
+			began := clock
+			accepted := false
+			for !accepted && clock.Sub(began) < time.Minute {
+				accepted = round(c.then)
+			}
+			assert.Assert(t, clock.Sub(began) <= c.within+hostInterval, "accepted after %v", clock.Sub(began))
+			g.Stop()
+			assert.NilError(t, g.Wait())
+		})
+	}
+}
