--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -48,6 +49,11 @@
 	placedAt time.Time
 	// shortage holds what no usable worker had room for since then.
 	shortage shortage
+	// avoided holds the workers on which tasks that have waited for long may be placed,
+	// or nil if they were not needed since then, and avoidedShortage what none of them
+	// had room for.
+	avoided         []*worker
+	avoidedShortage shortage
 	// mostlyFree is true if most of the capacity was free when tasks were last placed.
 	mostlyFree bool
 	// startsPaused is true while no task is started because the known state of
@@ -247,7 +253,11 @@
 	}
 }
 
-// SetWorkers sets the registered workers. Workers of other pools are ignored.
+// goneClockSlack is more than the error of the owner's estimate of a worker's clock.
+const goneClockSlack = time.Second
+
+// SetWorkers sets the registered workers. Workers of other pools are ignored. A worker
+// that has registered since it was taken for gone is not gone.
 func (c *Cell) SetWorkers(now time.Time, list []rock.Worker) {
 	listed := map[string]bool{}
 	for _, s := range list {
@@ -261,6 +271,7 @@
 		}
 		if w.Address == "" {
 			w.clock, w.clockAt, w.incarnationStart, w.answeredAt = s.Clock, s.ReadAt, s.StartedAt, now
+			w.goneClock = s.Clock
 			w.rack = rackOf(s.Labels)
 		}
 		if w.State != s.State && w.Address != "" {
@@ -269,9 +280,14 @@
 				c.cancelPlacements(w)
 			}
 		}
-		if w.gone && w.isNextIncarnation(s) {
+		switch {
+		case !w.gone:
+		case w.isNextIncarnation(s):
 			w.gone, w.incarnationStart, w.handledEnd, w.storedEnd, w.deferredEnds = false, s.StartedAt, 0, 0, nil
 			w.clock, w.clockAt, w.maxLeaseEnd = s.Clock, s.ReadAt, 0
+		case s.StartedAt.Equal(w.incarnationStart) && s.Clock > w.goneClock+goneClockSlack:
+			c.events = append(c.events, Event{Name: "worker not gone", Worker: s.ID, Detail: fmt.Sprintf("it has registered at %v on its clock", s.Clock)})
+			w.gone, w.unresponsive, w.maybeRestarted = false, true, true // until it reports
 		}
 		w.Worker, w.registered = s, true
 	}
@@ -344,6 +360,9 @@
 		return rock.Worker{}, rock.RenewOrder{}, false
 	}
 	o := rock.RenewOrder{Fence: c.settings.Fence, AckedUpTo: w.storedEnd, Wait: wait}
+	if w.hasUnansweredStart() {
+		o.Wait = min(wait, unansweredWait)
+	}
 	if w.maybeRestarted {
 		o.AckedUpTo, o.Wait = 0, 0
 	}
--- a/core/cell/refusal_test.go
+++ b/core/cell/refusal_test.go
@@ -113,13 +113,43 @@
 	}
 }
 
+// TestLateRefusalOfAnotherIncarnation guards against a worker that is taken for gone for
+// good: a call to its former address is answered after it has restarted at another one.
+func TestLateRefusalOfAnotherIncarnation(t *testing.T) {
+	t.Parallel()
+	b := newHarness(t, 1, nil)
+	b.AddJob(b.now, job(jobID, step(1)), 8)
+	b.Decide(b.now)
+	b.flush()
+	first := b.Decide(b.now)
+	assert.Equal(t, len(first), 1)
+	b.advance(500 * time.Millisecond)
+	restarted := b.now
+	b.registered[0].Address, b.registered[0].StartedAt = "10.0.0.2:80", restarted
+	report := func() {
+		b.SetWorkers(b.now, b.registered)
+		b.HandleReport(b.now, b.now, "w0", rock.Report{Clock: b.now.Sub(restarted), WorkerStartedAt: restarted})
+		b.flush()
+	}
+	report()
+	b.HandleReply(b.now, first[0], rock.Reply{Refusal: rock.RefusedIdentity}, nil)
+	for range 10 {
+		b.advance(100 * time.Millisecond)
+		report()
+		if len(b.startTasks()) > 0 {
+			return
+		}
+	}
+	t.Errorf("the task waits\n%s", b.Describe(b.now, jobID))
+}
+
 // TestTasksLeaveAFaultyWorker guards against tasks that wait for good for an answer of a
 // worker that refuses some kinds of orders, or leaves them unanswered, while another
 // worker is free.
 func TestTasksLeaveAFaultyWorker(t *testing.T) {
 	t.Parallel()
 	answers := []answer{accepts, busy, unknown, silent}
-	for _, renewals := range answers {
+	for _, renewals := range append(answers, lateBusy) {
 		for _, starts := range answers {
 			for _, stops := range answers {
 				for _, drained := range []bool{false, true} {
@@ -133,6 +163,26 @@
 	}
 }
 
+// TestTaskLeavesAWorkerThatIgnoresStarts guards against tasks that are given to a worker
+// which leaves starts unanswered for longer than the platform's rules allow tasks to wait.
+func TestTaskLeavesAWorkerThatIgnoresStarts(t *testing.T) {
+	t.Parallel()
+	const leaseEnd = 4 * time.Second // of a start that is not stopped
+	for stops, limit := range map[answer]time.Duration{accepts: 3 * time.Second, busy: leaseEnd + 3*time.Second, silent: leaseEnd + 3*time.Second} {
+		t.Run("stops "+string(stops), func(t *testing.T) {
+			t.Parallel()
+			const jobs = 8
+			s := newFaultySite(t)
+			s.workers["w0"].answers = faultyAnswers{accepts, silent, stops}
+			for i := range jobs {
+				s.AddJob(s.now, job(fmt.Sprintf("%016x", i), step(1)), 8)
+			}
+			s.play(limit)
+			assert.Equal(t, len(s.outcomes), jobs)
+		})
+	}
+}
+
 // testFaultyWorker submits jobs, of which some are cancelled, while a worker begins to
 // answer otherwise, and checks that all of them end, and that all persistent tasks run.
 func testFaultyWorker(t *testing.T, how faultyAnswers, drained bool) {
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -17,8 +17,10 @@
 	// acceptedFence is true once the worker has answered an order that carried
 	// the cell's epoch.
 	acceptedFence bool
-	// gone is true once this incarnation of the worker is known to be over.
-	gone bool
+	// gone is true once this incarnation of the worker is known to be over. Its clock
+	// would have shown goneClock then.
+	gone      bool
+	goneClock time.Duration
 	// clock is the last reading of the worker's clock, which arrived at clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -167,5 +169,15 @@
 	}
 }
 
+// hasUnansweredStart reports whether a run of which a start had no answer is not confirmed.
+func (w *worker) hasUnansweredStart() bool {
+	for _, r := range w.runs {
+		if r.startUnanswered && r.state != running {
+			return true
+		}
+	}
+	return false
+}
+
 // hasLabel reports whether the worker has the label, which may be empty for any.
 func (w *worker) hasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -23,6 +23,13 @@
 	// minDecideInterval is the least time between decisions, so that many events of
 	// a surge are handled before one decision.
 	minDecideInterval = 5 * time.Millisecond
+	// decideIntervalFactor is the least ratio of the time between decisions to the time
+	// that one takes, so that an entry with little CPU also handles answers and sends
+	// orders in a surge.
+	decideIntervalFactor = 3
+	// maxDecidePause bounds the time between decisions that follows from it. A decision
+	// also takes long if the process is suspended.
+	maxDecidePause = 250 * time.Millisecond
 	// leaseOrderWait is how long a lease order waits for the end of a run. It is a
 	// fraction of the lease, so that the lease does not expire if one answer is lost.
 	leaseOrderWait = 700 * time.Millisecond
@@ -64,6 +71,8 @@
 	// changed is true if something has changed since the last decision, at decidedAt.
 	changed   bool
 	decidedAt time.Time
+	// decideInterval is the least time from decidedAt to the next decision.
+	decideInterval time.Duration
 	// jobsKnownUpTo is the time up to which all changes of the cell's jobs are
 	// applied.
 	jobsKnownUpTo time.Time
@@ -79,9 +88,13 @@
 	extraParts map[string][]string
 	// pendingProgress holds stored progress of jobs whose rows are not known yet.
 	pendingProgress map[string]works.Progress
-	// unreadParts holds the parts that could not be read, and deferredRows the rows
-	// that can be applied only when all parts are read.
-	unreadParts  []string
+	// pendingOutcomes holds the outcomes that were read while parts were unread. The
+	// rows of the jobs may be in these parts.
+	pendingOutcomes map[string]works.Outcome
+	// unreadParts holds the parts that could not be read, and the version from which
+	// changes have been followed since: older contents of the part do not count.
+	// deferredRows holds the rows that can be applied only when all parts are read.
+	unreadParts  map[string]uint64
 	deferredRows []rock.Row
 	// unmarkedOutcomes holds the outcomes of jobs whose rows are not marked as ended
 	// yet, and outcomesToCopy the jobs whose outcomes must be copied to another home.
@@ -99,26 +112,14 @@
 
 // run loads and serves the cell until ctx ends or the cell is lost or released.
 func (o *cellOwner) run(ctx context.Context) {
-	jobs, err := o.load(ctx)
-	if err != nil {
-		o.log.WithError(err).Warn("Cell cannot be read, its ownership is left to expire.")
-		return
-	}
 	o.pollers = map[string]bool{}
 	o.group = group.New(ctx)
-	defer o.site.view.subscribe(func() { o.enqueue(o.group.Context(), func(now time.Time) { o.refresh(now) }) })()
-	o.refresh(o.site.now())
-	o.group.Go("follow jobs", func(ctx context.Context) error { return o.followJobs(ctx, jobs) })
-	o.group.Go("manage hosts", o.manageHosts)
-	o.group.Go("sweep outcomes", o.sweep)
-	o.group.Go("mark ended jobs", o.markEndedJobs)
-	o.group.Go("read unread parts", o.readUnreadParts)
-	for _, home := range o.lease.ExcludedHomes() {
-		o.reconcileHome(home, nil)
-	}
 	o.group.Go("decide", func(ctx context.Context) error {
 		defer o.group.Stop()
-		return o.loop(ctx)
+		if version, ok := o.load(ctx); ok {
+			return o.serve(ctx, version)
+		}
+		return nil
 	})
 	if err := o.group.Wait(); err != nil {
 		o.log.WithError(err).Error("Owner of the cell failed.")
@@ -129,7 +130,25 @@
 		o.log.WithField("reason", o.lostReason).Warn("Cell lost.")
 		return
 	}
-	o.release()
+	if o.state != nil {
+		o.release()
+	}
+}
+
+// serve serves the cell, whose jobs are known up to a version, until ctx ends or the
+// cell is lost or must be released.
+func (o *cellOwner) serve(ctx context.Context, version uint64) error {
+	defer o.site.view.subscribe(func() { o.enqueue(ctx, func(now time.Time) { o.refresh(now) }) })()
+	o.refresh(o.site.now())
+	o.group.Go("follow jobs", func(ctx context.Context) error { return o.followJobs(ctx, version) })
+	o.group.Go("manage hosts", o.manageHosts)
+	o.group.Go("sweep outcomes", o.sweep)
+	o.group.Go("mark ended jobs", o.markEndedJobs)
+	o.group.Go("read unread parts", o.readUnreadParts)
+	for _, home := range o.lease.ExcludedHomes() {
+		o.reconcileHome(home, nil)
+	}
+	return o.loop(ctx)
 }
 
 // enqueue queues an event for the loop, unless ctx ends first.
@@ -175,7 +194,7 @@
 			return nil
 		}
 		o.advance(now)
-		o.resetTicker(t, now)
+		o.resetTicker(t, o.site.now())
 	}
 	return nil
 }
@@ -198,7 +217,7 @@
 func (o *cellOwner) resetTicker(t *time.Ticker, now time.Time) {
 	next := maxDecideInterval
 	if o.changed {
-		next = max(time.Millisecond, minDecideInterval-now.Sub(o.decidedAt))
+		next = max(time.Millisecond, o.decideInterval-now.Sub(o.decidedAt))
 	}
 	t.Reset(next)
 }
@@ -216,14 +235,21 @@
 	}
 }
 
+// decide makes a decision and sends its orders, if a decision is due.
+func (o *cellOwner) decide(now time.Time) {
+	if !o.changed || now.Sub(o.decidedAt) < o.decideInterval || !now.Before(o.lease.ValidUntil()) {
+		return
+	}
+	o.changed, o.decidedAt = false, now
+	o.dispatchOrders(o.state.Decide(now, o.jobsKnownUpTo))
+	o.startPollers()
+	o.decideInterval = min(maxDecidePause, max(minDecideInterval, decideIntervalFactor*o.site.now().Sub(now)))
+}
+
 // advance decides and sends orders if a decision is due, and starts the writes that are
 // due.
 func (o *cellOwner) advance(now time.Time) {
-	if now.Before(o.lease.ValidUntil()) && o.changed && now.Sub(o.decidedAt) >= minDecideInterval {
-		o.changed, o.decidedAt = false, now
-		o.dispatchOrders(o.state.Decide(now, o.jobsKnownUpTo))
-		o.startPollers()
-	}
+	o.decide(now)
 	o.logEvents()
 	o.logWaits(now)
 	o.updateHomes(now)
