The model notices short runs of persistent tasks

A persistent task counted as away for long if each of its runs was over before the next check of the model, 100 ms apart. The rule counts from the last time at work.

--- a/core/cell/modelworker_test.go
+++ b/core/cell/modelworker_test.go
@@ -148,6 +148,9 @@
 		}
 	}
 	r := &modelRun{number: s.Run, alive: true, need: m.need(s.Task)}
+	if m.hasKinds() {
+		m.fleet.waits.idleSince[s.Task] = m.now // the run may end before the next check
+	}
 	w.running[s.Task] = r
 	w.extendLease(m, s.LeaseUntil)
 	m.checkPlace(w, s.Task)
