A gang is stopped if one of its runs does not start

Workers would see runs of a gang that wait for another one until they end as "alone", although their sender is in touch, and callers a job that is late by that time.

Cause: a gang is placed as a whole, but if the start of one run was refused, not sent or given up, or its placement was cancelled because its worker did not answer or was to be drained, the other runs started and waited. The gang is placed again only when all of them have ended.

The other runs are stopped, or their placements cancelled, at once.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -241,6 +241,7 @@
 	for _, r := range w.runs {
 		if r.state == placed {
 			c.cancelPlacement(r)
+			c.stopGang(r)
 		}
 	}
 }
--- a/core/cell/gang_test.go
+++ b/core/cell/gang_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/cell"
 	"bramleyrock/core/works"
 
 	"gotest.tools/v3/assert"
@@ -61,3 +62,47 @@
 		})
 	}
 }
+
+// TestGangStopsIfARunDoesNotStart guards against runs of a gang that wait for another one
+// until they end by themselves.
+func TestGangStopsIfARunDoesNotStart(t *testing.T) {
+	cases := map[string]struct {
+		refusal rock.Refusal
+		err     error
+	}{
+		"its start is refused":  {rock.RefusedCapacity, nil},
+		"its start is not sent": {"", rock.Fail("start", "w", rock.Unavailable, rock.NotRun)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 2, nil)
+			b.placeGang()
+			starts := b.Decide(b.now)
+			assert.Equal(t, len(starts), 2)
+			b.HandleReply(b.now, starts[0], rock.Reply{Clock: b.clock()}, nil)
+			b.HandleReply(b.now, starts[1], rock.Reply{Refusal: c.refusal, Clock: b.clock()}, c.err)
+			orders := b.Decide(b.now)
+			assert.Equal(t, len(orders), 1)
+			assert.Equal(t, orders[0].Kind, cell.OrderStop)
+			assert.Equal(t, orders[0].Stop.Task, starts[0].Start.Task)
+		})
+	}
+}
+
+// TestGangWithACancelledPlacementDoesNotStart does the same for a gang of which one worker
+// is to be drained before the starts are ordered.
+func TestGangWithACancelledPlacementDoesNotStart(t *testing.T) {
+	b := newHarness(t, 2, nil)
+	b.placeGang()
+	b.SetClosing(map[string]bool{"w0": true})
+	assert.Equal(t, len(b.Decide(b.now)), 0)
+}
+
+// placeGang places a gang of two tasks on two workers.
+func (b *harness) placeGang() {
+	s := step(2)
+	s.Gang, s.MaxPerWorker = true, 1
+	b.AddJob(b.now, job(jobID, s), 8)
+	b.Decide(b.now)
+	b.flush()
+}
--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -66,9 +66,23 @@
 	c.addEvent("start refused", r, string(reply.Refusal))
 	if r.startUnanswered {
 		c.stopRun(r, "an unanswered copy of the refused start may still arrive")
+	} else {
+		w.removeRun(r)
+	}
+	c.stopGang(r)
+}
+
+// stopGang stops the other runs of a gang of which one run does not start. They would
+// wait in vain.
+func (c *Cell) stopGang(r *run) {
+	if r.task == nil || !r.task.step.Gang {
 		return
 	}
-	w.removeRun(r)
+	for _, t := range r.task.step.tasks {
+		if m := t.current; m != nil && m != r && m.number == r.number {
+			c.stopRun(m, "a run of its gang does not start")
+		}
+	}
 }
 
 // handleStopReply handles a worker's reply to a stop. Unless the worker refused
@@ -90,6 +104,7 @@
 		c.addEvent("start not sent", r, err.Error())
 		r.worker.removeRun(r)
 		r.worker.backOff(now, busyBackoff)
+		c.stopGang(r)
 		return
 	}
 	c.addEvent(string(o.Kind)+" unanswered", r, fmt.Sprint(err))
@@ -104,4 +119,5 @@
 	r.worker.backOff(now, unansweredBackoff)
 	c.outliers.Record(now, r.worker.health, true)
 	c.stopRun(r, "two starts were unanswered")
+	c.stopGang(r)
 }
