--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -252,7 +253,11 @@
 	}
 }
 
-// SetWorkers sets the registered workers. Workers of other pools are ignored.
+// goneClockSlack is more than the error of the owner's estimate of a worker's clock.
+const goneClockSlack = time.Second
+
+// SetWorkers sets the registered workers. Workers of other pools are ignored. A worker
+// that has registered since it was taken for gone is not gone.
 func (c *Cell) SetWorkers(now time.Time, list []rock.Worker) {
 	listed := map[string]bool{}
 	for _, s := range list {
@@ -266,6 +271,7 @@
 		}
 		if w.Address == "" {
 			w.clock, w.clockAt, w.incarnationStart, w.answeredAt = s.Clock, s.ReadAt, s.StartedAt, now
+			w.goneClock = s.Clock
 			w.rack = rackOf(s.Labels)
 		}
 		if w.State != s.State && w.Address != "" {
@@ -274,9 +280,14 @@
 				c.cancelPlacements(w)
 			}
 		}
-		if w.gone && s.StartedAt.After(w.incarnationStart) {
+		switch {
+		case !w.gone:
+		case w.isNextIncarnation(s):
 			w.gone, w.incarnationStart, w.handledEnd, w.storedEnd, w.deferredEnds = false, s.StartedAt, 0, 0, nil
 			w.clock, w.clockAt, w.maxLeaseEnd = s.Clock, s.ReadAt, 0
+		case s.StartedAt.Equal(w.incarnationStart) && s.Clock > w.goneClock+goneClockSlack:
+			c.events = append(c.events, Event{Name: "worker not gone", Worker: s.ID, Detail: fmt.Sprintf("it has registered at %v on its clock", s.Clock)})
+			w.gone, w.unresponsive, w.maybeRestarted = false, true, true // until it reports
 		}
 		w.Worker, w.registered = s, true
 	}
@@ -289,6 +300,13 @@
 	}
 }
 
+// isNextIncarnation reports whether the registration is one of a later incarnation of the
+// worker than the last known one. Its start time may be earlier, because the time of day
+// of its host was set back, but then the former registration had another one.
+func (w *worker) isNextIncarnation(s rock.Worker) bool {
+	return s.StartedAt.After(w.incarnationStart) || !s.StartedAt.Equal(w.incarnationStart) && !s.StartedAt.Equal(w.StartedAt)
+}
+
 // removeIfUnused removes a worker that is no longer registered, has no runs, and
 // can hold no orders of a former owner. While jobs may be unread, it may have runs of
 // them, and ends that are not handled yet.
@@ -342,6 +360,9 @@
 		return rock.Worker{}, rock.RenewOrder{}, false
 	}
 	o := rock.RenewOrder{Fence: c.settings.Fence, AckedUpTo: w.storedEnd, Wait: wait}
+	if w.hasUnansweredStart() {
+		o.Wait = min(wait, unansweredWait)
+	}
 	if w.maybeRestarted {
 		o.AckedUpTo, o.Wait = 0, 0
 	}
--- a/core/cell/closing_test.go
+++ b/core/cell/closing_test.go
@@ -73,6 +73,44 @@
 	}
 }
 
+// TestGangWaitsBesideDrainedWorkers guards against a gang that waits although most of the
+// pool is free, because some of the workers with room for it are being drained.
+func TestGangWaitsBesideDrainedWorkers(t *testing.T) {
+	cases := map[string]struct {
+		busy, drained int
+		want          int
+	}{
+		"none is drained":          {want: 2},
+		"one is left":              {drained: 4, want: 2},
+		"all are drained":          {drained: 5, want: 2},
+		"two are left":             {drained: 3, want: 2},
+		"most of the pool is busy": {busy: 3, drained: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 5, nil)
+			runs := map[string][]rock.Run{}
+			if c.busy > 0 {
+				b.AddJob(b.now, job("busy", largeStep(c.busy)), 9)
+				runs = liveRuns(b.startTasks())
+			}
+			assert.Equal(t, len(runs), c.busy)
+			b.drain(c.drained, runs)
+			gang := largeStep(2)
+			gang.Gang = true
+			b.AddJob(b.now, job("waiting", gang), 9)
+			started := 0
+			for end := b.now.Add(3 * time.Second); b.now.Before(end) && started == 0; b.advance(100 * time.Millisecond) {
+				for _, w := range b.registered {
+					b.report(w.ID, runs[w.ID], nil)
+				}
+				started = len(b.startTasks())
+			}
+			assert.Equal(t, started, c.want)
+		})
+	}
+}
+
 // TestPlatformDrainCountsBeforeOwnDrain guards against more tasks of a step away than may
 // be, because one was stopped for a drain of the owner just before those on a worker that
 // the platform drains.
@@ -132,3 +170,58 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Worker.ID, "w1")
 }
+
+// TestTaskWaitsForFailedTakeDowns guards against a task that waits for good, because orders
+// for the host of the only worker are sent again and again and never carried out.
+func TestTaskWaitsForFailedTakeDowns(t *testing.T) {
+	b := newHarness(t, 1, nil)
+	b.drain(1, nil)
+	b.AddJob(b.now, job(jobID, step(1)), 9)
+	began := 0
+	for end := b.now.Add(10 * time.Second); b.now.Before(end); b.advance(50 * time.Millisecond) {
+		b.report("w0", nil, nil)
+		seen := b.Occupancy(b.now, "w0")
+		if seen.Runs == 0 && !seen.Usable && b.BeginTakeDown(b.now, b.now.Add(3*time.Second), "w0", seen) {
+			began++
+		}
+		if len(b.startTasks()) > 0 {
+			assert.Equal(t, began, 1)
+			assert.Assert(t, b.now.Sub(start) >= 3*time.Second)
+			return
+		}
+	}
+	t.Errorf("the task waits, %d take-downs\n%s", began, b.Describe(b.now, jobID))
+}
+
+// TestTakeDownOfAWorkerThatGotATask guards against the loss of a task that was placed on an
+// empty worker just before its host is taken down.
+func TestTakeDownOfAWorkerThatGotATask(t *testing.T) {
+	b := newHarness(t, 1, nil)
+	b.drain(1, nil)
+	seen := b.Occupancy(b.now, "w0")
+	assert.DeepEqual(t, seen, cell.Occupancy{Known: true})
+	b.AddJob(b.now, job(jobID, persistentStep(1, 0, 1000)), 9)
+	b.advance(1300 * time.Millisecond)
+	b.report("w0", nil, nil)
+	b.Decide(b.now)
+	assert.Assert(t, !b.BeginTakeDown(b.now, b.now.Add(time.Second), "w0", seen))
+	assert.Equal(t, len(b.startTasks()), 1)
+}
+
+// TestTakeDownCancelsPlacements guards against a start on a worker whose host is taken down
+// although tasks run there.
+func TestTakeDownCancelsPlacements(t *testing.T) {
+	b := newHarness(t, 1, nil)
+	b.drain(1, nil)
+	b.AddJob(b.now, job(jobID, step(2)), 9)
+	b.advance(1300 * time.Millisecond)
+	b.report("w0", nil, nil)
+	b.Decide(b.now)
+	b.flush()
+	seen := b.Occupancy(b.now, "w0")
+	assert.Equal(t, seen.Runs, 2)
+	assert.Assert(t, b.BeginTakeDown(b.now, b.now.Add(time.Second), "w0", seen))
+	assert.Equal(t, len(b.startTasks()), 0)
+	b.EndTakeDown("w0")
+	assert.Equal(t, len(b.startTasks()), 2)
+}
--- a/core/cell/late_test.go
+++ b/core/cell/late_test.go
@@ -87,3 +87,89 @@
 		})
 	}
 }
+
+// TestWorkerReturnsWithAnEarlierStartTime guards against a worker that is given no tasks
+// for good, because the time of day of its host was set back before it started again.
+func TestWorkerReturnsWithAnEarlierStartTime(t *testing.T) {
+	cases := map[string]struct {
+		restarted time.Time
+		want      bool
+	}{
+		"set back":               {restarted: start.Add(-time.Minute), want: true},
+		"not set back":           {restarted: start.Add(time.Second), want: true},
+		"its registration stays": {restarted: start},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 1, nil)
+			b.MarkWorkerGone(b.now, "w0", "its host was taken down")
+			b.advance(2 * time.Second)
+			b.registered[0].StartedAt, b.registered[0].ReadAt = c.restarted, b.now
+			b.SetWorkers(b.now, b.registered)
+			b.SetWorkers(b.now, b.registered)
+			b.HandleReport(b.now, b.now, "w0", rock.Report{WorkerStartedAt: c.restarted})
+			b.AddJob(b.now, job("a", step(1)), 9)
+			assert.Equal(t, len(b.startTasks()) == 1, c.want)
+		})
+	}
+}
+
+// TestWorkerThatWasWronglyTakenForGone guards against a worker that is never used again
+// because its host was said to be taken down, or another worker answered in its place,
+// although it lives on.
+func TestWorkerThatWasWronglyTakenForGone(t *testing.T) {
+	cases := map[string]struct {
+		lose func(b *harness)
+		// registers is true if the worker writes its registration again.
+		registers bool
+	}{
+		"its host was taken down":        {func(b *harness) { b.MarkWorkerGone(b.now, "w0", "its host was taken down") }, true},
+		"another incarnation answers":    {func(b *harness) { b.HandleReport(b.now, b.now, "w0", rock.Report{Refusal: rock.RefusedIdentity}) }, true},
+		"it is gone and was not removed": {func(b *harness) { b.MarkWorkerGone(b.now, "w0", "its host was taken down") }, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 1, nil)
+			b.advance(time.Minute)
+			b.report("w0", nil, nil)
+			b.registered[0].Clock, b.registered[0].ReadAt = b.clock(), b.now
+			b.SetWorkers(b.now, b.registered)
+			c.lose(b)
+			b.AddJob(b.now, job(jobID, step(1)), 8)
+			started := false
+			for range 10 {
+				b.advance(500 * time.Millisecond)
+				if c.registers {
+					b.registered[0].Clock, b.registered[0].ReadAt = b.clock(), b.now
+				}
+				b.SetWorkers(b.now, b.registered)
+				if _, _, ok := b.HoldOrder(b.now, "w0", 0); ok {
+					b.report("w0", nil, nil)
+				}
+				b.flush()
+				started = started || len(b.startTasks()) > 0
+			}
+			assert.Equal(t, started, c.registers, b.Describe(b.now, jobID))
+		})
+	}
+}
+
+// TestBatchOfAFormerIncarnationAcknowledgesNothing guards against a task that runs twice:
+// its end is acknowledged before it is stored, because a batch that was written while its
+// worker restarted holds an end with the same number.
+func TestBatchOfAFormerIncarnationAcknowledgesNothing(t *testing.T) {
+	b := newHarness(t, 1, nil)
+	b.AddJob(b.now, job("a", step(2)), 9)
+	s := b.startTasks()
+	assert.Equal(t, len(s), 2)
+	b.report("w0", running(s[1]), []rock.End{end(s[0], rock.EndDone)})
+	batch := b.Flush(b.now)
+	b.advance(time.Second)
+	// A late copy of the other start has reached the next incarnation.
+	other := rock.End{Number: 1, Task: s[1].Start.Task, Run: s[1].Start.Run, Reason: rock.EndDone}
+	b.HandleReport(b.now, b.now, "w0", rock.Report{WorkerStartedAt: b.now, Ended: []rock.End{other}})
+	b.Flushed(b.now, batch)
+	assert.Equal(t, b.ackedUpTo("w0"), int64(0))
+	b.flush()
+	assert.Equal(t, b.ackedUpTo("w0"), int64(1))
+}
