--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -27,8 +27,8 @@
 		c.fenced = true
 		return
 	case rock.RefusedIdentity:
-		c.loseWorker(now, r.worker, "another incarnation answers at its address")
-		return
+		c.handleOtherIdentity(now, r.orderedAt, r.worker)
+		return // the order is repeated if the worker has reported since it was sent
 	}
 	if o.Kind == OrderStop {
 		c.handleStopReply(now, r, reply)
@@ -92,15 +92,16 @@
 		r.worker.backOff(now, busyBackoff)
 		return
 	}
-	r.orderedAt = now
 	c.addEvent(string(o.Kind)+" unanswered", r, fmt.Sprint(err))
 	if o.Kind != OrderStart {
 		return
 	}
-	if r.startUnanswered && r.state == starting {
-		c.outliers.Record(now, r.worker.health, true)
-		c.stopRun(r, "two starts were unanswered")
+	if !r.startUnanswered || r.state != starting {
+		r.startUnanswered = true
+		r.worker.backOff(now, busyBackoff)
+		return
 	}
-	r.startUnanswered = true
-	r.worker.backOff(now, busyBackoff)
+	r.worker.backOff(now, unansweredBackoff)
+	c.outliers.Record(now, r.worker.health, true)
+	c.stopRun(r, "two starts were unanswered")
 }
