--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -285,7 +285,7 @@
 		case !w.gone:
 		case w.isNextIncarnation(s):
 			w.gone, w.incarnationStart, w.handledEnd, w.storedEnd, w.deferredEnds = false, s.StartedAt, 0, 0, nil
-			w.clock, w.clockAt, w.maxLeaseEnd = s.Clock, s.ReadAt, 0
+			w.clock, w.clockAt, w.maxLeaseEnd, w.dates = s.Clock, s.ReadAt, 0, reportDates{}
 		case s.StartedAt.Equal(w.incarnationStart) && s.Clock > w.goneClock+goneClockSlack:
 			c.events = append(c.events, Event{Name: "worker not gone", Worker: s.ID, Detail: fmt.Sprintf("it has registered at %v on its clock", s.Clock)})
 			w.gone, w.unresponsive, w.maybeRestarted = false, true, true // until it reports
--- a/core/cell/closing.go
+++ b/core/cell/closing.go
@@ -177,7 +177,7 @@
 		c.evacuateWorker(now, w, usable, func(*task) bool { return true })
 	}
 	for _, w := range closing {
-		c.evacuateWorker(now, w, usable, c.mayInterrupt)
+		c.evacuateWorker(now, w, usable, func(t *task) bool { return mayInterrupt(now, t) })
 	}
 }
 
@@ -197,19 +197,21 @@
 // mayInterrupt reports whether the task may be stopped while its job goes on,
 // which holds while fewer than MaxUnavailable other tasks of its step are
 // unavailable.
-func (c *Cell) mayInterrupt(t *task) bool {
+func mayInterrupt(now time.Time, t *task) bool {
 	unavailable := 0
 	for _, o := range t.step.tasks {
-		if o != t && !o.available() {
+		if o != t && !o.available(now) {
 			unavailable++
 		}
 	}
 	return unavailable < t.step.MaxUnavailable
 }
 
-// available reports whether the task is known to run, with all of its resources,
-// on a worker that answers.
-func (t *task) available() bool {
+// available reports whether the task is known to run, with all of its resources, on a
+// worker that answers. It may have ended since if the last report was made long ago: this
+// process may have been paused.
+func (t *task) available(now time.Time) bool {
 	r := t.current
-	return r != nil && r.state == running && r.percent >= 100 && !r.worker.unresponsive && !r.worker.gone
+	return r != nil && r.state == running && r.percent >= 100 && !r.worker.unresponsive && !r.worker.gone &&
+		now.Sub(r.worker.answeredAt) < maxReportAge
 }
--- a/core/cell/modelkinds_test.go
+++ b/core/cell/modelkinds_test.go
@@ -239,8 +239,9 @@
 	m.takeOver()
 }
 
-// kindSeeds holds seeds in which tasks have waited for good.
-var kindSeeds = []uint64{22, 41, 97}
+// kindSeeds holds seeds that have failed: in the first ones tasks waited for good, in the
+// last one a task was stopped on the word of a report from before a pause.
+var kindSeeds = []uint64{22, 41, 97, 4082}
 
 // TestRandomFleetKinds guards against tasks that wait for good although most of the fleet
 // is free, with steps and faults of all kinds.
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -36,8 +36,9 @@
 		}
 		c.handleRestart(w, report)
 	}
+	made := w.dates.date(now, sent, report.Clock)
 	w.clock, w.clockAt = report.Clock, now
-	w.answeredAt, w.unresponsive, w.maybeRestarted = now, false, false
+	w.answeredAt, w.unresponsive, w.maybeRestarted = made, false, false
 	if !w.acceptedFence {
 		w.acceptedFence = true
 		c.addEvent("worker fenced", nil, fmt.Sprintf("worker %s fence %d runs %d ends %d", id, c.settings.Fence, len(report.Running), len(report.Ended)))
@@ -52,7 +53,7 @@
 		}
 	}
 	if !w.gone {
-		c.reconcileRuns(now, sent, w, report)
+		c.reconcileRuns(now, sent, made, w, report)
 		c.adjustThrottle(now, w)
 	}
 	if c.dirtySince.IsZero() && !c.flushing {
@@ -73,7 +74,7 @@
 // incarnation, and the next report decides.
 func (c *Cell) handleRestart(w *worker, report rock.Report) {
 	c.addEvent("worker reborn", nil, fmt.Sprintf("worker %s started at %v ms, before at %v ms", w.id(), report.WorkerStartedAt.UnixMilli(), w.incarnationStart.UnixMilli()))
-	w.incarnationStart, w.handledEnd, w.storedEnd, w.acceptedFence, w.deferredEnds = report.WorkerStartedAt, 0, 0, false, nil
+	w.incarnationStart, w.handledEnd, w.storedEnd, w.acceptedFence, w.deferredEnds, w.dates = report.WorkerStartedAt, 0, 0, false, nil, reportDates{}
 	// Orders that were sent earlier may have reached the new incarnation. Their
 	// lease ends are times of the former clock, and the worker limits them to its
 	// longest lease.
@@ -239,8 +240,9 @@
 
 // reconcileRuns updates the worker's runs from the runs that its report lists. It
 // adopts unknown runs, and loses runs that are not listed and were confirmed before the
-// report was requested, or can start no more.
-func (c *Cell) reconcileRuns(now, sent time.Time, w *worker, report rock.Report) {
+// report was requested, or can start no more. The report was requested and made at the
+// given times.
+func (c *Cell) reconcileRuns(now, sent, made time.Time, w *worker, report rock.Report) {
 	listed := make(map[runKey]bool, len(report.Running))
 	for i := range report.Running {
 		reported := &report.Running[i]
@@ -248,17 +250,17 @@
 		listed[key] = true
 		r := w.runs[key]
 		if r == nil {
-			c.adoptRun(now, w, reported)
+			c.adoptRun(now, made, w, reported)
 			continue
 		}
 		r.checkpoint = newestCheckpoint(reported.Checkpoint, r.checkpoint)
 		r.percent, r.metric = reported.Percent, reported.Metric
 		if r.state != stopping {
-			r.confirmedAt = now
+			r.confirmedAt = made
 		}
 		if r.state == starting {
 			r.state = running
-			r.answeredAt = now
+			r.answeredAt = made
 			c.markStarted(now, r)
 		}
 	}
@@ -298,9 +300,9 @@
 // adoptRun adds a run that the cell does not know: a former owner started it, or
 // the order to start it arrived late. The run is stopped unless its task needs it or
 // its job may still be unread.
-func (c *Cell) adoptRun(now time.Time, w *worker, reported *rock.Run) {
+func (c *Cell) adoptRun(now, made time.Time, w *worker, reported *rock.Run) {
 	t := c.findTask(reported.Task)
-	r := &run{key: reported.Task, number: reported.Run, worker: w, state: running, answeredAt: now, startedAt: now, confirmedAt: now, checkpoint: reported.Checkpoint, percent: reported.Percent}
+	r := &run{key: reported.Task, number: reported.Run, worker: w, state: running, answeredAt: made, startedAt: now, confirmedAt: made, checkpoint: reported.Checkpoint, percent: reported.Percent}
 	if t != nil {
 		r.resources = t.step.Reservation()
 	}
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -26,9 +26,11 @@
 	clockAt time.Time
 	// maxLeaseEnd is the latest lease end that was sent, on the worker's clock.
 	maxLeaseEnd time.Duration
-	// answeredAt is when the worker last reported. unresponsive is true if it left an
-	// order unanswered, or refused a renewal, since then.
+	// answeredAt is when the worker made its last report, as far as its clock tells; see
+	// dateReport. unresponsive is true if it left an order unanswered, or refused a
+	// renewal, since then.
 	answeredAt   time.Time
+	dates        reportDates
 	unresponsive bool
 	// maybeRestarted is true from an unanswered order to the worker's next report:
 	// the worker may have restarted, which numbers its ends from 1 again.
