--- a/core/maint/state.go
+++ b/core/maint/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -50,20 +51,42 @@
 	return data, nil
 }
 
-// Finish marks a host as done, because it is up again or has left the platform
-// for good, and removes its claim.
-func (s *State) Finish(host string) {
-	delete(s.Claims, host)
-	if !slices.Contains(s.Done, host) {
-		s.Done = append(s.Done, host)
+// Clone returns a copy that shares nothing with s.
+func (s State) Clone() State {
+	return State{Claims: maps.Clone(s.Claims), Done: slices.Clone(s.Done)}
+}
+
+// DoneHosts returns the hosts whose maintenance is over.
+func (s *State) DoneHosts() map[string]bool {
+	done := make(map[string]bool, len(s.Done))
+	for _, h := range s.Done {
+		done[h] = true
+	}
+	return done
+}
+
+// Finish marks hosts as done, because they are up again or have left the platform
+// for good, and removes their claims.
+func (s *State) Finish(hosts ...string) {
+	if len(hosts) == 0 {
+		return
+	}
+	done := s.DoneHosts()
+	for _, h := range hosts {
+		delete(s.Claims, h)
+		if !done[h] {
+			s.Done = append(s.Done, h)
+			done[h] = true
+		}
 	}
 }
 
 // AllStarted reports whether every host of the wave is done or its maintenance is
 // ordered. The operator may then be told that the wave is completed.
 func (s *State) AllStarted(w rock.MaintenanceWave) bool {
+	done := s.DoneHosts()
 	for _, h := range w.Hosts {
-		if !s.Claims[h].Ordered && !slices.Contains(s.Done, h) {
+		if !s.Claims[h].Ordered && !done[h] {
 			return false
 		}
 	}
@@ -114,8 +137,9 @@
 // the duration since ago.
 func Urgent(since time.Duration, w rock.MaintenanceWave, s State) bool {
 	left := 0
+	done := s.DoneHosts()
 	for _, h := range w.Hosts {
-		if !slices.Contains(s.Done, h) {
+		if !done[h] {
 			left++
 		}
 	}
@@ -133,13 +157,14 @@
 		return nil
 	}
 	claimedHere := 0
+	done := s.DoneHosts()
 	var eligible []Host
 	for _, h := range hosts {
 		if _, claimed := s.Claims[h.Name]; claimed {
 			claimedHere++
 			continue
 		}
-		if h.Eligible && !slices.Contains(s.Done, h.Name) {
+		if h.Eligible && !done[h.Name] {
 			eligible = append(eligible, h)
 		}
 	}
--- a/io/site/announced.go
+++ b/io/site/announced.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	rock "bramleyrock"
@@ -77,10 +78,13 @@
 func (m *hostManager) loadRecentOrders(ctx context.Context, hosts []rock.PlatformHost) {
 	o := m.owner
 	now := o.site.now()
+	if !m.gapListedAt.IsZero() {
+		m.closeGap(ctx, now)
+	}
 	if m.recentOrdersKnown || now.Sub(m.firstListedAt) > m.orderGap() {
 		return
 	}
-	until, err := m.readRecentOrders(ctx)
+	until, err := m.readRecentOrders(ctx, o.site.view.cellNames())
 	if err != nil {
 		o.log.WithError(err).Info("Recent orders for hosts are not known yet.")
 		return
@@ -101,11 +105,38 @@
 	o.log.WithField("hosts", n).WithField("ordered", len(until)).Info("Recent orders for hosts are known.")
 }
 
-// readRecentOrders reads until when the owners of all cells may send orders, by host. It
+// closeGap finds out which of the pool's hosts other holders may have ordered while the
+// hosts were not listed. If that cannot be read, all hosts wait for orderGap.
+func (m *hostManager) closeGap(ctx context.Context, now time.Time) {
+	o := m.owner
+	logger := o.log.WithField("since_listing_ms", now.Sub(m.gapListedAt).Milliseconds())
+	if now.Sub(m.gapListedAt) > m.orderGap() {
+		m.gapListedAt = time.Time{}
+		logger.Info("Hosts may be ordered again, those that were ordered meanwhile have waited.")
+		return
+	}
+	others := slices.DeleteFunc(o.site.view.cellNames(), func(name string) bool { return name == o.cell })
+	until, err := m.readRecentOrders(ctx, others)
+	if err != nil {
+		logger.WithError(err).Info("Orders for hosts since the last listing are not known yet.")
+		return
+	}
+	n := 0
+	for host, since := range m.inPoolSince {
+		if t := until[host]; t.After(since) {
+			m.inPoolSince[host] = t
+			n++
+		}
+	}
+	m.gapListedAt = time.Time{}
+	logger.WithField("ordered", n).Info("Orders for hosts since the last listing are known.")
+}
+
+// readRecentOrders reads until when the owners of the cells may send orders, by host. It
 // omits times that are longer ago than orderGap.
-func (m *hostManager) readRecentOrders(ctx context.Context) (map[string]time.Time, error) {
+func (m *hostManager) readRecentOrders(ctx context.Context, cells []string) (map[string]time.Time, error) {
 	o := m.owner
-	rows, err := o.site.listAnnouncedOrders(ctx)
+	rows, err := o.site.listAnnouncedOrders(ctx, cells)
 	if err != nil {
 		return nil, err
 	}
@@ -125,10 +156,9 @@
 	return until, nil
 }
 
-// listAnnouncedOrders reads the announced orders in all homes of all cells that are in
+// listAnnouncedOrders reads the announced orders in all homes of the cells that are in
 // use. It fails if one of the homes cannot be read.
-func (s *Site) listAnnouncedOrders(ctx context.Context) ([]rock.Row, error) {
-	cells := s.view.cellNames()
+func (s *Site) listAnnouncedOrders(ctx context.Context, cells []string) ([]rock.Row, error) {
 	results := make(chan []rock.Row, tenure.HomeCount*len(cells))
 	g := group.New(ctx)
 	for _, cell := range cells {
--- a/io/site/commit.go
+++ b/io/site/commit.go
@@ -143,7 +143,7 @@
 	if o.state == nil {
 		return renewal{Record: r} // the cell is being read
 	}
-	l := o.state.Load(now)
+	l := o.currentLoad(now)
 	sinceSurge, surged := o.activity.SinceSurge(now)
 	return renewal{
 		HasLoad: true, WaitingJobs: l.WaitingJobs, RemainingWork: l.RemainingWork, Cores: l.Cores,
--- a/io/site/hostmanager.go
+++ b/io/site/hostmanager.go
@@ -11,6 +11,7 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/cell"
+	"bramleyrock/core/maint"
 	"bramleyrock/core/resize"
 )
 
@@ -33,6 +34,10 @@
 	// true once the orders of former holders have been read.
 	firstListedAt     time.Time
 	recentOrdersKnown bool
+	// gapListedAt is when the hosts were listed again after they had not been listed for
+	// longer than maxListGap, or zero if it is known which of them other holders have
+	// ordered meanwhile.
+	gapListedAt time.Time
 	// announcedOrders holds the hosts that may get orders, and until when.
 	announcedOrders map[string]time.Time
 	// claimedAt is when this owner first saw that a host is claimed for a wave.
@@ -59,13 +64,15 @@
 	endingMu      sync.Mutex // guards refusedAt, endingWorkers and the results of orders that are sent in parallel
 	// pendingWaves holds the waves whose orders are sent in this round.
 	pendingWaves []pendingWave
+	// waveStates holds the last known states of waves that are not completed.
+	waveStates map[string]maint.State
 }
 
 // newHostManager returns the manager of the hosts of the owner's pool.
 func newHostManager(o *cellOwner) *hostManager {
 	return &hostManager{
 		owner: o, inPoolSince: map[string]time.Time{}, announcedOrders: map[string]time.Time{}, claimedAt: map[string]time.Time{}, orderedUpSince: map[string]time.Time{},
-		completedWaves: map[string]bool{}, announcedWaves: map[string]bool{}, endingWorkers: map[string]string{}, refusedAt: map[string]time.Time{}, departures: map[string]departure{}, activity: o.activity, listedAt: o.site.now(),
+		completedWaves: map[string]bool{}, announcedWaves: map[string]bool{}, endingWorkers: map[string]string{}, refusedAt: map[string]time.Time{}, departures: map[string]departure{}, waveStates: map[string]maint.State{}, activity: o.activity, listedAt: o.site.now(),
 	}
 }
 
@@ -82,20 +89,28 @@
 	}
 }
 
-// reconcile makes one round over all hosts of the pool.
+// maxRoundTime is how long a round may take without being logged.
+const maxRoundTime = 600 * time.Millisecond
+
+// reconcile makes one round over all hosts of the pool. Waves that fail do not keep hosts
+// from moving, nor the reverse.
 func (m *hostManager) reconcile(ctx context.Context) error {
+	t := newRoundTimer(m.owner.site.now)
+	defer func() { t.log(m.owner.log) }()
 	hosts, err := m.owner.site.settings.Hosts.Hosts(ctx)
+	t.record("list")
 	if err != nil {
 		return fmt.Errorf("list hosts: %w", err)
 	}
-	if now := m.owner.site.now(); now.Sub(m.listedAt) > maxListGap {
-		clear(m.inPoolSince) // a host may have left the pool and come back meanwhile
-		m.listedAt = now
-	}
 	m.recordHosts(hosts)
-	m.listedAt = m.owner.site.now()
 	m.loadRecentOrders(ctx, hosts)
 	m.reportGoneWorkers(ctx, hosts)
+	t.record("recent_orders")
+	s, err := m.snapshot(ctx, workersOf(hosts, m.owner.pool), withLoad)
+	t.record("snapshot")
+	if err != nil {
+		return err
+	}
 	waves, seen := m.owner.site.view.listWaves()
 	closing, claimed := map[string]bool{}, map[string]bool{}
 	m.pendingWaves = nil
@@ -104,25 +119,45 @@
 		if m.completedWaves[name] {
 			continue
 		}
-		if err := m.reconcileWave(ctx, name, waves[name], seen[name], hosts, closing, claimed); err != nil && failed == nil {
-			failed = fmt.Errorf("wave %s: %w", name, err)
+		if err := m.reconcileWave(ctx, name, waves[name], seen[name], hosts, s); err != nil {
+			failed = errors.Join(failed, fmt.Errorf("wave %s: %w", name, err))
 		}
+		m.closeClaimed(m.waveStates[name], hosts, closing, claimed)
 	}
-	movable, err := m.planMoves(ctx, hosts, closing, claimed)
-	if err != nil {
-		return err
-	}
+	t.record("waves")
+	movable := m.planMoves(s, hosts, closing, claimed)
 	m.setClosing(ctx, closing)
+	t.record("plan")
 	// Moves come first: a surge waits for them, and a wave has more time.
-	return errors.Join(failed, m.moveEmptyHosts(ctx, movable), m.orderPendingWaves(ctx))
+	failed = errors.Join(failed, m.moveEmptyHosts(ctx, movable))
+	t.record("moves")
+	failed = errors.Join(failed, m.orderPendingWaves(ctx))
+	t.record("maintenance")
+	return failed
+}
+
+// workersOf returns the workers on the pool's hosts.
+func workersOf(hosts []rock.PlatformHost, pool string) []string {
+	var ids []string
+	for _, h := range hosts {
+		if h.Pool == pool {
+			ids = append(ids, h.Worker)
+		}
+	}
+	return ids
 }
 
-// recordHosts records since when each host has been in the pool.
+// recordHosts records since when each host has been in the pool. A host may have left it
+// and come back unnoticed if the last listing is long ago.
 func (m *hostManager) recordHosts(hosts []rock.PlatformHost) {
 	now := m.owner.site.now()
 	if m.firstListedAt.IsZero() {
 		m.firstListedAt = now
 	}
+	if now.Sub(m.listedAt) > maxListGap {
+		m.gapListedAt = now
+	}
+	m.listedAt = now
 	present := map[string]bool{}
 	for _, h := range hosts {
 		if h.Pool == m.owner.pool {
@@ -139,7 +174,7 @@
 // least gap to orders of another holder.
 func (m *hostManager) mayOrder(host string) bool {
 	t := m.inPoolSince[host]
-	return !t.IsZero() && m.owner.site.now().Sub(t) > m.orderGap()
+	return !t.IsZero() && m.gapListedAt.IsZero() && m.owner.site.now().Sub(t) > m.orderGap()
 }
 
 // holderMargin is added to the least gap between the orders of two holders, for orders
@@ -190,16 +225,28 @@
 	occupancy    map[string]cell.Occupancy
 }
 
+// snapshotContents tells whether a snapshot contains the load, which takes long to
+// compute.
+type snapshotContents string
+
+const (
+	withLoad    snapshotContents = "with load"
+	withoutLoad snapshotContents = "without load"
+)
+
 // snapshot returns the cell's state from the owner's loop, with the occupancy of the
 // given workers. It fails with errOwnershipUncertain if the lease is not valid.
-func (m *hostManager) snapshot(ctx context.Context, workers []string) (cellSnapshot, error) {
+func (m *hostManager) snapshot(ctx context.Context, workers []string, contents snapshotContents) (cellSnapshot, error) {
 	answers := make(chan cellSnapshot, 1)
 	o := m.owner
 	o.enqueue(ctx, func(now time.Time) {
 		until := o.lease.ValidUntil()
 		home := o.lease.Main()
 		ownerVersion, _ := o.lease.Versions(home)
-		s := cellSnapshot{leaseValid: now.Before(until), validUntil: until, fencingToken: o.lease.FencingToken(), home: home, ownerVersion: ownerVersion, load: o.state.Load(now), occupancy: map[string]cell.Occupancy{}}
+		s := cellSnapshot{leaseValid: now.Before(until), validUntil: until, fencingToken: o.lease.FencingToken(), home: home, ownerVersion: ownerVersion, occupancy: make(map[string]cell.Occupancy, len(workers))}
+		if contents == withLoad {
+			s.load = o.currentLoad(now)
+		}
 		for _, id := range workers {
 			s.occupancy[id] = o.state.Occupancy(now, id)
 		}
--- /dev/null
+++ b/io/site/hostorders.go
@@ -0,0 +1,75 @@
+package site
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	rock "bramleyrock"
+	"bramleyrock/core/group"
+)
+
+const (
+	// maxParallelOrders is the number of orders for hosts that are sent in parallel. One
+	// takes 14 ms.
+	maxParallelOrders = 4
+	// maxOrderTime bounds the time for which one call of sendOrders sends orders. A round
+	// calls it twice, and lists the hosts again within maxListGap.
+	maxOrderTime = 500 * time.Millisecond
+)
+
+// sendOrders calls send for each host, a few at a time, until the ownership in the
+// snapshot ends, maxOrderTime has passed, or the platform refuses an order because there
+// are too many. A failed order does not end the others. It returns the hosts that were
+// certainly not ordered, because of an error or because send was not called for them, and
+// the first error.
+func (m *hostManager) sendOrders(ctx context.Context, hosts []rock.PlatformHost, s cellSnapshot, send func(ctx context.Context, h rock.PlatformHost) error) ([]rock.PlatformHost, error) {
+	var mu sync.Mutex // guards the variables up to stopped
+	var failed error
+	var notOrdered []rock.PlatformHost
+	unsent := hosts
+	stopped := false
+	started := m.owner.site.now()
+	next := func() (rock.PlatformHost, bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		now := m.owner.site.now()
+		switch {
+		case stopped || len(unsent) == 0:
+			return rock.PlatformHost{}, false
+		case !now.Before(s.validUntil): // the process was suspended
+			failed, stopped = errors.Join(failed, errOwnershipUncertain), true
+			return rock.PlatformHost{}, false
+		case now.Sub(started) >= maxOrderTime:
+			stopped = true
+			return rock.PlatformHost{}, false
+		}
+		h := unsent[0]
+		unsent = unsent[1:]
+		return h, true
+	}
+	g := group.New(ctx)
+	for range min(maxParallelOrders, len(hosts)) {
+		g.Go("order hosts", func(ctx context.Context) error {
+			for h, ok := next(); ok; h, ok = next() {
+				err := send(ctx, h)
+				if err == nil {
+					continue
+				}
+				mu.Lock()
+				if failed == nil {
+					failed = err
+				}
+				if rock.VerdictOf(err) == rock.NotRun {
+					notOrdered = append(notOrdered, h)
+				}
+				stopped = stopped || rock.ReasonOf(err) == rock.Overloaded
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	err := g.Wait()
+	return append(notOrdered, unsent...), errors.Join(err, failed)
+}
--- a/io/site/maintenance.go
+++ b/io/site/maintenance.go
@@ -9,7 +9,6 @@
 
 	rock "bramleyrock"
 	"bramleyrock/core/cell"
-	"bramleyrock/core/group"
 	"bramleyrock/core/maint"
 )
 
@@ -27,40 +26,86 @@
 	maxCalmWork = 0.25
 )
 
-// reconcileWave makes one round for a wave: it updates the claims of the pool's hosts,
-// and adds workers to close to closing and claimed hosts to claimed.
-func (m *hostManager) reconcileWave(ctx context.Context, name string, w rock.MaintenanceWave, seen time.Time, hosts []rock.PlatformHost, closing, claimed map[string]bool) error {
-	rowKey := key(cellTable, wavePart, name)
-	row, state, err := m.readWaveState(ctx, name)
-	if err != nil {
-		return err
-	}
-	if state.AllStarted(w) {
-		return m.publishCompletion(ctx, name, true)
-	}
-	byName := map[string]rock.PlatformHost{}
+// maxClaimAttempts bounds the attempts in one round to write a wave's state, which the
+// owners of other pools write too.
+const maxClaimAttempts = 4
+
+// reconcileWave makes one round for a wave: it updates the claims of the pool's hosts.
+// Hosts are the hosts of all pools, and s shows the pool's workers.
+func (m *hostManager) reconcileWave(ctx context.Context, name string, w rock.MaintenanceWave, seen time.Time, hosts []rock.PlatformHost, s cellSnapshot) error {
+	byName := make(map[string]rock.PlatformHost, len(hosts))
 	for _, h := range hosts {
 		byName[h.Name] = h
 	}
-	m.announceWave(ctx, name)
-	changed := m.finishHosts(w, &state, byName)
-	added, err := m.claimHosts(ctx, w, &state, seen, hosts)
-	if err != nil {
-		return err
+	var err error
+	for range maxClaimAttempts {
+		var row rock.Row
+		var state maint.State
+		row, state, err = m.readWaveState(ctx, name)
+		if err != nil {
+			return err
+		}
+		m.waveStates[name] = state
+		if state.AllStarted(w) {
+			delete(m.waveStates, name)
+			return m.publishCompletion(ctx, name, true)
+		}
+		m.announceWave(ctx, name)
+		next := state.Clone()
+		finished := m.finishHosts(w, &next, byName)
+		claimed := m.claimHosts(w, &next, seen, hosts, s)
+		if len(finished)+len(claimed) > 0 {
+			err = m.writeWaveState(ctx, key(cellTable, wavePart, name), row.Version(), next)
+			if rock.ReasonOf(err) == rock.Conflict {
+				continue
+			}
+			if err != nil {
+				return err
+			}
+			m.recordClaims(w, next, byName, finished, claimed, s)
+		}
+		m.waveStates[name] = next
+		m.pendingWaves = append(m.pendingWaves, pendingWave{name, w, next, byName})
+		return nil
 	}
-	for host, c := range state.Claims {
-		claimed[host] = true
-		if c.Ordered {
-			closing[c.Worker] = true // the order ends this worker, even if it is still listed
-		} else if h := byName[host]; h.Pool == m.owner.pool {
+	return err
+}
+
+// recordClaims records and logs stored changes of a wave's state.
+func (m *hostManager) recordClaims(w rock.MaintenanceWave, state maint.State, hosts map[string]rock.PlatformHost, finished, claimed []string, s cellSnapshot) {
+	logger := m.owner.log.WithField("wave", w.Number)
+	for _, name := range finished {
+		delete(m.orderedUpSince, name)
+		if h, ok := hosts[name]; ok {
+			logger.WithField("host", name).WithField("worker", h.Worker).Info("Host is maintained.")
+		} else {
+			logger.WithField("host", name).Info("Host of the wave is not listed any more.")
+		}
+	}
+	for _, name := range claimed {
+		logger.WithField("host", name).WithField("worker", state.Claims[name].Worker).
+			WithField("work", s.load.RemainingWork).WithField("cores", s.load.Cores).Info("Host is claimed for maintenance.")
+	}
+}
+
+// closeClaimed adds the workers on a wave's claimed hosts to closing, and the hosts to
+// claimed.
+func (m *hostManager) closeClaimed(state maint.State, hosts []rock.PlatformHost, closing, claimed map[string]bool) {
+	if len(state.Claims) == 0 {
+		return
+	}
+	for _, h := range hosts {
+		c, ok := state.Claims[h.Name]
+		if ok && !c.Ordered && h.Pool == m.owner.pool {
 			closing[h.Worker] = true
 		}
 	}
-	if changed || added {
-		return m.writeWaveState(ctx, rowKey, row.Version(), state) // orders follow in the next round, from the stored state
+	for name, c := range state.Claims {
+		claimed[name] = true
+		if c.Ordered {
+			closing[c.Worker] = true // the order ends this worker, even if it is still listed
+		}
 	}
-	m.pendingWaves = append(m.pendingWaves, pendingWave{name, w, state, byName})
-	return nil
 }
 
 // pendingWave is a wave whose orders are sent after the cell was told which workers
@@ -86,27 +131,24 @@
 	return nil
 }
 
-// finishHosts records which of the cell's claimed hosts are up again, and which of the
-// wave's hosts are not listed any more. It reports whether the state has changed.
-func (m *hostManager) finishHosts(w rock.MaintenanceWave, state *maint.State, hosts map[string]rock.PlatformHost) bool {
-	changed := false
+// finishHosts marks the cell's claimed hosts as done that are up again, and the wave's
+// hosts that are not listed any more. It returns their names.
+func (m *hostManager) finishHosts(w rock.MaintenanceWave, state *maint.State, hosts map[string]rock.PlatformHost) []string {
+	var finished []string
+	done := state.DoneHosts()
 	for _, name := range w.Hosts {
 		h, ok := hosts[name]
 		c, claimed := state.Claims[name]
 		switch {
-		case !ok && !slices.Contains(state.Done, name):
-			state.Finish(name)
-			changed = true
-			m.owner.log.WithField("host", name).WithField("wave", w.Number).Info("Host of the wave is not listed any more.")
+		case !ok && !done[name]:
+			finished = append(finished, name)
 		case ok && claimed && c.Ordered && h.Pool == m.owner.pool && m.isMaintained(h, c):
-			state.Finish(name)
-			changed = true
-			delete(m.orderedUpSince, name)
+			finished = append(finished, name)
 			delete(m.endingWorkers, h.Worker)
-			m.owner.log.WithField("host", name).WithField("wave", w.Number).WithField("worker", h.Worker).Info("Host is maintained.")
 		}
 	}
-	return changed
+	state.Finish(finished...)
+	return finished
 }
 
 // isMaintained reports whether a host whose maintenance was ordered is up again. The
@@ -127,44 +169,34 @@
 	return now.Sub(m.orderedUpSince[h.Name]) > carriedOutDelay
 }
 
-// claimHosts claims the hosts that are taken down next. It reports whether it claimed any.
-func (m *hostManager) claimHosts(ctx context.Context, w rock.MaintenanceWave, state *maint.State, seen time.Time, hosts []rock.PlatformHost) (bool, error) {
+// claimHosts claims the hosts that are taken down next, and returns their names.
+func (m *hostManager) claimHosts(w rock.MaintenanceWave, state *maint.State, seen time.Time, hosts []rock.PlatformHost, s cellSnapshot) []string {
 	o := m.owner
-	now := o.site.now()
-	var workerIDs []string
-	pool := maint.Pool{}
-	for _, h := range hosts {
-		if h.Pool == o.pool {
-			pool.Hosts++
-			workerIDs = append(workerIDs, h.Worker)
-		}
-	}
-	s, err := m.snapshot(ctx, workerIDs)
-	if err != nil {
-		return false, err
+	inWave := make(map[string]bool, len(w.Hosts))
+	for _, name := range w.Hosts {
+		inWave[name] = true
 	}
+	pool := maint.Pool{Idle: true}
 	var candidates []maint.Host
 	workers := map[string]string{}
-	standby := true
 	for _, h := range hosts {
 		if h.Pool != o.pool {
 			continue
 		}
-		standby = standby && h.Worker == ""
-		if slices.Contains(w.Hosts, h.Name) {
+		pool.Hosts++
+		pool.Idle = pool.Idle && h.Worker == ""
+		if inWave[h.Name] {
 			c := s.occupancy[h.Worker]
 			candidates = append(candidates, maint.Host{Name: h.Name, Worker: h.Worker, Eligible: h.Phase == rock.HostUp && m.mayOrder(h.Name) && m.departures[h.Name].to == "", Runs: c.Runs, PersistentRuns: c.PersistentRuns})
 			workers[h.Name] = h.Worker
 		}
 	}
-	pool.HasSpareCapacity, pool.Idle = s.load.RemainingWork <= maxCalmWork*s.load.Cores, standby
-	picked := maint.SelectHosts(now.Sub(seen), w, *state, candidates, pool)
+	pool.HasSpareCapacity = s.load.RemainingWork <= maxCalmWork*s.load.Cores
+	picked := maint.SelectHosts(o.site.now().Sub(seen), w, *state, candidates, pool)
 	for _, name := range picked {
 		state.Claims[name] = maint.Claim{Worker: workers[name]}
-		o.log.WithField("host", name).WithField("wave", w.Number).WithField("worker", workers[name]).
-			WithField("work", s.load.RemainingWork).WithField("cores", s.load.Cores).Info("Host is claimed for maintenance.")
 	}
-	return len(picked) > 0, nil
+	return picked
 }
 
 // orderMaintenance orders the maintenance of the cell's claimed hosts that are empty, a
@@ -179,7 +211,7 @@
 	if len(workerIDs) == 0 {
 		return nil, nil
 	}
-	s, err := m.snapshot(ctx, workerIDs)
+	s, err := m.snapshot(ctx, workerIDs, withoutLoad)
 	if err != nil {
 		return nil, err
 	}
@@ -194,35 +226,23 @@
 	if err != nil || len(ready) == 0 {
 		return nil, err
 	}
-	defer func() { m.endTakeDowns(ctx, ready) }() // of the hosts that were not ordered
+	notOrdered := ready
+	defer func() { m.endTakeDowns(ctx, notOrdered) }()
 	if err := m.announceOrders(ctx, s, hostNames(ready)); err != nil {
 		return nil, err
 	}
 	ordered := map[string]string{}
-	for len(ready) > 0 {
-		if !m.owner.site.now().Before(s.validUntil) {
-			return ordered, errOwnershipUncertain // the process was suspended, or the orders took too long
-		}
-		n := min(len(ready), maxParallelOrders)
-		g := group.New(ctx)
-		for _, h := range ready[:n] {
-			g.Go("maintain host", func(ctx context.Context) error {
-				accepted, err := m.maintainHost(ctx, w, h, s)
-				if accepted {
-					m.endingMu.Lock()
-					defer m.endingMu.Unlock()
-					m.endingWorkers[h.Worker] = h.Name
-					ordered[h.Name] = h.Worker
-				}
-				return err
-			})
+	notOrdered, err = m.sendOrders(ctx, ready, s, func(ctx context.Context, h rock.PlatformHost) error {
+		accepted, err := m.maintainHost(ctx, w, h, s)
+		if accepted {
+			m.endingMu.Lock()
+			defer m.endingMu.Unlock()
+			m.endingWorkers[h.Worker] = h.Name
+			ordered[h.Name] = h.Worker
 		}
-		ready = ready[n:]
-		if err := g.Wait(); err != nil {
-			return ordered, err
-		}
-	}
-	return ordered, nil
+		return err
+	})
+	return ordered, err
 }
 
 // maintainHost sends the order to maintain one host, and reports whether it was
--- a/io/site/maintenance_test.go
+++ b/io/site/maintenance_test.go
@@ -46,7 +46,7 @@
 			var after time.Duration
 			for i := range 20 {
 				h := c.listed[min(i, len(c.listed)-1)]
-				if m.finishHosts(wave, &state, map[string]rock.PlatformHost{"h1": h}) {
+				if len(m.finishHosts(wave, &state, map[string]rock.PlatformHost{"h1": h})) > 0 {
 					after = clock.Sub(start)
 					assert.Equal(t, m.endingWorkers[h.Worker], "")
 					break
--- a/io/site/move.go
+++ b/io/site/move.go
@@ -4,10 +4,10 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	rock "bramleyrock"
-	"bramleyrock/core/group"
 	"bramleyrock/core/resize"
 	"bramleyrock/core/works"
 
@@ -27,12 +27,8 @@
 
 // planMoves decides which hosts leave the pool and adds their workers to closing. It
 // returns all hosts that could leave.
-func (m *hostManager) planMoves(ctx context.Context, hosts []rock.PlatformHost, closing, claimed map[string]bool) ([]rock.PlatformHost, error) {
-	movable, workerIDs := m.movableHosts(hosts, claimed)
-	s, err := m.snapshot(ctx, workerIDs)
-	if err != nil {
-		return nil, err
-	}
+func (m *hostManager) planMoves(s cellSnapshot, hosts []rock.PlatformHost, closing, claimed map[string]bool) []rock.PlatformHost {
+	movable := m.movableHosts(hosts, claimed)
 	movable = slices.DeleteFunc(movable, func(h rock.PlatformHost) bool { return s.occupancy[h.Worker].PersistentRuns > 0 })
 	m.planDepartures(hosts, movable, claimed, s)
 	for _, h := range movable {
@@ -40,20 +36,18 @@
 			closing[h.Worker] = true
 		}
 	}
-	return movable, nil
+	return movable
 }
 
-// movableHosts returns the pool's hosts that may be moved, and their workers.
-func (m *hostManager) movableHosts(hosts []rock.PlatformHost, claimed map[string]bool) ([]rock.PlatformHost, []string) {
+// movableHosts returns the pool's hosts that may be moved.
+func (m *hostManager) movableHosts(hosts []rock.PlatformHost, claimed map[string]bool) []rock.PlatformHost {
 	var movable []rock.PlatformHost
-	var workerIDs []string
 	for _, h := range hosts {
 		if h.Pool == m.owner.pool && h.Phase == rock.HostUp && !claimed[h.Name] && m.mayOrder(h.Name) {
 			movable = append(movable, h)
-			workerIDs = append(workerIDs, h.Worker)
 		}
 	}
-	return movable, workerIDs
+	return movable
 }
 
 // planDepartures adds and removes planned departures.
@@ -94,18 +88,18 @@
 		if move.From != o.pool {
 			continue
 		}
-		for range move.Count {
-			if underway > 0 {
-				underway-- // a host is already leaving
-				continue
-			}
-			if len(free) == 0 {
-				return
-			}
-			m.departures[free[0].Name] = departure{move.To, now}
-			o.log.WithFields(logrus.Fields{"host": free[0].Name, "to": move.To, "runs": s.occupancy[free[0].Worker].Runs, "pools": fmt.Sprintf("%+v", pools)}).Info("Host is to leave the pool.")
-			free = free[1:]
+		count := min(max(0, move.Count-underway), len(free))
+		underway = max(0, underway-move.Count) // these hosts are already leaving
+		if count == 0 {
+			continue
 		}
+		runs := 0
+		for _, h := range free[:count] {
+			m.departures[h.Name] = departure{move.To, now}
+			runs += s.occupancy[h.Worker].Runs
+		}
+		o.log.WithFields(logrus.Fields{"hosts": strings.Join(hostNames(free[:count]), " "), "to": move.To, "runs": runs, "pools": fmt.Sprintf("%+v", pools)}).Info("Hosts are to leave the pool.")
+		free = free[count:]
 	}
 }
 
@@ -133,8 +127,7 @@
 	return 1
 }
 
-// moveEmptyHosts orders the moves of the departing hosts that are empty, a few at a
-// time.
+// moveEmptyHosts orders the moves of the departing hosts that are empty.
 func (m *hostManager) moveEmptyHosts(ctx context.Context, movable []rock.PlatformHost) error {
 	empty, s, err := m.emptyDepartures(ctx, movable)
 	if err != nil {
@@ -144,34 +137,23 @@
 	if err != nil || len(ready) == 0 {
 		return err
 	}
-	defer func() { m.endTakeDowns(ctx, ready) }() // of the hosts that were not ordered
+	notOrdered := ready
+	defer func() { m.endTakeDowns(ctx, notOrdered) }()
 	if err := m.announceOrders(ctx, s, hostNames(ready)); err != nil {
 		return err
 	}
-	for len(ready) > 0 {
-		if !m.owner.site.now().Before(s.validUntil) {
-			return errOwnershipUncertain // the process was suspended, or the moves took too long
-		}
-		n := min(len(ready), maxParallelOrders)
-		g := group.New(ctx)
-		for _, h := range ready[:n] {
-			to := m.departures[h.Name].to
+	notOrdered, err = m.sendOrders(ctx, ready, s, func(ctx context.Context, h rock.PlatformHost) error {
+		return m.orderMove(ctx, h, m.departures[h.Name].to, s.fencingToken)
+	})
+	for _, h := range ready {
+		if !slices.ContainsFunc(notOrdered, func(n rock.PlatformHost) bool { return n.Name == h.Name }) {
 			delete(m.departures, h.Name)
 			delete(m.inPoolSince, h.Name) // if the host comes back, another holder may have ordered it meanwhile
-			g.Go("move host", func(ctx context.Context) error { return m.orderMove(ctx, h, to, s.fencingToken) })
-		}
-		ready = ready[n:]
-		if err := g.Wait(); err != nil {
-			return err
 		}
 	}
-	return nil
+	return err
 }
 
-// maxParallelOrders is the number of orders for hosts that are sent in parallel. One
-// takes 14 ms, and the platform accepts 64 per second from all entries.
-const maxParallelOrders = 4
-
 // emptyDepartures returns the departing hosts on which nothing runs, and the snapshot
 // that shows it.
 func (m *hostManager) emptyDepartures(ctx context.Context, movable []rock.PlatformHost) ([]rock.PlatformHost, cellSnapshot, error) {
@@ -186,7 +168,7 @@
 	if len(leaving) == 0 {
 		return nil, cellSnapshot{}, nil
 	}
-	s, err := m.snapshot(ctx, workerIDs)
+	s, err := m.snapshot(ctx, workerIDs, withoutLoad)
 	if err != nil {
 		return nil, s, err
 	}
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -76,8 +76,12 @@
 	// jobsKnownUpTo is the time up to which all changes of the cell's jobs are
 	// applied.
 	jobsKnownUpTo time.Time
-	// spareHosts is the number of hosts that could leave the pool now.
+	// spareHosts is the number of hosts that could leave the pool when they were last
+	// listed.
 	spareHosts int
+	// cachedLoad is the load of the cell at loadedAt.
+	cachedLoad cell.Load
+	loadedAt   time.Time
 	// activity records the surges of the pool.
 	activity resize.Activity
 	// endedJobs holds the jobs with stored outcomes whose rows must be marked as
@@ -199,6 +203,18 @@
 	return nil
 }
 
+// loadMaxAge is how long the load of the cell is cached. Other entries read it a few times
+// a second, and it takes long to compute while many jobs wait.
+const loadMaxAge = 100 * time.Millisecond
+
+// currentLoad returns the load of the cell, which is at most loadMaxAge old.
+func (o *cellOwner) currentLoad(now time.Time) cell.Load {
+	if o.loadedAt.IsZero() || now.Sub(o.loadedAt) > loadMaxAge {
+		o.cachedLoad, o.loadedAt = o.state.Load(now), now
+	}
+	return o.cachedLoad
+}
+
 // shouldRelease reports whether the cell must be released because the entry runs late.
 // An entry with more CPU can then acquire it.
 func (o *cellOwner) shouldRelease(now time.Time) bool {
--- a/io/site/takedown_test.go
+++ b/io/site/takedown_test.go
@@ -203,7 +203,7 @@
 				host := rock.PlatformHost{Name: "h1", Pool: "a", Phase: phase}
 				ordered, err := m.orderMaintenance(t.Context(), rock.MaintenanceWave{Number: 1}, state, map[string]rock.PlatformHost{"h1": host})
 				assert.NilError(t, err)
-				_, err = m.snapshot(t.Context(), nil) // all events are handled then
+				_, err = m.snapshot(t.Context(), nil, withoutLoad) // all events are handled then
 				assert.NilError(t, err)
 				clock = clock.Add(hostInterval)
 				return len(ordered) > 0
