--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -43,10 +43,14 @@
 	deletedWorkers []string
 	events         []Event
 	demand         resize.Demand
+	// reports counts the reports of workers.
+	reports uint64
 	// decisions counts the rankings of jobs; see expiringInterval.
 	decisions int
 	// placedAt is when tasks were last placed.
 	placedAt time.Time
+	// picker chooses workers while tasks are placed, and is nil otherwise.
+	picker *picker
 	// shortage holds what no usable worker had room for since then.
 	shortage shortage
 	// avoided holds the workers on which tasks that have waited for long may be placed,
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -225,6 +225,8 @@
 	if len(usable) == 0 && len(c.closingWorkers(now)) == 0 {
 		return
 	}
+	c.picker = newPicker(c, now, usable)
+	defer func() { c.picker = nil }()
 	for _, candidate := range c.candidates(now) {
 		for _, s := range candidate.job.steps {
 			if s.remaining == 0 || !s.mayStart(now) || !c.ensureAdvice(now, s, usable) {
@@ -394,6 +396,7 @@
 			for _, r := range runs {
 				r.worker.removeRun(r)
 			}
+			c.picker = newPicker(c, now, c.picker.usable) // workers have more room again
 			c.avoidedShortage = c.avoidedShortage[:known] // it was found beside these runs
 			return
 		}
@@ -462,10 +465,15 @@
 	if t.step.Persistent {
 		return cost + c.packingCost(w)
 	}
-	if w.Capacity.MilliCores > 0 {
-		cost += loadPenalty * float64(w.used.MilliCores) / float64(w.Capacity.MilliCores)
+	return cost + w.loadCost()
+}
+
+// loadCost returns the additional cost of a worker for the tasks that it runs.
+func (w *worker) loadCost() float64 {
+	if w.Capacity.MilliCores <= 0 {
+		return 0
 	}
-	return cost
+	return loadPenalty * float64(w.used.MilliCores) / float64(w.Capacity.MilliCores)
 }
 
 // packingCost returns 0 if the worker runs a persistent task, and 1 otherwise. It
--- a/core/cell/flush.go
+++ b/core/cell/flush.go
@@ -110,7 +110,9 @@
 	c.flushWorkers(now, b)
 	if !b.more {
 		for id, w := range c.workers {
-			b.resolvedEnds[id] = resolvedEnds{w.incarnationStart, w.resolvedEnd()}
+			if last := w.resolvedEnd(); last > w.storedEnd {
+				b.resolvedEnds[id] = resolvedEnds{w.incarnationStart, last}
+			}
 		}
 		c.dirtySince, c.urgent = time.Time{}, false
 	}
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -243,16 +243,16 @@
 // report was requested, or can start no more. The report was requested and made at the
 // given times.
 func (c *Cell) reconcileRuns(now, sent, made time.Time, w *worker, report rock.Report) {
-	listed := make(map[runKey]bool, len(report.Running))
+	c.reports++
 	for i := range report.Running {
 		reported := &report.Running[i]
 		key := runKey{reported.Task, reported.Run}
-		listed[key] = true
 		r := w.runs[key]
 		if r == nil {
 			c.adoptRun(now, made, w, reported)
 			continue
 		}
+		r.listedIn = c.reports
 		r.checkpoint = newestCheckpoint(reported.Checkpoint, r.checkpoint)
 		r.percent, r.metric = reported.Percent, reported.Metric
 		if r.state != stopping {
@@ -267,9 +267,9 @@
 	if len(report.Ended) >= rock.MaxEnds {
 		return // the list of ends is truncated: the missing runs may be in the rest
 	}
-	for key, r := range w.runs {
+	for _, r := range w.runs {
 		switch {
-		case listed[key]:
+		case r.listedIn == c.reports:
 		case !r.answeredAt.IsZero() && r.answeredAt.Before(sent):
 			c.loseRun(now, r, "its worker does not list it")
 		case r.startExpired(report.Clock):
@@ -302,7 +302,7 @@
 // its job may still be unread.
 func (c *Cell) adoptRun(now, made time.Time, w *worker, reported *rock.Run) {
 	t := c.findTask(reported.Task)
-	r := &run{key: reported.Task, number: reported.Run, worker: w, state: running, answeredAt: made, startedAt: now, confirmedAt: made, checkpoint: reported.Checkpoint, percent: reported.Percent}
+	r := &run{key: reported.Task, number: reported.Run, worker: w, state: running, answeredAt: made, startedAt: now, confirmedAt: made, checkpoint: reported.Checkpoint, percent: reported.Percent, listedIn: c.reports}
 	if t != nil {
 		r.resources = t.step.Reservation()
 	}
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -53,6 +53,8 @@
 	// throttleSentAt is when the last order to change the speed was sent.
 	throttleSentAt time.Time
 	stopReason     string
+	// listedIn is the number of the last report that listed the run.
+	listedIn uint64
 }
 
 // runKey identifies a run.
--- a/core/cell/shortage.go
+++ b/core/cell/shortage.go
@@ -20,6 +20,9 @@
 // chooseUsable returns the worker for a task among the usable ones, or nil if there is
 // none. Their free resources must not grow between calls for the same shortage.
 func (c *Cell) chooseUsable(now time.Time, t *task, usable []*worker) *worker {
+	if c.picker.serves(t) {
+		return c.picker.choose(t)
+	}
 	w, _ := c.searchUnlessShort(now, t, usable, &c.shortage)
 	return w
 }
