--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -1,7 +1,9 @@
 package cell
 
 import (
+	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -108,31 +110,60 @@
 	rank rank.Rank
 }
 
-// candidates returns the jobs with tasks that may be placed, best rank first.
-func (c *Cell) candidates(now time.Time) []candidate {
-	var list []candidate
-	var load rank.Load
+// compareCandidates orders candidates by rank, best first.
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(a.rank.Compare(b.rank), cmp.Compare(a.job.ID, b.job.ID))
+}
+
+// waitingJobs describes the jobs with tasks that may be placed.
+type waitingJobs struct {
+	jobs []*job
+	// least is the least that any of the tasks needs of each resource.
+	least rock.Resources
+	// special is true if there are tasks for which more is done than to look for a worker
+	// with room: persistent ones and those that need a ticket.
+	special bool
+}
+
+// waitingJobs returns the jobs with tasks that may be placed.
+func (c *Cell) waitingJobs(now time.Time) waitingJobs {
+	w := waitingJobs{least: rock.Resources{MilliCores: math.MaxInt64, MemoryMB: math.MaxInt64, Accelerators: math.MaxInt64}}
 	for _, j := range c.jobs {
-		if j.state.Ended() || !j.hasWaitingTask(now) {
+		if j.state.Ended() {
 			continue
 		}
-		list = append(list, candidate{job: j})
+		waits := false
+		for _, s := range j.steps {
+			if !s.hasWaitingTask(now) {
+				continue
+			}
+			waits = true
+			need := s.Reservation()
+			w.least.MilliCores = min(w.least.MilliCores, need.MilliCores)
+			w.least.MemoryMB = min(w.least.MemoryMB, need.MemoryMB)
+			w.least.Accelerators = min(w.least.Accelerators, need.Accelerators)
+			w.special = w.special || s.Persistent || j.queue.RequiresTicket
+		}
+		if waits {
+			w.jobs = append(w.jobs, j)
+		}
+	}
+	return w
+}
+
+// rankJobs returns the jobs with their ranks, best rank first.
+func (c *Cell) rankJobs(now time.Time, jobs []*job) []candidate {
+	var load rank.Load
+	for _, j := range jobs {
 		load.Add(now, c.currentRankInput(now, j))
 	}
 	c.decisions++
 	params := rank.Params{Margin: load.Margin(c.usableCores(now)), ExpiringFirst: c.decisions%expiringInterval == 0}
-	for i := range list {
-		list[i].rank = rank.Of(now, c.currentRankInput(now, list[i].job), params)
+	list := make([]candidate, len(jobs))
+	for i, j := range jobs {
+		list[i] = candidate{j, rank.Of(now, c.currentRankInput(now, j), params)}
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		if n := a.rank.Compare(b.rank); n != 0 {
-			return n
-		}
-		if a.job.ID < b.job.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, compareCandidates)
 	return list
 }
 
@@ -147,19 +178,9 @@
 	return n
 }
 
-// hasWaitingTask reports whether a task of the job waits to be placed.
-func (j *job) hasWaitingTask(now time.Time) bool {
-	for _, s := range j.steps {
-		if s.remaining == 0 || !s.mayStart(now) {
-			continue
-		}
-		for _, t := range s.tasks {
-			if !t.done && t.current == nil {
-				return true
-			}
-		}
-	}
-	return false
+// hasWaitingTask reports whether a task of the step waits to be placed.
+func (s *step) hasWaitingTask(now time.Time) bool {
+	return s.remaining > 0 && s.mayStart(now) && slices.ContainsFunc(s.tasks, func(t *task) bool { return !t.done && t.current == nil })
 }
 
 // rankInputMaxAge is how long the input for a job's rank is cached. The estimates
@@ -225,9 +246,23 @@
 	if len(usable) == 0 && len(c.closingWorkers(now)) == 0 {
 		return
 	}
+	waiting := c.waitingJobs(now)
+	special := waiting.special || c.mostlyFree // tasks may then be placed on avoided workers, too
+	hasRoom := func() bool {
+		return slices.ContainsFunc(usable, func(w *worker) bool { return w.freeResources().CanFit(waiting.least) })
+	}
+	if !special && !hasRoom() {
+		return
+	}
 	c.picker = newPicker(c, now, usable)
 	defer func() { c.picker = nil }()
-	for _, candidate := range c.candidates(now) {
+	for _, candidate := range c.rankJobs(now, waiting.jobs) {
+		if c.picker.exhausted && !special {
+			if !hasRoom() {
+				return
+			}
+			c.picker.exhausted = false
+		}
 		for _, s := range candidate.job.steps {
 			if s.remaining == 0 || !s.mayStart(now) || !c.ensureAdvice(now, s, usable) {
 				continue
--- a/core/cell/picker.go
+++ b/core/cell/picker.go
@@ -17,6 +17,8 @@
 	usable []*worker // sorted by ID
 	byRack map[string][]*worker
 	heaps  map[heapKey]*workerHeap
+	// exhausted is true if a heap has become empty since it was last reset.
+	exhausted bool
 }
 
 // heapKey identifies the tasks that share a heap: those of the same size, and with remote
@@ -107,6 +109,8 @@
 	picker  *picker
 	far     float64 // factor of a task's run time
 	entries []heapEntry
+	// exhausted is true once the last entry has been removed.
+	exhausted bool
 }
 
 type heapEntry struct {
@@ -135,6 +139,8 @@
 		}
 		heap.Pop(h)
 	}
+	h.picker.exhausted = h.picker.exhausted || !h.exhausted
+	h.exhausted = true
 	return nil
 }
 
