--- a/core/works/spec.go
+++ b/core/works/spec.go
@@ -12,6 +12,11 @@
 	MaxSteps = 64
 	// MaxTasks is the maximum number of tasks of a step.
 	MaxTasks = 4096
+	// MaxJobTasks is the maximum number of tasks of all occurrences of a job, each of
+	// which its owner holds in memory.
+	MaxJobTasks = 1 << 16
+	// MaxSpan is the longest time between the first and the last occurrence.
+	MaxSpan = 20 * 365 * 24 * time.Hour
 	// MaxPayload is the maximum size of a payload in bytes, a limit of the
 	// platform.
 	MaxPayload = 4000
@@ -67,10 +72,18 @@
 	case s.Times < 0 || s.Times > 1 && s.Interval <= 0:
 		return fmt.Errorf("job runs %d times with an interval of %v: want 0 or more times, and a positive interval for more than one", s.Times, s.Interval)
 	}
+	tasks := 0
 	for i := range s.Steps {
 		if err := s.Steps[i].validate(i); err != nil {
 			return fmt.Errorf("step %d: %w", i, err)
 		}
+		tasks += s.Steps[i].Count
+	}
+	switch n := s.Occurrences(); {
+	case n > MaxJobTasks/tasks:
+		return fmt.Errorf("job has %d tasks in each of %d occurrences: want at most %d in all", tasks, n, MaxJobTasks)
+	case s.Interval > MaxSpan/time.Duration(n):
+		return fmt.Errorf("job runs %d times with an interval of %v: want at most %v from the first to the last", n, s.Interval, MaxSpan)
 	}
 	return nil
 }
@@ -84,6 +97,9 @@
 	if s.Need.MilliCores < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 {
 		return fmt.Errorf("negative resources %+v: want 0 or more of each", s.Need)
 	}
+	if s.Estimate < 0 {
+		return fmt.Errorf("estimate of %v: want 0 or more", s.Estimate)
+	}
 	for _, a := range s.DependsOn {
 		if a < 0 || a >= number {
 			return fmt.Errorf("depends on step %d: want an earlier step", a)
--- a/io/site/follow.go
+++ b/io/site/follow.go
@@ -208,6 +208,7 @@
 	}
 	w, err := s.settings.PlatformTables.DecodeWorker(id, r.Value(), s.now())
 	if err != nil {
+		s.meters.badWorkers.Inc(1)
 		s.log.WithError(err).Warn("Worker registration is invalid.")
 		return id, nil
 	}
--- a/io/site/meters.go
+++ b/io/site/meters.go
@@ -21,6 +21,8 @@
 	commitTime tally.Histogram
 	taken      tally.Counter
 	lost       tally.Counter
+	// badWorkers counts the registrations of workers that could not be read.
+	badWorkers tally.Counter
 	// waitingTasks returns the gauge of the tasks of a cell that have waited for long.
 	waitingTasks func(cell string) tally.Gauge
 }
@@ -48,6 +50,7 @@
 		commitTime: s.Histogram("commit_latency", latencies),
 		taken:      s.Counter("cells_taken"),
 		lost:       s.Counter("cells_lost"),
+		badWorkers: s.Counter("registrations_rejected"),
 		waitingTasks: func(cell string) tally.Gauge {
 			return s.Tagged(map[string]string{"cell": cell}).Gauge("tasks_waiting")
 		},
