--- a/io/site/wave_test.go
+++ b/io/site/wave_test.go
@@ -22,7 +22,7 @@
 // waveStore is a store with the state of a wave, which the owners of other pools write
 // too: while they do, every second conditional write conflicts.
 type waveStore struct {
-	mu      sync.Mutex
+	mu sync.Mutex
 	rock.Store
 	rows    map[string]rock.Row
 	version uint64
