--- a/core/resize/simulation_test.go
+++ b/core/resize/simulation_test.go
@@ -29,6 +29,8 @@
 	smooth bool
 	// job is the mean work of a job, in core-seconds.
 	job float64
+	// movesPerSecond is the rate limit of the platform.
+	movesPerSecond float64
 }
 
 const (
@@ -43,8 +45,8 @@
 	moveTime = 2400 * time.Millisecond
 	// minStay is the minimum time that a host stays in a pool after it arrived.
 	minStay = 3300 * time.Millisecond
-	// movesPerSecond is the rate limit of the platform.
-	movesPerSecond = 64
+	// slowMoves is the rate limit of a small platform, in moves a second.
+	slowMoves = 64
 	// taskTime is the duration of a task, and so the time to drain a busy host.
 	taskTime = 800 * time.Millisecond
 	// onTimeWait is the maximum wait of work that is served on time. After maxWait
@@ -136,7 +138,7 @@
 			lastPlan = at
 			f.startMoves(at, hosts, plan(now, f.reports(now, at, pools, hosts)))
 		}
-		tokens = min(tokens+movesPerSecond*tick.Seconds(), 8)
+		tokens = min(tokens+f.movesPerSecond*tick.Seconds(), max(8, f.movesPerSecond*tick.Seconds()))
 		for _, h := range hosts {
 			if h.leavesAt != 0 && at >= h.leavesAt && tokens >= 1 {
 				tokens--
@@ -273,10 +275,12 @@
 		// the share of the work that is served on time.
 		overFixed, overReactive float64
 	}{
-		"large pools, twice the capacity of one":  {simulation{perPool: 73, standby: 56, mean: 1050, persistent: 265, surgeTime: 10 * time.Second, smooth: true, job: 32}, 0.1, 0.05},
-		"large pools, large jobs, shorter surges": {simulation{perPool: 73, standby: 56, mean: 1050, persistent: 265, surgeTime: 8500 * time.Millisecond, smooth: true, job: 60}, 0.1, 0.05},
-		"large pools, the capacity of one":        {simulation{perPool: 73, standby: 56, mean: 500, persistent: 265, surgeTime: 10 * time.Second, smooth: true, job: 32}, 0.05, 0.05},
-		"small pools":                             {simulation{perPool: 10, standby: 8, mean: 130, persistent: 40, surgeTime: 8 * time.Second, smooth: true, job: 40}, 0.1, 0.05},
+		"large pools, twice the capacity of one":         {simulation{perPool: 73, standby: 56, mean: 1050, persistent: 265, surgeTime: 10 * time.Second, smooth: true, job: 32, movesPerSecond: slowMoves}, 0.1, 0.05},
+		"large pools, large jobs, shorter surges":        {simulation{perPool: 73, standby: 56, mean: 1050, persistent: 265, surgeTime: 8500 * time.Millisecond, smooth: true, job: 60, movesPerSecond: slowMoves}, 0.1, 0.05},
+		"large pools, the capacity of one":               {simulation{perPool: 73, standby: 56, mean: 500, persistent: 265, surgeTime: 10 * time.Second, smooth: true, job: 32, movesPerSecond: slowMoves}, 0.05, 0.05},
+		"hundreds of hosts a pool, the capacity of all":  {simulation{perPool: 230, standby: 180, mean: 8000, persistent: 700, surgeTime: 10 * time.Second, smooth: true, job: 58, movesPerSecond: 590}, 0.1, 0.05},
+		"hundreds of hosts a pool, half of the capacity": {simulation{perPool: 230, standby: 180, mean: 3500, persistent: 700, surgeTime: 10 * time.Second, smooth: true, job: 58, movesPerSecond: 590}, 0.1, 0.05},
+		"small pools": {simulation{perPool: 10, standby: 8, mean: 130, persistent: 40, surgeTime: 8 * time.Second, smooth: true, job: 40, movesPerSecond: slowMoves}, 0.1, 0.05},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
