--- a/io/site/giver_test.go
+++ b/io/site/giver_test.go
@@ -187,3 +187,11 @@
 		})
 	}
 }
+
+// TestParallelOrders checks that the rate of the platform is used, and that a small rate
+// does not make orders wait for one another.
+func TestParallelOrders(t *testing.T) {
+	for rate, want := range map[float64]int{0: 4, 64: 4, 590: 9, 5000: 16} {
+		assert.Equal(t, parallelOrders(rate), want, "%v a second", rate)
+	}
+}
--- a/io/site/hostmanager.go
+++ b/io/site/hostmanager.go
@@ -64,6 +64,9 @@
 	endingMu      sync.Mutex // guards refusedAt, endingWorkers and the results of orders that are sent in parallel
 	// pendingWaves holds the waves whose orders are sent in this round.
 	pendingWaves []pendingWave
+	// ordersLeft is true if orders were left for the next round because this one took too
+	// long.
+	ordersLeft bool
 	// waveStates holds the last known states of waves that are not completed.
 	waveStates map[string]maint.State
 }
@@ -80,7 +83,11 @@
 func (o *cellOwner) manageHosts(ctx context.Context) error {
 	m := newHostManager(o)
 	for {
-		if err := sleep(ctx, hostInterval); err != nil {
+		interval := hostInterval
+		if m.ordersLeft {
+			interval = 0
+		}
+		if err := sleep(ctx, interval); err != nil {
 			return nil
 		}
 		if err := m.reconcile(ctx); err != nil && ctx.Err() == nil {
@@ -95,6 +102,7 @@
 // reconcile makes one round over all hosts of the pool. Waves that fail do not keep hosts
 // from moving, nor the reverse.
 func (m *hostManager) reconcile(ctx context.Context) error {
+	m.ordersLeft = false
 	t := newRoundTimer(m.owner.site.now)
 	defer func() { t.log(m.owner.log) }()
 	hosts, err := m.owner.site.settings.Hosts.Hosts(ctx)
--- a/io/site/hostorders.go
+++ b/io/site/hostorders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -11,14 +12,24 @@
 )
 
 const (
-	// maxParallelOrders is the number of orders for hosts that are sent in parallel. One
-	// takes 14 ms.
-	maxParallelOrders = 4
+	// hostOrderTime is how long an order for a host takes.
+	hostOrderTime = 14 * time.Millisecond
+	// minParallelOrders and maxParallelOrders bound the orders for hosts that are sent in
+	// parallel.
+	minParallelOrders = 4
+	maxParallelOrders = 16
 	// maxOrderTime bounds the time for which one call of sendOrders sends orders. A round
 	// calls it twice, and lists the hosts again within maxListGap.
 	maxOrderTime = 500 * time.Millisecond
 )
 
+// parallelOrders returns how many orders for hosts are sent in parallel on a platform that
+// takes that many a second. One owner may use the whole rate: usually one pool gives most
+// of the hosts, and what is too much is refused and sent again.
+func parallelOrders(rate float64) int {
+	return max(minParallelOrders, min(maxParallelOrders, int(math.Ceil(rate*hostOrderTime.Seconds()))))
+}
+
 // sendOrders calls send for each host, a few at a time, until the ownership in the
 // snapshot ends, maxOrderTime has passed, or the platform refuses an order because there
 // are too many. A failed order does not end the others. It returns the hosts that were
@@ -42,7 +53,7 @@
 			failed, stopped = errors.Join(failed, errOwnershipUncertain), true
 			return rock.PlatformHost{}, false
 		case now.Sub(started) >= maxOrderTime:
-			stopped = true
+			stopped, m.ordersLeft = true, true
 			return rock.PlatformHost{}, false
 		}
 		h := unsent[0]
@@ -50,7 +61,7 @@
 		return h, true
 	}
 	g := group.New(ctx)
-	for range min(maxParallelOrders, len(hosts)) {
+	for range min(parallelOrders(m.owner.site.settings.HostOrderRate), len(hosts)) {
 		g.Go("order hosts", func(ctx context.Context) error {
 			for h, ok := next(); ok; h, ok = next() {
 				err := send(ctx, h)
--- a/io/site/settings.go
+++ b/io/site/settings.go
@@ -28,6 +28,9 @@
 	Adviser rock.Adviser
 	// Hosts lists hosts and sends orders to move or maintain them.
 	Hosts rock.HostControl
+	// HostOrderRate is the number of orders for hosts that the platform takes a second
+	// from all entries together.
+	HostOrderRate float64
 	// PlatformTables names the tables of the operator and of the workers.
 	PlatformTables PlatformTables
 	// LeaseDuration is the duration of the leases given to workers.
