--- a/io/site/orders.go
+++ b/io/site/orders.go
@@ -55,13 +55,19 @@
 	}
 	o.enqueue(ctx, func(now time.Time) {
 		o.state.HandleReply(now, d, p, err)
-		if err != nil {
+		if err != nil && !isOwnLimit(err) {
 			o.state.HandleUnanswered(now, sent, d.Worker.ID, !o.site.lateness.lateSince(sent), err)
 		}
 		o.changed = true
 	})
 }
 
+// isOwnLimit reports whether an order was not sent because of a limit of this process, which
+// says nothing about the worker.
+func isOwnLimit(err error) bool {
+	return rock.ReasonOf(err) == rock.Overloaded && rock.VerdictOf(err) == rock.NotRun
+}
+
 // askAdviser asks the adviser about a step and handles the answer.
 func (o *cellOwner) askAdviser(ctx context.Context, d cell.Order) {
 	var tickets []rock.Ticket
@@ -192,10 +198,11 @@
 			return
 		}
 		o.enqueue(ctx, func(now time.Time) {
-			if err != nil {
-				o.state.HandleUnanswered(now, sent, id, !o.site.lateness.lateSince(sent), err)
-			} else {
+			switch {
+			case err == nil:
 				o.state.HandleReport(now, sent, id, p)
+			case !isOwnLimit(err):
+				o.state.HandleUnanswered(now, sent, id, !o.site.lateness.lateSince(sent), err)
 			}
 			o.changed = true
 		})
