--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -1,7 +1,7 @@
 package cell
 
 import (
-	"cmp"
+	"container/heap"
 	"fmt"
 	"math"
 	"slices"
@@ -110,9 +110,32 @@
 	rank rank.Rank
 }
 
-// compareCandidates orders candidates by rank, best first.
-func compareCandidates(a, b candidate) int {
-	return cmp.Or(a.rank.Compare(b.rank), cmp.Compare(a.job.ID, b.job.ID))
+// candidateHeap holds candidates, the one with the best rank first. A decision in a surge
+// takes only a few of them.
+type candidateHeap []candidate
+
+// Len implements [heap.Interface].
+func (h candidateHeap) Len() int { return len(h) }
+
+// Less implements [heap.Interface].
+func (h candidateHeap) Less(i, j int) bool {
+	if n := h[i].rank.Compare(h[j].rank); n != 0 {
+		return n < 0
+	}
+	return h[i].job.ID < h[j].job.ID
+}
+
+// Swap implements [heap.Interface].
+func (h candidateHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements [heap.Interface].
+func (h *candidateHeap) Push(x any) { *h = append(*h, x.(candidate)) }
+
+// Pop implements [heap.Interface].
+func (h *candidateHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
 }
 
 // waitingJobs describes the jobs with tasks that may be placed.
@@ -151,19 +174,19 @@
 	return w
 }
 
-// rankJobs returns the jobs with their ranks, best rank first.
-func (c *Cell) rankJobs(now time.Time, jobs []*job) []candidate {
+// rankJobs returns the jobs with their ranks.
+func (c *Cell) rankJobs(now time.Time, jobs []*job) candidateHeap {
 	var load rank.Load
 	for _, j := range jobs {
 		load.Add(now, c.currentRankInput(now, j))
 	}
 	c.decisions++
 	params := rank.Params{Margin: load.Margin(c.usableCores(now)), ExpiringFirst: c.decisions%expiringInterval == 0}
-	list := make([]candidate, len(jobs))
+	list := make(candidateHeap, len(jobs))
 	for i, j := range jobs {
 		list[i] = candidate{j, rank.Of(now, c.currentRankInput(now, j), params)}
 	}
-	slices.SortFunc(list, compareCandidates)
+	heap.Init(&list)
 	return list
 }
 
@@ -256,14 +279,15 @@
 	}
 	c.picker = newPicker(c, now, usable)
 	defer func() { c.picker = nil }()
-	for _, candidate := range c.rankJobs(now, waiting.jobs) {
+	for ranked := c.rankJobs(now, waiting.jobs); len(ranked) > 0; {
+		next := heap.Pop(&ranked).(candidate)
 		if c.picker.exhausted && !special {
 			if !hasRoom() {
 				return
 			}
 			c.picker.exhausted = false
 		}
-		for _, s := range candidate.job.steps {
+		for _, s := range next.job.steps {
 			if s.remaining == 0 || !s.mayStart(now) || !c.ensureAdvice(now, s, usable) {
 				continue
 			}
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -26,7 +26,7 @@
 	// decideIntervalFactor is the least ratio of the time between decisions to the time
 	// that one takes, so that an entry with little CPU also handles answers and sends
 	// orders in a surge.
-	decideIntervalFactor = 3
+	decideIntervalFactor = 6
 	// maxDecidePause bounds the time between decisions that follows from it. A decision
 	// also takes long if the process is suspended.
 	maxDecidePause = 250 * time.Millisecond
--- a/io/site/owner_test.go
+++ b/io/site/owner_test.go
@@ -37,7 +37,7 @@
 		want int           // decisions in a second
 	}{
 		"fast":      {0, 200},
-		"slow":      {20 * time.Millisecond, 17},
+		"slow":      {20 * time.Millisecond, 9},
 		"suspended": {5 * time.Second, 4},
 	}
 	for name, c := range cases {
