Jobs of a queue that is sent to another pool stay known

Cause: the cell of a job was derived from the pool to which the present configuration sends its queue. Nothing kept the pool in which it was accepted, and the row that makes submissions idempotent is in the parts of that pool's cell.

Change: the table keeps a record of each queue with the pools that may have jobs of it, in three parts; a job is accepted in a pool once all copies list it (core/trail). State, Cancel and CountWaiting look into all listed pools. Before a job is stored, its rows in the other listed pools are sealed, on condition that they do not exist: that finds a job that was accepted there, and makes a write that is still on its way fail. The owner of a cell records the queues of jobs that a program without records left.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -160,6 +160,16 @@
 	}
 }
 
+// HasJobsOf reports whether the cell has jobs of the queue without a stored outcome.
+func (c *Cell) HasJobsOf(queue string) bool {
+	for _, j := range c.jobs {
+		if j.Queue == queue {
+			return true
+		}
+	}
+	return false
+}
+
 // AddProgress restores the stored progress of a job that was added before.
 func (c *Cell) AddProgress(now time.Time, id string, p works.Progress) {
 	j := c.jobs[id]
--- a/io/site/doc.go
+++ b/io/site/doc.go
@@ -29,9 +29,15 @@
 // Rows that any entry may write are spread over the intake parts of the cell,
 // because the platform runs the transactions of one part one after another:
 //
-//	jobs-N ID/j      an accepted job, or a mark once it has ended
+//	jobs-N ID/j      an accepted job, or a mark: the job has ended, or it must not be
+//	                 stored here (a seal)
 //	jobs-N ID/c      the caller's request to cancel the job
 //
+// Three parts that belong to no cell hold copies of the records of the queues, which list
+// the pools that may have jobs of a queue (see package trail):
+//
+//	cells  q/HASH    the record of a queue
+//
 // # Usage
 //
 //	s := site.New(site.Settings{Name: name, Store: store, Workers: workers, ...})
--- a/io/site/follow.go
+++ b/io/site/follow.go
@@ -9,6 +9,7 @@
 	rock "bramleyrock"
 	"bramleyrock/core/group"
 	"bramleyrock/core/tenure"
+	"bramleyrock/core/trail"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -215,7 +216,7 @@
 	return id, &w
 }
 
-// followCells follows the ownership and renewals of all cells.
+// followCells follows the ownership and renewals of all cells, and the records of queues.
 func (s *Site) followCells(ctx context.Context) error {
 	return s.follow(ctx, tableFollower{
 		name: cellTable,
@@ -235,6 +236,13 @@
 					version = v
 				}
 			}
+			for _, copy := range allCopies {
+				// A copy that cannot be read is read later by keepTrail.
+				if _, err := s.readTrail(ctx, copy); err != nil {
+					s.trail.with(func(t *trail.Trail) { t.ObserveGap(copy) })
+					s.log.WithError(err).WithField("copy", copy).Info("Records of queues cannot be read.")
+				}
+			}
 			return version, nil
 		},
 		handle:   func(_ time.Time, rows []rock.Row) { s.applyCellRows(rows) },
@@ -309,6 +317,10 @@
 	now := s.now()
 	for _, r := range rows {
 		part, name := splitKey(r.Key())
+		if copy, ok := trailCopy(part); ok {
+			s.applyTrailRow(copy, r)
+			continue
+		}
 		home, ok := homeNumber(part)
 		if !ok || !r.Exists() {
 			continue
--- a/io/site/homes_test.go
+++ b/io/site/homes_test.go
@@ -33,7 +33,7 @@
 
 	logger, _ := logtest.NewNullLogger()
 	o := &cellOwner{
-		cell: "a", log: logrus.NewEntry(logger), state: cell.New(cell.Settings{Pool: "a"}),
+		site: &Site{}, cell: "a", pool: "a", log: logrus.NewEntry(logger), state: cell.New(cell.Settings{Pool: "a"}),
 		unreadParts: map[string]uint64{}, extraParts: map[string][]string{},
 	}
 	o.addUnreadParts(start, []string{part}, 1)
--- a/io/site/intake.go
+++ b/io/site/intake.go
@@ -5,6 +5,7 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/trail"
 	"bramleyrock/core/works"
 )
 
@@ -20,10 +21,12 @@
 	}
 	for _, r := range rows {
 		part, name := splitKey(r.Key())
-		if cellOfPart(part) != o.cell || !r.Exists() {
+		id, suffix := splitJobName(name)
+		if cellOfPart(part) != o.cell || suffix != jobSuffix {
 			continue
 		}
-		if id, suffix := splitJobName(name); suffix == jobSuffix && !isEndedMark(r.Value()) {
+		o.observeSeal(now, r)
+		if r.Exists() && !isMark(r.Value()) {
 			o.applyJobRow(now, id, part, r, ended)
 		}
 	}
@@ -65,6 +68,7 @@
 		o.log.WithError(err).WithField("row", r.Key()).Error("Job cannot be read.")
 		return
 	}
+	o.site.trail.with(func(t *trail.Trail) { t.ObserveJob(j.Queue, o.pool) })
 	o.state.AddJob(now, j, r.Version())
 	if p, ok := o.pendingProgress[id]; ok {
 		delete(o.pendingProgress, id)
--- a/io/site/jobs.go
+++ b/io/site/jobs.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return rock.Fail("submit", "job "+id, rock.BadInput, rock.NotRun).Because(err)
 	}
-	version, attempts, err := s.storeJob(ctx, started, cell, id, value)
+	version, attempts, err := s.acceptJob(ctx, started, q, id, value)
 	took := s.now().Sub(started)
 	s.meters.submitTime.RecordDuration(took)
 	logger := s.log.WithFields(logrus.Fields{
@@ -134,6 +134,32 @@
 	return 0
 }
 
+// acceptJob stores a submitted job in the cell of its queue's pool, unless another cell that
+// may have jobs of the queue has it. It fails with [rock.Conflict] if the job was accepted
+// before.
+func (s *Site) acceptJob(ctx context.Context, started time.Time, q works.Queue, id string, value []byte) (version uint64, attempts int, err error) {
+	_, config := s.view.queues()
+	others, err := s.awaitRecord(ctx, q, config)
+	if err != nil {
+		return 0, 0, err
+	}
+	for _, cell := range others {
+		r, err := s.sealJob(ctx, cell, id, movedMark)
+		if err != nil {
+			return 0, 0, err
+		}
+		if r.stored() {
+			return 0, 0, rock.Fail("submit", "job "+id, rock.Conflict, rock.NotRun).Becausef("cell %s has the job", cell)
+		}
+	}
+	cell := cellOf(q.Pool)
+	version, attempts, err = s.storeJob(ctx, started, cell, id, value)
+	if rock.ReasonOf(err) == rock.Conflict {
+		err = s.explainConflict(ctx, cell, id, err)
+	}
+	return version, attempts, err
+}
+
 // storeJob stores the row of a submitted job, and retries until the outcome is known
 // or ctx ends. It returns the verdict [rock.NotRun] only if none of the attempts can
 // have stored the job. Attempts may use different parts: the owner of the cell
@@ -186,13 +212,42 @@
 	job, progress, outcome *rock.Row
 }
 
-// ended reports whether the job's row is marked as ended.
-func (r jobRows) ended() bool { return r.job != nil && isEndedMark(r.job.Value()) }
+// ended reports whether the job's row is marked, and no row has the job.
+func (r jobRows) ended() bool { return r.job != nil && isMark(r.job.Value()) }
 
-// readJob reads the rows of a job. It reads the row that was written at submission
-// only if the main home has no row of the job, or if submitted is true.
-func (s *Site) readJob(ctx context.Context, q works.Queue, id string, submitted bool) (jobRows, error) {
-	cell := cellOf(q.Pool)
+// stored reports whether the job was stored when it was submitted.
+func (r jobRows) stored() bool { return r.job != nil && !isSeal(r.job.Value()) }
+
+// known reports whether a row of the job was found.
+func (r jobRows) known() bool { return r.stored() || r.progress != nil || r.outcome != nil }
+
+// findJob reads the rows of a job from the cell of its queue's pool, and from the other
+// cells that may have jobs of the queue until one of them has it. If none has it, findJob
+// returns an error if one of them cannot be read.
+func (s *Site) findJob(ctx context.Context, q works.Queue, id string, submitted bool) (jobRows, error) {
+	r, err := s.readJob(ctx, cellOf(q.Pool), id, submitted)
+	if r.known() {
+		return r, err
+	}
+	others, known := s.otherCells(q)
+	if !known && err == nil {
+		err = rock.Fail("read", "job "+id, rock.Unavailable, rock.NotRun).RetryIn(minRetryAfter).Becausef("the records of the queues are not read")
+	}
+	for _, cell := range others {
+		other, failed := s.readJob(ctx, cell, id, submitted)
+		if other.known() {
+			return other, failed
+		}
+		if failed != nil {
+			err = failed
+		}
+	}
+	return r, err
+}
+
+// readJob reads the rows of a job from a cell. It reads the row that was written at
+// submission only if the main home has no row of the job, or if submitted is true.
+func (s *Site) readJob(ctx context.Context, cell, id string, submitted bool) (jobRows, error) {
 	var record tenure.Record
 	s.view.withCell(cell, func(c *cellView) { record = c.challenger.Record() })
 	main := record.Main
@@ -204,7 +259,7 @@
 	if err == nil && (submitted || r.progress == nil && r.outcome == nil) {
 		err = s.readJobRow(ctx, cell, id, &r)
 	}
-	if err == nil && r.ended() && r.outcome == nil {
+	if err == nil && r.ended() && r.stored() && r.outcome == nil {
 		err = s.readOutcome(ctx, cell, main, id, &r)
 	}
 	return r, err
@@ -248,7 +303,7 @@
 		if ctx.Err() == nil {
 			s.unresponsive.record(s.now(), part, err == nil)
 		}
-		if r.job != nil {
+		if r.stored() {
 			return nil
 		}
 		if err != nil {
@@ -273,7 +328,9 @@
 		_, name := splitKey(row.Key())
 		switch _, suffix := splitJobName(name); suffix {
 		case jobSuffix:
-			r.job = row
+			if !r.stored() { // one part may have the job, and another a seal
+				r.job = row
+			}
 		case progressSuffix:
 			r.progress = row
 		case outcomeSuffix:
@@ -288,7 +345,7 @@
 	if err := s.checkTable("read", id); err != nil {
 		return "", err
 	}
-	r, err := s.readJob(ctx, q, id, false)
+	r, err := s.findJob(ctx, q, id, false)
 	switch {
 	case err != nil:
 		s.log.WithError(err).WithField("job", id).Info("Job state cannot be read.")
@@ -313,7 +370,7 @@
 func (s *Site) Cancel(ctx context.Context, q works.Queue, id string) error {
 	logger := s.log.WithField("job", id).WithField("queue", q.Name)
 	for {
-		r, err := s.readJob(ctx, q, id, true)
+		r, err := s.findJob(ctx, q, id, true)
 		if err != nil {
 			if sleep(ctx, submitRetryDelay) != nil {
 				logger.WithError(err).Info("Cancellation refused.")
@@ -352,12 +409,27 @@
 // numbers that are up to 2 s old.
 const maxRenewalAge = 1500 * time.Millisecond
 
-// CountWaiting returns the number of the queue's jobs that have not started. It uses the
-// cell's last renewal, or reads the jobs' rows if that is too old.
+// CountWaiting returns the number of the queue's jobs that have not started, in all cells
+// that may have jobs of the queue.
 func (s *Site) CountWaiting(ctx context.Context, q works.Queue) (int, error) {
-	cell := cellOf(q.Pool)
+	total, err := s.countWaitingIn(ctx, cellOf(q.Pool), q.Name)
+	others, _ := s.otherCells(q)
+	for _, cell := range others {
+		if err != nil {
+			break
+		}
+		var n int
+		n, err = s.countWaitingIn(ctx, cell, q.Name)
+		total += n
+	}
+	return total, err
+}
+
+// countWaitingIn returns the number of the queue's jobs in a cell that have not started. It
+// uses the cell's last renewal, or reads the jobs' rows if that is too old.
+func (s *Site) countWaitingIn(ctx context.Context, cell, queue string) (int, error) {
 	n, renewedAt := 0, time.Time{}
-	s.view.withCell(cell, func(c *cellView) { n, renewedAt = c.renewal.WaitingJobs[q.Name], c.renewalAt })
+	s.view.withCell(cell, func(c *cellView) { n, renewedAt = c.renewal.WaitingJobs[queue], c.renewalAt })
 	if s.now().Sub(renewedAt) <= maxRenewalAge {
 		return n, nil
 	}
@@ -371,9 +443,9 @@
 		err = fmt.Errorf("%d parts cannot be read", len(l.unreadParts))
 	}
 	if err != nil {
-		return 0, rock.Fail("count", "queue "+q.Name, rock.Unavailable, rock.NotRun).RetryIn(minRetryAfter).Because(err)
+		return 0, rock.Fail("count", "queue "+queue, rock.Unavailable, rock.NotRun).RetryIn(minRetryAfter).Because(err)
 	}
-	return countWaiting(l.rows, q.Name), nil
+	return countWaiting(l.rows, queue), nil
 }
 
 // countWaiting returns the number of the queue's jobs without progress or outcome.
@@ -385,7 +457,7 @@
 		id, suffix := splitJobName(name)
 		switch suffix {
 		case jobSuffix:
-			if isEndedMark(rows[i].Value()) {
+			if isMark(rows[i].Value()) {
 				continue
 			}
 			j, err := works.DecodeJob(rows[i].Value())
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -104,6 +104,10 @@
 	// yet, and outcomesToCopy the jobs whose outcomes must be copied to another home.
 	unmarkedOutcomes map[string]works.Outcome
 	outcomesToCopy   []string
+	// seals holds the rows that prevent that a job is stored, by key, and idleQueues since
+	// when the cell has had no job of the queues that are not sent to its pool any more.
+	seals      map[string]seal
+	idleQueues map[string]time.Time
 	// announcedOrders is the value of the row with the hosts that may get orders.
 	announcedOrders []byte
 	// stateOutsideMain is true if another home holds state that the main home lacks.
@@ -168,7 +172,8 @@
 	if list, ok := o.site.view.listWorkers(); ok {
 		o.state.SetWorkers(now, list)
 	}
-	o.state.SetQueues(o.site.view.queues())
+	queues, _ := o.site.view.queues()
+	o.state.SetQueues(queues)
 	o.changed = true
 }
 
--- a/io/site/rows.go
+++ b/io/site/rows.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"bytes"
 	"fmt"
 	"hash/fnv"
 	"net/url"
@@ -102,11 +103,21 @@
 	return cell
 }
 
-// endedMark replaces the value of a job's row once the outcome is stored.
-var endedMark = []byte{0}
+// Marks are values of a job's row that are no job. All are one byte long, so that a program
+// that does not know a mark takes the job for an ended one.
+var (
+	// endedMark replaces the job once the outcome is stored.
+	endedMark = []byte{0}
+	// movedMark means that the job is accepted in another cell, if at all.
+	movedMark = []byte{2}
+)
+
+// isMark reports whether the value of a job's row is a mark.
+func isMark(value []byte) bool { return len(value) <= 1 }
 
-// isEndedMark reports whether the value of a job's row marks the job as ended.
-func isEndedMark(value []byte) bool { return len(value) <= len(endedMark) }
+// isSeal reports whether the value of a job's row prevents that the job is stored in the
+// row, in which no job was stored before.
+func isSeal(value []byte) bool { return bytes.Equal(value, movedMark) }
 
 // key returns the key of a row in the store.
 func key(table, part, name string) string { return table + "/" + part + "/" + name }
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -18,6 +18,7 @@
 type Site struct {
 	settings Settings
 	view     *view
+	trail    queueTrail
 	self     tenure.Owner
 	log      *logrus.Entry
 	meters   meters
@@ -52,6 +53,7 @@
 	g.Go("follow configuration", s.followOperator)
 	g.Go("follow workers", s.followWorkers)
 	g.Go("follow cells", s.followCells)
+	g.Go("keep queue records", s.keepTrail)
 	g.Go("acquire cells", func(ctx context.Context) error { return s.acquireCells(ctx, g) })
 	return g.Wait()
 }
--- a/io/site/sweep.go
+++ b/io/site/sweep.go
@@ -21,7 +21,8 @@
 	maxSweptRows = 90
 )
 
-// sweep deletes the rows of jobs that ended long ago, until ctx ends.
+// sweep deletes the rows of jobs that ended long ago, and what else is no longer needed, until
+// ctx ends.
 func (o *cellOwner) sweep(ctx context.Context) error {
 	for {
 		if err := sleep(ctx, sweepInterval); err != nil {
@@ -32,6 +33,8 @@
 				o.log.WithError(err).WithField("home", home).Info("Outcomes are not swept now.")
 			}
 		}
+		o.sweepSeals(ctx)
+		o.sweepTrail(ctx)
 	}
 }
 
--- a/io/site/view.go
+++ b/io/site/view.go
@@ -98,9 +98,7 @@
 	}
 	v.config, v.version = &c, version
 	for _, p := range c.Pools {
-		if cell := cellOf(p.Name); v.cells[cell] == nil {
-			v.cells[cell] = &cellView{pool: p.Name}
-		}
+		v.addCell(p.Name)
 	}
 	return true
 }
@@ -112,14 +110,30 @@
 	return v.config
 }
 
-// queues returns the configured queues.
-func (v *view) queues() []works.Queue {
+// queues returns the configured queues and the version of the configuration's row.
+func (v *view) queues() ([]works.Queue, uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.config == nil {
-		return nil
+		return nil, 0
+	}
+	return v.config.Queues, v.version
+}
+
+// addCells adds the cells of pools that may have jobs although they are not configured.
+func (v *view) addCells(pools []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, p := range pools {
+		v.addCell(p)
+	}
+}
+
+// addCell adds the cell of a pool unless it is known. The caller holds the lock.
+func (v *view) addCell(pool string) {
+	if cell := cellOf(pool); v.cells[cell] == nil {
+		v.cells[cell] = &cellView{pool: pool}
 	}
-	return v.config.Queues
 }
 
 // setWorkers replaces all registrations.
