A large job does not stop its pool

Cause: all progress of a job was one row. The table refuses a row beyond its limit, and the owner put the same row into each of its next transactions.

Change: progress is kept in rows of 128 tasks, of which only changed ones are written; smaller jobs have the row that they had. A row leaves out what the tasks can do without rather than exceed the limit, and a transaction is bounded in bytes. A row of the program before is split, the first row last. A gang is aligned when it is read. Related: submissions that do not fit into a row are refused alone, and a renewal leaves out the numbers of waiting jobs if they do not fit.

--- a/cmd/bramleyrock/hosted.go
+++ b/cmd/bramleyrock/hosted.go
@@ -153,7 +153,7 @@
 	return site.Settings{
 		Adviser: adviser,
 		Name:    p.Name + "@" + p.IP, Holder: p.Name, CPUShare: p.CPUShare,
-		Store: platform.NewStore(p.StoreAddress), Workers: platform.NewWorkers(p.MaxWorkerConns()), Hosts: platform.NewHostDuties(p.HostsAddress), HostOrderRate: p.HostOrderRate,
+		Store: platform.NewStore(p.StoreAddress), Workers: platform.NewWorkers(p.MaxWorkerConns()), Hosts: platform.NewHostDuties(p.HostsAddress), HostOrderRate: p.HostOrderRate, MaxRowBytes: p.MaxRowBytes,
 		PlatformTables: site.PlatformTables{
 			OperatorTable: platform.OperatorTable, ConfigName: platform.ConfigName, WavePrefix: platform.WavePrefix,
 			WorkerTable: platform.WorkerTable, StatusTable: platform.StatusTable,
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -170,15 +170,18 @@
 	return false
 }
 
-// AddProgress restores the stored progress of a job that was added before.
-func (c *Cell) AddProgress(now time.Time, id string, p works.Progress) {
+// AddProgress restores the stored rows of progress of a job that was added before.
+func (c *Cell) AddProgress(now time.Time, id string, rows ...works.Progress) {
 	j := c.jobs[id]
 	if j == nil {
 		return
 	}
-	for t, worker := range j.restore(p) {
+	for t, worker := range j.restore(rows) {
 		c.expectFormerRun(now, t, worker)
 	}
+	if j.dirty.count() > 0 {
+		c.markDirty(now, false)
+	}
 	c.completeIfDone(now, j)
 }
 
@@ -264,7 +267,7 @@
 func (c *Cell) cancelPlacement(r *run) {
 	r.worker.removeRun(r)
 	if r.task != nil {
-		r.task.step.job.dirty = true
+		r.task.markDirty()
 	}
 }
 
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -429,7 +429,8 @@
 func (c *Cell) markPlaced(now time.Time, r *run) {
 	t := r.task
 	t.lastRun, t.current = r.number, r
-	t.step.job.dirty, t.step.job.placed = true, true
+	t.step.job.placed = true
+	t.markDirty()
 	c.unstoredRuns = append(c.unstoredRuns, r)
 	c.markDirty(now, true)
 }
--- a/core/cell/export_test.go
+++ b/core/cell/export_test.go
@@ -13,7 +13,7 @@
 	if j == nil {
 		return "the job is not known"
 	}
-	fmt.Fprintf(&b, "job state %s dirty %v remaining tasks %d unstored runs %d flushing %v\n", j.state, j.dirty, j.remaining, len(c.unstoredRuns), c.flushing)
+	fmt.Fprintf(&b, "job state %s dirty %v remaining tasks %d unstored runs %d flushing %v\n", j.state, j.dirty.list(), j.remaining, len(c.unstoredRuns), c.flushing)
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
 			fmt.Fprintf(&b, "task %s done %v failed runs %v current run %+v\n", t.key, t.done, t.failedRuns, t.current)
--- a/core/cell/flush.go
+++ b/core/cell/flush.go
@@ -10,14 +10,15 @@
 // Write holds the rows to write for one job.
 type Write struct {
 	ID string
-	// Ended is true if Outcome replaces all rows of the job. Otherwise Progress
-	// is written.
+	// Ended is true if Outcome replaces the rows of the job. Otherwise Progress, the
+	// progress of a chunk of the job's tasks, is written.
 	Ended    bool
 	Outcome  works.Outcome
+	Chunk    int
 	Progress works.Progress
-	// HasProgressRow and HasCancelRow report whether the job has these rows, which
-	// are to be deleted when it has ended.
-	HasProgressRow bool
+	// ProgressChunks holds the chunks whose rows are to be deleted when the job has ended,
+	// at most maxDeletedChunks of them. HasCancelRow reports whether the job has that row.
+	ProgressChunks []int
 	HasCancelRow   bool
 }
 
@@ -48,8 +49,9 @@
 // Complete reports whether the batch holds all changes that were to be written.
 func (b *Batch) Complete() bool { return !b.more }
 
-// rowsPerEndedJob is the number of rows that change when a job ends.
-const rowsPerEndedJob = 2
+// maxDeletedChunks bounds the rows of progress that are deleted in one batch when a job ends.
+// The rows that are left are deleted together with the outcome.
+const maxDeletedChunks = 16
 
 // FlushDue reports whether a batch should be written now.
 func (c *Cell) FlushDue(now time.Time) bool {
@@ -66,28 +68,38 @@
 	b := &Batch{resolvedEnds: map[string]resolvedEnds{}}
 	rows := 0
 	for len(c.endedJobs) > 0 && rows < maxBatchRows {
-		rows += rowsPerEndedJob
 		j := c.endedJobs[0]
 		c.endedJobs = c.endedJobs[1:]
-		j.dirty = false
+		j.dirty.clear()
+		chunks := j.stored.list()
+		chunks = chunks[:min(len(chunks), maxDeletedChunks)]
+		rows += 1 + len(chunks)
 		b.endedJobs = append(b.endedJobs, j)
 		b.JobWrites = append(b.JobWrites, Write{
 			ID: j.ID, Ended: true, Outcome: works.Outcome{State: j.state, At: now},
-			HasProgressRow: j.hasProgressRow, HasCancelRow: j.hasCancelRow,
+			ProgressChunks: chunks, HasCancelRow: j.hasCancelRow,
 		})
 	}
 	b.more = len(c.endedJobs) > 0
+	bytes := 0
 	write := func(j *job) {
-		if !j.dirty || j.state.Ended() {
+		if j.dirty.count() == 0 || j.state.Ended() {
 			return
 		}
-		if rows >= maxBatchRows {
-			b.more = true
-			return
+		// The row of the first chunk is written last: it may be that of a program that stored
+		// all tasks in it.
+		for _, chunk := range slices.Backward(j.dirty.list()) {
+			if rows >= maxBatchRows || bytes >= maxBatchBytes {
+				b.more = true
+				return
+			}
+			p := j.progress(chunk)
+			rows++
+			bytes += p.MaxSize()
+			j.dirty.remove(chunk)
+			j.stored.add(chunk)
+			b.JobWrites = append(b.JobWrites, Write{ID: j.ID, Chunk: chunk, Progress: p})
 		}
-		rows++
-		j.dirty, j.hasProgressRow = false, true
-		b.JobWrites = append(b.JobWrites, Write{ID: j.ID, Progress: j.progress()})
 	}
 	for _, r := range c.unstoredRuns {
 		if r.task != nil {
@@ -101,7 +113,7 @@
 		if r.task == nil || r.state != placed {
 			return true
 		}
-		if !r.task.step.job.dirty {
+		if !r.task.step.job.dirty.contains(r.task.chunk) {
 			b.placedRuns = append(b.placedRuns, r)
 			return true
 		}
@@ -153,7 +165,7 @@
 	}
 	for _, w := range b.JobWrites {
 		if j := c.jobs[w.ID]; j != nil && !w.Ended {
-			j.dirty = true
+			j.dirty.add(w.Chunk)
 		}
 	}
 	c.markDirty(now, len(c.endedJobs) > 0)
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"bramleyrock/core/rank"
@@ -13,14 +15,18 @@
 	queue   works.Queue
 	version uint64
 	steps   []*step
+	// tasks holds the tasks of all steps, in order of occurrence, step and index. Every
+	// [works.ChunkTasks] of them share a row with their progress.
+	tasks []*task
+	// dirty holds the chunks whose rows must be written, and stored those that have rows.
+	dirty  chunkSet
+	stored chunkSet
 	// remaining is the number of tasks that are not done.
-	remaining      int
-	started        bool
-	placed         bool // this owner has placed a task of the job
-	state          works.State
-	dirty          bool
-	hasProgressRow bool
-	hasCancelRow   bool
+	remaining    int
+	started      bool
+	placed       bool // this owner has placed a task of the job
+	state        works.State
+	hasCancelRow bool
 	// addedAt is when the job was added to the cell, and endedAt when it ended.
 	addedAt time.Time
 	endedAt time.Time
@@ -46,7 +52,9 @@
 	name works.TaskName
 	key  string // name as a string
 	step *step
-	done bool
+	// chunk is the chunk of the job's tasks to which the task belongs.
+	chunk int
+	done  bool
 	// failedRuns holds the numbers of the runs that failed.
 	failedRuns []int64
 	checkpoint string
@@ -74,7 +82,8 @@
 	s := &step{Step: &j.Spec.Steps[number], job: j, occurrence: occurrence, number: number}
 	for i := range s.Count {
 		n := works.TaskName{Job: j.ID, Occurrence: occurrence, Step: number, Index: i}
-		s.tasks = append(s.tasks, &task{name: n, key: n.String(), step: s})
+		t := &task{name: n, key: n.String(), step: s, chunk: len(j.tasks) / works.ChunkTasks}
+		s.tasks, j.tasks = append(s.tasks, t), append(j.tasks, t)
 	}
 	s.remaining = s.Count
 	j.remaining += s.Count
@@ -109,54 +118,107 @@
 	if t.done {
 		return
 	}
-	t.done = true
-	t.step.remaining--
-	t.step.job.remaining--
-	t.step.job.rankInputAt = time.Time{}
-	t.step.job.dirty = true
+	t.restoreDone()
+	t.markDirty()
 }
 
-// progress returns the job's progress in the form that is stored. Tasks that
-// have not run are left out.
-func (j *job) progress() works.Progress {
+// markDirty records that the task's progress must be written.
+func (t *task) markDirty() { t.step.job.dirty.add(t.chunk) }
+
+// progress returns the progress of a chunk of the job's tasks in the form that is stored.
+// Tasks that have not run are left out.
+func (j *job) progress(chunk int) works.Progress {
 	p := works.Progress{Started: j.started}
-	for _, s := range j.steps {
-		for _, t := range s.tasks {
-			if !t.done && len(t.failedRuns) == 0 && t.current == nil {
-				continue
-			}
-			tp := works.TaskProgress{
-				Occurrence: s.occurrence, Step: s.number, Index: t.name.Index,
-				Done: t.done, Failed: t.failedRuns, Run: t.lastRun, Checkpoint: t.checkpoint,
-			}
-			if t.current != nil {
-				tp.Run, tp.Worker = t.current.number, t.current.worker.id()
-			}
-			p.Tasks = append(p.Tasks, tp)
+	for _, t := range j.tasks[chunk*works.ChunkTasks : min(len(j.tasks), (chunk+1)*works.ChunkTasks)] {
+		if !t.done && len(t.failedRuns) == 0 && t.current == nil {
+			continue
+		}
+		tp := works.TaskProgress{
+			Occurrence: t.step.occurrence, Step: t.step.number, Index: t.name.Index,
+			Done: t.done, Failed: t.failedRuns, Run: t.lastRun, Checkpoint: t.checkpoint,
 		}
+		if t.current != nil {
+			tp.Run, tp.Worker = t.current.number, t.current.worker.id()
+		}
+		p.Tasks = append(p.Tasks, tp)
 	}
 	return p
 }
 
-// restore applies stored progress and returns the tasks that may be running,
-// with the IDs of their workers.
-func (j *job) restore(p works.Progress) map[*task]string {
-	j.started = j.started || p.Started
-	j.hasProgressRow = true
+// restore applies the stored rows of progress and returns the tasks that may be running,
+// with the IDs of their workers. If several rows hold a task, the newest one counts.
+func (j *job) restore(rows []works.Progress) map[*task]string {
 	workers := map[*task]string{}
+	for _, p := range slices.SortedFunc(slices.Values(rows), func(a, b works.Progress) int { return a.Stamp.Compare(b.Stamp) }) {
+		j.restoreRow(p, workers)
+	}
+	for _, s := range j.steps {
+		if s.Gang {
+			s.alignGang()
+		}
+	}
+	maps.DeleteFunc(workers, func(t *task, _ string) bool { return t.done })
+	return workers
+}
+
+// restoreRow applies one row of progress. A program that stored all tasks in one row left
+// rows with tasks of several chunks; all of these chunks must be written then.
+func (j *job) restoreRow(p works.Progress, workers map[*task]string) {
+	j.started = j.started || p.Started
+	var chunks chunkSet
 	for _, tp := range p.Tasks {
 		s := j.step(tp.Occurrence, tp.Step)
 		if s == nil || tp.Index < 0 || tp.Index >= len(s.tasks) {
 			continue
 		}
 		t := s.tasks[tp.Index]
+		chunks.add(t.chunk)
 		t.failedRuns, t.lastRun, t.checkpoint = tp.Failed, tp.Run, tp.Checkpoint
+		delete(workers, t)
 		if tp.Done {
-			t.markDone()
+			t.restoreDone()
 		} else if tp.Worker != "" {
 			workers[t] = tp.Worker
 		}
 	}
-	j.dirty = false
-	return workers
+	if chunks.count() > 1 {
+		j.dirty.addAll(chunks)
+		chunks.add(0) // the row is that of the first chunk
+	}
+	j.stored.addAll(chunks)
+	if chunks.count() == 0 {
+		j.stored.add(0)
+	}
+}
+
+// restoreDone marks the task as done, which is stored already.
+func (t *task) restoreDone() {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.step.remaining--
+	t.step.job.remaining--
+	t.step.job.rankInputAt = time.Time{}
+}
+
+// alignGang gives all tasks of a restored gang the progress of the one that has the most:
+// they end and fail together, and their rows may have been written one after another.
+func (s *step) alignGang() {
+	done, failed := false, []int64(nil)
+	for _, t := range s.tasks {
+		done = done || t.done
+		if len(t.failedRuns) > len(failed) {
+			failed = t.failedRuns
+		}
+	}
+	for _, t := range s.tasks {
+		if done && !t.done || len(t.failedRuns) < len(failed) {
+			t.markDirty()
+		}
+		t.failedRuns = slices.Clone(failed)
+		if done {
+			t.restoreDone()
+		}
+	}
 }
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -114,7 +114,7 @@
 	if r.task != nil && r.task.current == r {
 		r.task.checkpoint = newestCheckpoint(r.checkpoint, r.task.checkpoint)
 		r.task.endedAt = now
-		r.task.step.job.dirty = true
+		r.task.markDirty()
 		c.markDirty(now, false)
 	}
 	r.worker.removeRun(r)
@@ -170,7 +170,7 @@
 		t.checkpoint = newestCheckpoint(e.Checkpoint, t.checkpoint)
 		c.addEvent("run ended "+string(e.Reason), &run{key: e.Task, number: e.Run, worker: w, task: t}, "")
 	}
-	if j.dirty {
+	if j.dirty.count() > 0 {
 		c.markDirty(now, false)
 	}
 	c.completeIfDone(now, j)
@@ -205,11 +205,11 @@
 	}
 	for _, m := range tasks {
 		m.failedRuns = append(m.failedRuns, e.Run)
+		m.markDirty()
 	}
 	t.lastFailedWorker = w.id()
 	c.addEvent("run failed", &run{key: e.Task, number: e.Run, worker: w, task: t}, fmt.Sprintf("failure %d of %d", len(t.failedRuns), t.step.job.queue.Attempts))
 	j := t.step.job
-	j.dirty = true
 	if len(t.failedRuns) >= j.queue.Attempts && !j.state.Ended() {
 		c.endJob(now, j, works.Failed, fmt.Sprintf("task %s failed %d times, last on worker %s", t.key, len(t.failedRuns), w.id()))
 	}
@@ -292,7 +292,7 @@
 		if j.state == works.Queued {
 			j.state = works.Running
 		}
-		j.dirty = true
+		r.task.markDirty()
 		c.markDirty(now, false)
 	}
 }
@@ -311,7 +311,7 @@
 		t.lastRun = max(t.lastRun, reported.Run)
 		w.addRun(r)
 		c.markStarted(now, r)
-		t.step.job.dirty = true // the next owner must know where the task runs
+		t.markDirty() // the next owner must know where the task runs
 		c.markDirty(now, false)
 		c.addEvent("run adopted", r, "")
 		return
--- a/core/cell/settings.go
+++ b/core/cell/settings.go
@@ -75,6 +75,9 @@
 	// maxBatchRows bounds the rows of jobs in a batch, which keeps the rows and
 	// conditions of a transaction below the platform's limit of 100.
 	maxBatchRows = 72
+	// maxBatchBytes bounds the size of the progress in a batch, but for its last row, which
+	// keeps a transaction below the platform's limit of 1 MB when it is encoded as base64.
+	maxBatchBytes = 512 << 10
 	// runsPerFence is the number of run numbers that are reserved for each epoch.
 	runsPerFence = 1 << 12
 )
--- a/core/cell/workerrow.go
+++ b/core/cell/workerrow.go
@@ -128,7 +128,7 @@
 // which [Batch.Complete] is true ends the copy.
 func (c *Cell) RewriteAll(now time.Time) {
 	for _, j := range c.jobs {
-		j.dirty = j.dirty || j.hasProgressRow
+		j.dirty.addAll(j.stored)
 	}
 	for _, w := range c.workers {
 		w.rewriteRow = w.hasRow
--- a/core/works/progress.go
+++ b/core/works/progress.go
@@ -1,13 +1,21 @@
 package works
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 )
 
-// Progress is the progress of a job that has not ended, as stored in its row.
+// ChunkTasks is the number of tasks of a job that share a row with their progress. Jobs with
+// more tasks have several rows, so that each is within the row size of the platform's table
+// and a change is written without the progress of all other tasks.
+const ChunkTasks = 128
+
+// Progress is the progress of a chunk of the tasks of a job that has not ended, as stored in
+// its row.
 type Progress struct {
 	// Started is true once a task has started.
 	Started bool `cbor:"1,keyasint,omitempty"`
@@ -28,11 +36,12 @@
 }
 
 // After reports whether the write with stamp s was made after that with o.
-func (s Stamp) After(o Stamp) bool {
-	if s.Fence != o.Fence {
-		return s.Fence > o.Fence
-	}
-	return s.Seq > o.Seq
+func (s Stamp) After(o Stamp) bool { return s.Compare(o) > 0 }
+
+// Compare returns a negative number, zero or a positive number if the write with stamp s was
+// made before, is the same as, or was made after that with o.
+func (s Stamp) Compare(o Stamp) int {
+	return cmp.Or(cmp.Compare(s.Fence, o.Fence), cmp.Compare(s.Seq, o.Seq))
 }
 
 // TaskProgress is the progress of one task. It is encoded as an array: the
@@ -60,13 +69,57 @@
 	At    time.Time `cbor:"2,keyasint"`
 }
 
-// EncodeProgress returns the row value of p.
-func EncodeProgress(p Progress) ([]byte, error) {
-	data, err := encMode.Marshal(p)
-	if err != nil {
-		return nil, fmt.Errorf("encode progress: %w", err)
+// Upper bounds of the encoded sizes of a row and of a task's progress without its lists and
+// texts, and of a number, in bytes.
+const (
+	maxRowOverhead  = 32
+	maxTaskOverhead = 48
+	maxNumberSize   = 9
+)
+
+// MaxSize returns an upper bound of the encoded size of p in bytes.
+func (p *Progress) MaxSize() int {
+	n := maxRowOverhead
+	for i := range p.Tasks {
+		t := &p.Tasks[i]
+		n += maxTaskOverhead + maxNumberSize*len(t.Failed) + len(t.Checkpoint) + len(t.Worker)
+	}
+	return n
+}
+
+// keptFailures is the number of the last failed runs of a task whose numbers are always
+// stored. Older runs are not reported again.
+const keptFailures = 8
+
+// EncodeProgress returns the row value of p. If it would have more than limit bytes, what the
+// tasks can do without is left out until it has not: first the checkpoints, then the numbers
+// of older failed runs, which then count as 0, and last the older failed runs themselves. It
+// reports whether anything was left out.
+func EncodeProgress(p Progress, limit int) (data []byte, reduced bool, err error) {
+	reductions := []func(*TaskProgress){
+		func(t *TaskProgress) { t.Checkpoint = "" },
+		func(t *TaskProgress) {
+			t.Failed = slices.Clone(t.Failed)
+			clear(t.Failed[:max(0, len(t.Failed)-keptFailures)])
+		},
+		func(t *TaskProgress) { t.Failed = t.Failed[max(0, len(t.Failed)-keptFailures):] },
+	}
+	for i := 0; ; i++ {
+		data, err := encMode.Marshal(p)
+		if err != nil {
+			return nil, false, fmt.Errorf("encode progress: %w", err)
+		}
+		if len(data) <= limit {
+			return data, i > 0, nil
+		}
+		if i == len(reductions) {
+			return nil, false, fmt.Errorf("encode progress of %d tasks: %d bytes are more than the limit of %d", len(p.Tasks), len(data), limit)
+		}
+		p.Tasks = slices.Clone(p.Tasks)
+		for k := range p.Tasks {
+			reductions[i](&p.Tasks[k])
+		}
 	}
-	return data, nil
 }
 
 // DecodeProgress decodes the row value of a job's progress.
--- a/core/works/spec.go
+++ b/core/works/spec.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// The limits of a job. They keep its rows within the row size of the platform's
-// table.
+// The limits of a job.
 const (
 	// MaxSteps is the maximum number of steps of a job.
 	MaxSteps = 64
--- a/core/works/works_test.go
+++ b/core/works/works_test.go
@@ -1,6 +1,7 @@
 package works_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -46,8 +47,9 @@
 	got.Accepted, got.Spec.First = got.Accepted.UTC(), got.Spec.First.UTC()
 	assert.DeepEqual(t, got, j)
 	p := works.Progress{Started: true, Tasks: []works.TaskProgress{{Step: 1, Index: 2, Failed: []int64{4, 9}, Run: 9, Checkpoint: "c", Worker: "w"}}}
-	data, err = works.EncodeProgress(p)
+	data, reduced, err := works.EncodeProgress(p, 1<<10)
 	assert.NilError(t, err)
+	assert.Assert(t, !reduced)
 	back, err := works.DecodeProgress(data)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, back, p)
@@ -103,3 +105,56 @@
 		assert.NilError(t, err)
 	})
 }
+
+// TestProgressFitsItsRow guards against a row that the table refuses, whatever the tasks of
+// a job did: the refused transaction would be written again for good.
+func TestProgressFitsItsRow(t *testing.T) {
+	const limit = 48 << 10
+	failures := func(n int) []int64 {
+		list := make([]int64, n)
+		for i := range list {
+			list[i] = 1<<60 + int64(i)
+		}
+		return list
+	}
+	cases := map[string]struct {
+		task    works.TaskProgress
+		reduced bool
+		failed  int // stored failures of a task
+	}{
+		"done":              {works.TaskProgress{Done: true, Run: 1 << 60}, false, 0},
+		"running":           {works.TaskProgress{Run: 1 << 60, Worker: "i-0123456789abcdef", Checkpoint: "00000bb87a21d94b"}, false, 0},
+		"failed often":      {works.TaskProgress{Run: 1 << 60, Worker: "i-0123456789abcdef", Checkpoint: "00000bb87a21d94b", Failed: failures(20)}, false, 20},
+		"long checkpoints":  {works.TaskProgress{Run: 1 << 60, Checkpoint: strings.Repeat("x", 4000), Failed: failures(3)}, true, 3},
+		"failed very often": {works.TaskProgress{Run: 1 << 60, Failed: failures(100)}, true, 100},
+		"failed for ever":   {works.TaskProgress{Run: 1 << 60, Failed: failures(5000)}, true, 8},
+		"the longest names": {works.TaskProgress{Run: 1 << 60, Worker: strings.Repeat("w", 198), Failed: failures(5000)}, true, 8},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := works.Progress{Started: true, Stamp: works.Stamp{Fence: 1 << 60, Seq: 1 << 60}}
+			for i := range works.ChunkTasks {
+				c.task.Occurrence, c.task.Step, c.task.Index = 1<<15, works.MaxSteps-1, works.MaxTasks-1-i
+				p.Tasks = append(p.Tasks, c.task)
+			}
+			data, reduced, err := works.EncodeProgress(p, limit)
+			assert.NilError(t, err)
+			assert.Assert(t, len(data) <= limit, "%d bytes", len(data))
+			assert.Equal(t, reduced, c.reduced)
+			got, err := works.DecodeProgress(data)
+			assert.NilError(t, err)
+			assert.Equal(t, len(got.Tasks), works.ChunkTasks)
+			last := got.Tasks[works.ChunkTasks-1]
+			assert.Equal(t, len(last.Failed), c.failed)
+			if c.failed > 0 {
+				assert.Equal(t, last.Failed[c.failed-1], c.task.Failed[len(c.task.Failed)-1], "the last failure is known")
+			}
+			assert.Equal(t, last.Worker, c.task.Worker)
+			if !reduced {
+				full, _, err := works.EncodeProgress(p, 1<<30)
+				assert.NilError(t, err)
+				assert.Assert(t, len(full) <= p.MaxSize(), "%d bytes, at most %d were expected", len(full), p.MaxSize())
+			}
+		})
+	}
+}
--- a/io/site/batcher.go
+++ b/io/site/batcher.go
@@ -12,6 +12,10 @@
 // conditions and a row, and the platform's limit is 100.
 const maxBatchJobs = 30
 
+// maxBatchBytes bounds the jobs in one transaction together, but for the last one, which
+// keeps it below the platform's limit of 1 MB when it is encoded as base64.
+const maxBatchBytes = 512 << 10
+
 // jobBatcher stores jobs that are submitted to a part at about the same time in one
 // transaction. Jobs that arrive during a transaction wait for the next one. While the
 // table is slow, a part runs only a few transactions per second.
@@ -71,14 +75,16 @@
 // same job go into different transactions. The caller holds the lock.
 func (g *jobBatcher) nextBatch() []*jobWrite {
 	var batch, later []*jobWrite
-	keys := map[string]bool{}
+	keys, bytes := map[string]bool{}, 0
 	for _, w := range g.waiting {
-		k := w.transaction.Writes()[0].Key()
-		if len(batch) >= maxBatchJobs || keys[k] {
+		first := w.transaction.Writes()[0]
+		k := first.Key()
+		if len(batch) >= maxBatchJobs || bytes >= maxBatchBytes || keys[k] {
 			later = append(later, w)
 			continue
 		}
 		keys[k] = true
+		bytes += len(first.Value())
 		batch = append(batch, w)
 	}
 	g.waiting = later
--- a/io/site/commit.go
+++ b/io/site/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -97,7 +98,7 @@
 		t.Put(key(cellTable, part, ownerName), value)
 	}
 	record := o.lease.BeginWrite(now, home)
-	value, err := encode(o.newRenewal(now, record))
+	value, err := encodeRenewal(o.newRenewal(now, record), o.site.settings.maxRowBytes())
 	if err != nil {
 		return t, err
 	}
@@ -156,11 +157,14 @@
 func (o *cellOwner) addJobRows(t *rock.Transaction, part string, w *cell.Write, stamp works.Stamp) error {
 	if !w.Ended {
 		w.Progress.Stamp = stamp
-		value, err := works.EncodeProgress(w.Progress)
+		value, reduced, err := works.EncodeProgress(w.Progress, o.site.settings.maxRowBytes())
 		if err != nil {
-			return err
+			return fmt.Errorf("job %s: %w", w.ID, err)
 		}
-		t.Put(key(o.jobTable, part, w.ID+progressSuffix), value)
+		if reduced {
+			o.log.WithField("job", w.ID).WithField("chunk", w.Chunk).WithField("bytes", len(value)).Warn("Progress is stored in part, it exceeds the row size.")
+		}
+		t.Put(key(o.jobTable, part, progressName(w.ID, w.Chunk)), value)
 		return nil
 	}
 	value, err := works.EncodeOutcome(w.Outcome)
@@ -168,8 +172,8 @@
 		return err
 	}
 	t.Put(key(o.jobTable, part, w.ID+outcomeSuffix), value)
-	if w.HasProgressRow {
-		t.Delete(key(o.jobTable, part, w.ID+progressSuffix))
+	for _, chunk := range w.ProgressChunks {
+		t.Delete(key(o.jobTable, part, progressName(w.ID, chunk)))
 	}
 	return nil
 }
--- a/io/site/doc.go
+++ b/io/site/doc.go
@@ -19,7 +19,8 @@
 //	cells  beat      the last renewal, with the cell's load and the homes in use
 //	cells  w/ID      a worker to which the owner may have sent orders
 //	orders hosts     the hosts for which the owner may send orders
-//	jobs-N ID/s      the progress of a job
+//	jobs-N ID/s      the progress of the first tasks of a job, see [works.ChunkTasks]
+//	jobs-N ID/sN     the progress of a further chunk of its tasks
 //	jobs-N ID/d      the outcome of a job, which replaces its progress
 //
 // The owner writes state to one home, the main home. If the main home does not
--- a/io/site/homes.go
+++ b/io/site/homes.go
@@ -189,7 +189,7 @@
 	rows := o.deferredRows
 	o.deferredRows = nil
 	o.applyJobRows(now, rows)
-	o.pendingProgress, o.pendingOutcomes = map[string]works.Progress{}, map[string]works.Outcome{}
+	o.pendingProgress, o.pendingOutcomes = map[string]jobProgress{}, map[string]works.Outcome{}
 	o.state.SetJobsIncomplete(now, false)
 	if o.copying {
 		o.startCopy(now) // the present copy lacks the jobs that were read after it began
--- a/io/site/intake.go
+++ b/io/site/intake.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	rock "bramleyrock"
@@ -72,7 +74,7 @@
 	o.state.AddJob(now, j, r.Version())
 	if p, ok := o.pendingProgress[id]; ok {
 		delete(o.pendingProgress, id)
-		o.state.AddProgress(now, id, p)
+		o.state.AddProgress(now, id, slices.Collect(maps.Values(p))...)
 	}
 	o.state.HandleDeferredEnds(now, id)
 }
--- a/io/site/jobs.go
+++ b/io/site/jobs.go
@@ -99,6 +99,9 @@
 	started := s.now()
 	cell := cellOf(q.Pool)
 	value, err := works.EncodeJob(works.Job{ID: id, Queue: q.Name, Accepted: started, Spec: spec})
+	if err == nil && len(value) > s.settings.maxRowBytes() {
+		err = fmt.Errorf("job has %d bytes when it is stored: want at most %d", len(value), s.settings.maxRowBytes())
+	}
 	if err != nil {
 		return rock.Fail("submit", "job "+id, rock.BadInput, rock.NotRun).Because(err)
 	}
@@ -209,7 +212,9 @@
 
 // jobRows holds the rows that were found of a job; a row that was not found is nil.
 type jobRows struct {
-	job, progress, outcome *rock.Row
+	job, outcome *rock.Row
+	// progress is the newest of the rows with progress.
+	progress *rock.Row
 }
 
 // ended reports whether the job's row is marked, and no row has the job.
@@ -326,15 +331,15 @@
 	for i := range c.Rows {
 		row := &c.Rows[i]
 		_, name := splitKey(row.Key())
-		switch _, suffix := splitJobName(name); suffix {
-		case jobSuffix:
-			if !r.stored() { // one part may have the job, and another a seal
-				r.job = row
-			}
-		case progressSuffix:
-			r.progress = row
-		case outcomeSuffix:
+		_, suffix := splitJobName(name)
+		_, progress := progressChunk(suffix)
+		switch {
+		case suffix == jobSuffix && !r.stored(): // one part may have the job, and another a seal
+			r.job = row
+		case suffix == outcomeSuffix:
 			r.outcome = row
+		case progress && (r.progress == nil || row.Version() > r.progress.Version()):
+			r.progress = row
 		}
 	}
 	return nil
@@ -429,7 +434,11 @@
 // uses the cell's last renewal, or reads the jobs' rows if that is too old.
 func (s *Site) countWaitingIn(ctx context.Context, cell, queue string) (int, error) {
 	n, renewedAt := 0, time.Time{}
-	s.view.withCell(cell, func(c *cellView) { n, renewedAt = c.renewal.WaitingJobs[queue], c.renewalAt })
+	s.view.withCell(cell, func(c *cellView) {
+		if !c.renewal.WaitingOmitted {
+			n, renewedAt = c.renewal.WaitingJobs[queue], c.renewalAt
+		}
+	})
 	if s.now().Sub(renewedAt) <= maxRenewalAge {
 		return n, nil
 	}
@@ -462,8 +471,12 @@
 			}
 			j, err := works.DecodeJob(rows[i].Value())
 			waiting[id] = err == nil && j.Queue == queue && j.Spec.Times == 0
-		case progressSuffix, outcomeSuffix:
+		case outcomeSuffix:
 			started[id] = true
+		default:
+			if _, ok := progressChunk(suffix); ok {
+				started[id] = true
+			}
 		}
 	}
 	n := 0
--- a/io/site/load.go
+++ b/io/site/load.go
@@ -134,7 +134,7 @@
 	}
 	o.loadProgress(r.jobs.rows)
 	o.applyJobRows(now, r.jobs.rows)
-	maps.DeleteFunc(o.pendingProgress, func(id string, _ works.Progress) bool { return o.state.HasEnded(id) })
+	maps.DeleteFunc(o.pendingProgress, func(id string, _ jobProgress) bool { return o.state.HasEnded(id) })
 	if o.stateOutsideMain {
 		o.startCopy(now)
 	} else {
@@ -167,9 +167,12 @@
 	return nil
 }
 
+// jobProgress holds the newest stored progress of a job, by chunk of its tasks.
+type jobProgress map[int]works.Progress
+
 // loadProgress collects the newest progress of each job.
 func (o *cellOwner) loadProgress(rows []rock.Row) {
-	o.pendingProgress = map[string]works.Progress{}
+	o.pendingProgress = map[string]jobProgress{}
 	for _, r := range rows {
 		part, name := splitKey(r.Key())
 		id, suffix := splitJobName(name)
@@ -177,7 +180,8 @@
 		if suffix == outcomeSuffix && home != o.lease.Main() {
 			o.stateOutsideMain = true
 		}
-		if suffix != progressSuffix {
+		chunk, ok := progressChunk(suffix)
+		if !ok {
 			continue
 		}
 		p, err := works.DecodeProgress(r.Value())
@@ -185,8 +189,11 @@
 			o.log.WithError(err).WithField("row", r.Key()).Error("Progress cannot be read.")
 			continue
 		}
-		if other, ok := o.pendingProgress[id]; !ok || p.Stamp.After(other.Stamp) {
-			o.pendingProgress[id] = p
+		if o.pendingProgress[id] == nil {
+			o.pendingProgress[id] = jobProgress{}
+		}
+		if other, ok := o.pendingProgress[id][chunk]; !ok || p.Stamp.After(other.Stamp) {
+			o.pendingProgress[id][chunk] = p
 			o.stateOutsideMain = o.stateOutsideMain || home != o.lease.Main()
 		}
 	}
--- a/io/site/load_test.go
+++ b/io/site/load_test.go
@@ -113,7 +113,7 @@
 func TestStaleProgressIsNotHeldBack(t *testing.T) {
 	t.Parallel()
 	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
-	progress, err := works.EncodeProgress(works.Progress{Started: true})
+	progress, _, err := works.EncodeProgress(works.Progress{Started: true}, DefaultMaxRowBytes)
 	assert.NilError(t, err)
 	outcome, err := works.EncodeOutcome(works.Outcome{State: works.Completed, At: now})
 	assert.NilError(t, err)
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -91,7 +91,7 @@
 	// live jobs, by job id.
 	extraParts map[string][]string
 	// pendingProgress holds stored progress of jobs whose rows are not known yet.
-	pendingProgress map[string]works.Progress
+	pendingProgress map[string]jobProgress
 	// pendingOutcomes holds the outcomes that were read while parts were unread. The
 	// rows of the jobs may be in these parts.
 	pendingOutcomes map[string]works.Outcome
--- a/io/site/renewal.go
+++ b/io/site/renewal.go
@@ -16,6 +16,8 @@
 	HasLoad bool `cbor:"7,keyasint,omitempty"`
 	// WaitingJobs is the number of jobs of each queue that have not started.
 	WaitingJobs map[string]int `cbor:"1,keyasint,omitempty"`
+	// WaitingOmitted is true if WaitingJobs is left out, because the row would be too large.
+	WaitingOmitted bool `cbor:"12,keyasint,omitempty"`
 	// RemainingWork is the expected remaining work in core-seconds, and Cores the
 	// capacity of the usable workers.
 	RemainingWork float64 `cbor:"2,keyasint,omitempty"`
@@ -37,6 +39,17 @@
 	Record tenure.Record `cbor:"10,keyasint"`
 }
 
+// encodeRenewal returns the value of a renewal row of at most limit bytes. There may be more
+// queues than a row can name.
+func encodeRenewal(r renewal, limit int) ([]byte, error) {
+	data, err := encode(r)
+	if err == nil && len(data) > limit {
+		r.WaitingJobs, r.WaitingOmitted = nil, true
+		return encode(r)
+	}
+	return data, err
+}
+
 // encode returns v as CBOR.
 func encode(v any) ([]byte, error) {
 	data, err := cbor.Marshal(v)
--- a/io/site/rows.go
+++ b/io/site/rows.go
@@ -26,8 +26,10 @@
 	// in all, and a feed returns the changes of one table.
 	jobTableCount = 32
 
-	jobSuffix      = "/j"
-	cancelSuffix   = "/c"
+	jobSuffix    = "/j"
+	cancelSuffix = "/c"
+	// progressSuffix is that of the row with the progress of a job's first tasks. The rows
+	// of the other chunks add the number of the chunk.
 	progressSuffix = "/s"
 	outcomeSuffix  = "/d"
 )
@@ -119,6 +121,25 @@
 // row, in which no job was stored before.
 func isSeal(value []byte) bool { return bytes.Equal(value, movedMark) }
 
+// progressName returns the name of the row with the progress of a chunk of a job's tasks.
+func progressName(id string, chunk int) string {
+	if chunk == 0 {
+		return id + progressSuffix
+	}
+	return id + progressSuffix + strconv.Itoa(chunk)
+}
+
+// progressChunk returns the chunk whose progress is in a row with the suffix, and false if
+// the row holds no progress.
+func progressChunk(suffix string) (chunk int, ok bool) {
+	number, ok := strings.CutPrefix(suffix, progressSuffix)
+	if !ok || number == "" {
+		return 0, ok
+	}
+	chunk, err := strconv.Atoi(number)
+	return chunk, err == nil && chunk > 0
+}
+
 // key returns the key of a row in the store.
 func key(table, part, name string) string { return table + "/" + part + "/" + name }
 
--- a/io/site/settings.go
+++ b/io/site/settings.go
@@ -21,6 +21,9 @@
 	CPUShare float64
 	// Store is the platform's table.
 	Store rock.Store
+	// MaxRowBytes is the largest size of a row's value in the table, in bytes, or 0 for
+	// [DefaultMaxRowBytes].
+	MaxRowBytes int
 	// Workers sends orders to workers.
 	Workers rock.Workers
 	// Adviser says on which workers the steps of some queues may run. It is nil
@@ -57,6 +60,16 @@
 	Scope tally.Scope
 }
 
+// DefaultMaxRowBytes is the largest size of a row's value if the settings give none.
+const DefaultMaxRowBytes = 48 << 10
+
+func (s *Settings) maxRowBytes() int {
+	if s.MaxRowBytes <= 0 {
+		return DefaultMaxRowBytes
+	}
+	return s.MaxRowBytes
+}
+
 // PlatformTables names the tables that the operator and the workers write, and
 // decodes their rows.
 type PlatformTables struct {
--- a/io/site/sweep.go
+++ b/io/site/sweep.go
@@ -48,13 +48,18 @@
 		return fmt.Errorf("list outcomes: %w", err)
 	}
 	intakeKeys := map[string][]string{}
-	var homeKeys []string
+	var homeKeys, outcomeKeys []string
+	progress := progressNames(c.Rows)
 	for _, id := range o.expiredJobs(o.site.now(), c.Rows) {
 		for _, part := range intakeParts(o.cell, id) {
 			intakeKeys[part] = append(intakeKeys[part], key(o.jobTable, part, id+jobSuffix))
 		}
-		homeKeys = append(homeKeys, key(o.jobTable, homePart, id+outcomeSuffix), key(o.jobTable, homePart, id+progressSuffix))
+		for _, name := range progress[id] {
+			homeKeys = append(homeKeys, key(o.jobTable, homePart, name))
+		}
+		outcomeKeys = append(outcomeKeys, key(o.jobTable, homePart, id+outcomeSuffix))
 	}
+	homeKeys = append(homeKeys, outcomeKeys...) // progress without an outcome would be that of a running job
 	for part, keys := range intakeKeys {
 		if err := o.deleteRows(ctx, keys); err != nil {
 			return fmt.Errorf("sweep part %s: %w", part, err)
@@ -66,6 +71,19 @@
 	return nil
 }
 
+// progressNames returns the names of the rows with progress, by job.
+func progressNames(rows []rock.Row) map[string][]string {
+	names := map[string][]string{}
+	for i := range rows {
+		_, name := splitKey(rows[i].Key())
+		id, suffix := splitJobName(name)
+		if _, ok := progressChunk(suffix); ok {
+			names[id] = append(names[id], name)
+		}
+	}
+	return names
+}
+
 // deleteRows deletes rows of one part in several transactions.
 func (o *cellOwner) deleteRows(ctx context.Context, keys []string) error {
 	for chunk := range slices.Chunk(keys, maxSweptRows) {
--- a/io/site/waits_test.go
+++ b/io/site/waits_test.go
@@ -78,7 +78,7 @@
 	cases := map[string]func(o *cellOwner){
 		"a part is unread":   func(o *cellOwner) { o.unreadParts = map[string]uint64{"a#1": 1} },
 		"a row is deferred":  func(o *cellOwner) { o.deferredRows = make([]rock.Row, 1) },
-		"a row is not found": func(o *cellOwner) { o.pendingProgress = map[string]works.Progress{"j": {}} },
+		"a row is not found": func(o *cellOwner) { o.pendingProgress = map[string]jobProgress{"j": {}} },
 	}
 	for name, arrange := range cases {
 		t.Run(name, func(t *testing.T) {
