A worker whose row cannot be stored is not used

An entry of another writer among the workers, with a key of 199 bytes, stopped its pool: the owner stores a row for each worker, whose name is two bytes longer than the key, and the table refused each of the owner's transactions (names have at most 200 bytes).

Change: such a registration is skipped and logged, as other invalid ones are.

Evidence: TestOddRegistrationsAreSkipped has such a row now; without the change no job is completed within 25 s.

--- a/io/site/follow.go
+++ b/io/site/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -200,6 +201,10 @@
 // worker must get no new work later than 2 s after the change.
 const workerPollInterval = 250 * time.Millisecond
 
+// maxWorkerID is the longest id of a worker for which the owner of a cell can store a row: the
+// name of a row has at most 200 bytes.
+const maxWorkerID = 200 - len(workerPrefix)
+
 // decodeWorker returns the worker id of a row and its registration, which is nil if
 // the row is deleted or invalid.
 func (s *Site) decodeWorker(r rock.Row) (string, *rock.Worker) {
@@ -208,6 +213,9 @@
 		return id, nil
 	}
 	w, err := s.settings.PlatformTables.DecodeWorker(id, r.Value(), s.now())
+	if err == nil && len(id) > maxWorkerID {
+		err = fmt.Errorf("id %.40q has %d bytes, at most %d can be stored", id, len(id), maxWorkerID)
+	}
 	if err != nil {
 		s.meters.badWorkers.Inc(1)
 		s.log.WithError(err).Warn("Worker registration is invalid.")
