The state of a large job is read from its first row of progress

A call for the state of a job read all its rows of progress, up to 512 of them. The first one tells whether the job has started: it is written together with the first of the others.

--- a/core/cell/chunks_test.go
+++ b/core/cell/chunks_test.go
@@ -53,6 +53,11 @@
 		d.progress[chunkRow{w.ID, w.Chunk}] = w.Progress
 	}
 	assert.Assert(t, rows <= 90, "%d rows", rows) // the limit is 100, with conditions and rows of workers
+	for k := range d.progress {
+		_, ok := d.progress[chunkRow{k.job, 0}]
+		_, ended := d.outcomes[k.job]
+		assert.Assert(t, ok || ended, "callers do not see that job %s has started", k.job)
+	}
 	assert.Assert(t, bytes <= 900_000, "%d bytes", bytes)
 	b.Flushed(b.now, batch)
 	return batch
@@ -191,6 +196,7 @@
 				row.Tasks = append(row.Tasks, c.stored)
 			}
 			b, d := newHarness(t, tasks, nil), newRowTable()
+			d.progress[chunkRow{"gang", 0}] = row
 			b.AddJob(b.now, job("gang", gang), 9)
 			b.AddProgress(b.now, "gang", row)
 			var starts []cell.Order
--- a/core/cell/flush.go
+++ b/core/cell/flush.go
@@ -86,9 +86,7 @@
 		if j.dirty.count() == 0 || j.state.Ended() {
 			return
 		}
-		// The row of the first chunk is written last: it may be that of a program that stored
-		// all tasks in it.
-		for _, chunk := range slices.Backward(j.dirty.list()) {
+		for _, chunk := range j.chunksToWrite() {
 			if rows >= maxBatchRows || bytes >= maxBatchBytes {
 				b.more = true
 				return
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -145,6 +145,22 @@
 	return p
 }
 
+// chunksToWrite returns the changed chunks in the order in which their rows are written. The
+// first chunk comes first if it has no row, since callers see by its row that the job has
+// started. Otherwise it comes last: its row may be that of a program that stored the progress
+// of all tasks in it.
+func (j *job) chunksToWrite() []int {
+	isNew := !j.stored.contains(0)
+	if isNew {
+		j.dirty.add(0)
+	}
+	list := j.dirty.list()
+	if !isNew {
+		slices.Reverse(list)
+	}
+	return list
+}
+
 // restore applies the stored rows of progress and returns the tasks that may be running,
 // with the IDs of their workers. If several rows hold a task, the newest one counts.
 func (j *job) restore(rows []works.Progress) map[*task]string {
--- a/io/site/jobs.go
+++ b/io/site/jobs.go
@@ -213,7 +213,7 @@
 // jobRows holds the rows that were found of a job; a row that was not found is nil.
 type jobRows struct {
 	job, outcome *rock.Row
-	// progress is the newest of the rows with progress.
+	// progress is the row with the progress of the first tasks.
 	progress *rock.Row
 }
 
@@ -320,8 +320,8 @@
 
 // readRows adds the rows of a job that one part holds.
 func (s *Site) readRows(ctx context.Context, cell, part, id string, r *jobRows) error {
-	// The range holds all names "ID/...": '0' follows '/' in byte order.
-	c, err := s.settings.Store.List(ctx, jobTable(cell), part, id+"/", id+"0")
+	// The first row of progress is the last name in the range. It exists if any of them does.
+	c, err := s.settings.Store.List(ctx, jobTable(cell), part, id+"/", id+progressSuffix+"\x00")
 	if ctx.Err() == nil {
 		s.recordPartAnswer(part, err)
 	}
@@ -331,15 +331,15 @@
 	for i := range c.Rows {
 		row := &c.Rows[i]
 		_, name := splitKey(row.Key())
-		_, suffix := splitJobName(name)
-		_, progress := progressChunk(suffix)
-		switch {
-		case suffix == jobSuffix && !r.stored(): // one part may have the job, and another a seal
-			r.job = row
-		case suffix == outcomeSuffix:
-			r.outcome = row
-		case progress && (r.progress == nil || row.Version() > r.progress.Version()):
+		switch _, suffix := splitJobName(name); suffix {
+		case jobSuffix:
+			if !r.stored() { // one part may have the job, and another a seal
+				r.job = row
+			}
+		case progressSuffix:
 			r.progress = row
+		case outcomeSuffix:
+			r.outcome = row
 		}
 	}
 	return nil
