A job whose cancellation is answered as unknown is not stored later

Cause: Cancel answered 410 when no row of the job was there, and left nothing behind. The pending write's only condition, that the row does not exist, still held. A late copy of the submission was accepted, too.

Change: before the 410, the rows in which the job may be stored are sealed, in every cell that may have jobs of the queue. A submission that finds the seal is refused as not run, after it has made sure that all rows are sealed.

--- a/io/site/jobs.go
+++ b/io/site/jobs.go
@@ -1,6 +1,8 @@
 package site
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"strings"
@@ -120,6 +122,10 @@
 	case rock.ReasonOf(err) == rock.Conflict:
 		logger.Info("Job was accepted before.")
 		return nil
+	case rock.ReasonOf(err) == rock.Cancelled:
+		s.meters.refused.Inc(1)
+		logger.Info("Job refused, it was cancelled before.")
+		return err
 	case rock.VerdictOf(err) == rock.NotRun:
 		s.meters.refused.Inc(1)
 		logger.WithError(err).Info("Job refused.")
@@ -151,14 +157,17 @@
 		if err != nil {
 			return 0, 0, err
 		}
-		if r.stored() {
+		switch {
+		case r.stored():
 			return 0, 0, rock.Fail("submit", "job "+id, rock.Conflict, rock.NotRun).Becausef("cell %s has the job", cell)
+		case r.cancelled():
+			return 0, 0, s.refuseCancelled(ctx, q, id)
 		}
 	}
 	cell := cellOf(q.Pool)
 	version, attempts, err = s.storeJob(ctx, started, cell, id, value)
 	if rock.ReasonOf(err) == rock.Conflict {
-		err = s.explainConflict(ctx, cell, id, err)
+		err = s.explainConflict(ctx, q, id, err)
 	}
 	return version, attempts, err
 }
@@ -223,6 +232,17 @@
 // stored reports whether the job was stored when it was submitted.
 func (r jobRows) stored() bool { return r.job != nil && !isSeal(r.job.Value()) }
 
+// cancelled reports whether the job was cancelled before it was stored.
+func (r jobRows) cancelled() bool { return r.job != nil && bytes.Equal(r.job.Value(), cancelledMark) }
+
+// addJobRow adds a row that was written at submission. One part may have the job, and others
+// seals; a job comes before a seal, and a cancellation before another seal.
+func (r *jobRows) addJobRow(row *rock.Row) {
+	if !r.stored() && (!r.cancelled() || !isSeal(row.Value())) {
+		r.job = row
+	}
+}
+
 // known reports whether a row of the job was found.
 func (r jobRows) known() bool { return r.stored() || r.progress != nil || r.outcome != nil }
 
@@ -333,9 +353,7 @@
 		_, name := splitKey(row.Key())
 		switch _, suffix := splitJobName(name); suffix {
 		case jobSuffix:
-			if !r.stored() { // one part may have the job, and another a seal
-				r.job = row
-			}
+			r.addJobRow(row)
 		case progressSuffix:
 			r.progress = row
 		case outcomeSuffix:
@@ -371,7 +389,8 @@
 }
 
 // Cancel stores a request to cancel a job, and retries until ctx ends. It returns nil
-// if the job has ended, and fails with [rock.Expired] if the job is not known.
+// if the job has ended, and fails with [rock.Expired] if the job is not known. Such a job is
+// not stored any more, also by a submission that is still being carried out.
 func (s *Site) Cancel(ctx context.Context, q works.Queue, id string) error {
 	logger := s.log.WithField("job", id).WithField("queue", q.Name)
 	for {
@@ -387,10 +406,22 @@
 			logger.Info("Cancellation of an ended job.")
 			return nil
 		}
-		if r.job == nil || r.ended() {
-			logger.Info("Cancellation of an unknown job.")
+		if r.ended() && r.stored() {
+			logger.Info("Cancellation of a job that ended long ago.")
 			return rock.Fail("cancel", "job "+id, rock.Expired, rock.NotRun)
 		}
+		if !r.stored() {
+			stored, err := s.sealEverywhere(ctx, q, id)
+			if err == nil && !stored {
+				logger.Info("Cancellation of an unknown job.")
+				return rock.Fail("cancel", "job "+id, rock.Expired, rock.NotRun)
+			}
+			if sleep(ctx, submitRetryDelay) != nil {
+				logger.WithError(err).Info("Cancellation refused.")
+				return rock.Fail("cancel", "job "+id, rock.OutcomeUnknown, rock.MayHaveRun).Because(cmp.Or(err, ctx.Err()))
+			}
+			continue // the job is stored now, or a part could not be sealed
+		}
 		var t rock.Transaction
 		t.Require(r.job.Key(), r.job.Version())
 		t.Put(strings.TrimSuffix(r.job.Key(), jobSuffix)+cancelSuffix, []byte{1})
--- a/io/site/rows.go
+++ b/io/site/rows.go
@@ -110,6 +110,8 @@
 var (
 	// endedMark replaces the job once the outcome is stored.
 	endedMark = []byte{0}
+	// cancelledMark means that the job was cancelled before it was stored.
+	cancelledMark = []byte{1}
 	// movedMark means that the job is accepted in another cell, if at all.
 	movedMark = []byte{2}
 )
@@ -119,7 +121,9 @@
 
 // isSeal reports whether the value of a job's row prevents that the job is stored in the
 // row, in which no job was stored before.
-func isSeal(value []byte) bool { return bytes.Equal(value, movedMark) }
+func isSeal(value []byte) bool {
+	return bytes.Equal(value, cancelledMark) || bytes.Equal(value, movedMark)
+}
 
 // progressName returns the name of the row with the progress of a chunk of a job's tasks.
 func progressName(id string, chunk int) string {
--- a/io/site/seals.go
+++ b/io/site/seals.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	rock "bramleyrock"
 	"bramleyrock/core/group"
+	"bramleyrock/core/works"
 )
 
 // sealJob makes sure that a job that is not stored in a cell is never stored there, not even
@@ -62,16 +64,56 @@
 	}
 }
 
-// explainConflict returns the error of a submission that found a row of the job. The row may
-// be a seal: then the job was not accepted in this cell.
-func (s *Site) explainConflict(ctx context.Context, cell, id string, conflict error) error {
+// sealEverywhere makes sure that a job that was cancelled before it was stored is never stored,
+// in whichever cell jobs of the queue may be. It reports whether a cell has the job.
+func (s *Site) sealEverywhere(ctx context.Context, q works.Queue, id string) (stored bool, err error) {
+	sealed := map[string]bool{}
+	for {
+		others, _ := s.otherCells(q)
+		cells := slices.DeleteFunc(append(others, cellOf(q.Pool)), func(cell string) bool { return sealed[cell] })
+		if len(cells) == 0 {
+			return false, nil
+		}
+		for _, cell := range cells {
+			r, err := s.sealJob(ctx, cell, id, cancelledMark)
+			if r.stored() || err != nil {
+				return r.stored(), err
+			}
+			sealed[cell] = true
+		}
+		// Another entry may have begun to use another pool. It seals the cells that are sealed
+		// now before it stores the job there, and finds the mark.
+		if err := s.refreshRecord(ctx, q.Name); err != nil {
+			return false, err
+		}
+	}
+}
+
+// refuseCancelled returns the error of the submission of a job that was cancelled before.
+func (s *Site) refuseCancelled(ctx context.Context, q works.Queue, id string) error {
+	stored, err := s.sealEverywhere(ctx, q, id) // the cancellation may have sealed some parts only
+	switch {
+	case stored:
+		return rock.Fail("submit", "job "+id, rock.Conflict, rock.NotRun).Becausef("the job is stored")
+	case err != nil:
+		return rock.Fail("submit", "job "+id, rock.OutcomeUnknown, rock.MayHaveRun).Because(err)
+	}
+	return rock.Fail("submit", "job "+id, rock.Cancelled, rock.NotRun).Becausef("the job was cancelled before it was accepted")
+}
+
+// explainConflict returns the error of a submission that found a row of the job in the cell of
+// the queue's pool. The row may be a seal: then the job was not accepted in this cell.
+func (s *Site) explainConflict(ctx context.Context, q works.Queue, id string, conflict error) error {
+	cell := cellOf(q.Pool)
 	var r jobRows
 	err := s.readJobRow(ctx, cell, id, &r)
-	if r.stored() {
-		return conflict
-	}
 	f := rock.Fail("submit", "job "+id, rock.OutcomeUnknown, rock.MayHaveRun)
-	if err != nil {
+	switch {
+	case r.stored():
+		return conflict
+	case r.cancelled():
+		return s.refuseCancelled(ctx, q, id)
+	case err != nil:
 		return f.Because(err)
 	}
 	return f.Becausef("the job is accepted in another cell than %s, if at all", cell)
--- a/io/site/seals_test.go
+++ b/io/site/seals_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,6 +57,9 @@
 		"sealed before":                  {movedMark, nil, true, true, rock.Ran},
 		"a newer entry moved it":         {nil, movedMark, false, false, rock.MayHaveRun},
 		"moved, and accepted again here": {movedMark, value, true, false, rock.Ran},
+		"cancelled":                      {nil, cancelledMark, false, false, rock.NotRun},
+		"cancelled in the former cell":   {cancelledMark, nil, false, false, rock.NotRun},
+		"cancelled in one cell, stored":  {cancelledMark, value, true, false, rock.Ran},
 	}
 	for name, c := range cases {
 		for i := range intakePartsPerJob {
@@ -75,10 +79,15 @@
 				}
 				err := s.Submit(t.Context(), works.Queue{Name: "q", Pool: "lids"}, sealedID, submitSteps)
 				assert.Equal(t, err == nil, c.accepted, "%v", err)
+				now := d.values()
 				if err != nil {
 					assert.Equal(t, rock.VerdictOf(err), c.verdict)
 				}
-				now := d.values()
+				for i := range intakePartsPerJob {
+					if c.verdict == rock.NotRun { // no write that is carried out later stores the job
+						assert.Assert(t, now[row("lids", i)] != "" && now[row("tins", i)] != "", "part %d is not sealed", i)
+					}
+				}
 				assert.Equal(t, len(now[row("lids", 0)]) > 1 && c.present == nil, c.stored)
 				if c.stored { // a write to the former cell that is carried out now must not store the job
 					for i := range intakePartsPerJob {
@@ -90,6 +99,35 @@
 	}
 }
 
+// TestCancellationSealsTheCellOfANewerConfiguration guards against a cancellation that is
+// answered as that of an unknown job, while another entry, with a newer configuration, stores
+// the job in another cell.
+func TestCancellationSealsTheCellOfANewerConfiguration(t *testing.T) {
+	t.Parallel()
+	now := time.Date(2026, 12, 6, 8, 0, 0, 0, time.UTC)
+	older, newer := works.Queue{Name: "q", Pool: "tins"}, works.Queue{Name: "q", Pool: "lids"}
+	for name, storedFirst := range map[string]bool{"the job is stored first": true, "the cancellation comes first": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, d := newMemSite(&now)
+			s.recordQueues(t.Context(), []works.Queue{older}, 1)
+			other := New(s.settings)
+			other.view.recordAnswer(now, true)
+			other.recordQueues(t.Context(), []works.Queue{newer}, 2) // the first entry does not know
+			if storedFirst {
+				assert.NilError(t, other.Submit(t.Context(), newer, sealedID, submitSteps))
+				assert.NilError(t, s.Cancel(t.Context(), older, sealedID))
+				return
+			}
+			assert.Equal(t, rock.ReasonOf(s.Cancel(t.Context(), older, sealedID)), rock.Expired)
+			assert.Equal(t, rock.ReasonOf(other.Submit(t.Context(), newer, sealedID, submitSteps)), rock.Cancelled)
+			for k, value := range d.values() {
+				assert.Assert(t, !strings.HasSuffix(k, jobSuffix) || len(value) == 1, "%s is stored", k)
+			}
+		})
+	}
+}
+
 // TestExpiredSealsAreSwept guards against seals that stay for good, and against the deletion of
 // a row that is a seal no longer.
 func TestExpiredSealsAreSwept(t *testing.T) {
--- a/io/site/trail.go
+++ b/io/site/trail.go
@@ -303,6 +303,25 @@
 	}
 }
 
+// refreshRecord reads the record of a queue from a copy that can be read. A pool that may be
+// used is listed by all copies. It fails if no copy can be read.
+func (s *Site) refreshRecord(ctx context.Context, queue string) error {
+	name := recordName(queue)
+	var failed error
+	for _, copy := range allCopies {
+		c, err := s.settings.Store.List(ctx, cellTable, trailCopyPart(copy), name, name+"\x00")
+		if err != nil {
+			failed = err
+			continue
+		}
+		for _, r := range c.Rows {
+			s.applyTrailRow(copy, r)
+		}
+		return nil
+	}
+	return failed
+}
+
 // otherCells returns the cells besides that of the queue's pool that may have jobs of the
 // queue, and whether they are known.
 func (s *Site) otherCells(q works.Queue) (cells []string, known bool) {
