A job of a removed queue is failed only once its attempts are used up

Cause: the number of attempts came from the present configuration. An owner that read the job while its queue was not configured gave it a substitute with two attempts.

Change: the record of a queue holds its last configuration, and owners use it for jobs of queues that are not configured. If nothing is known of a queue, a task that has failed waits, with a cause of its own in the logs. A new owner fails a job whose stored failures have used up its attempts.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -20,6 +21,8 @@
 	workers  map[string]*worker
 	outliers *eject.Detector
 	runTimes map[runTimeKey]*runTimeModel
+	// newlyKnown holds the jobs whose queue has become known since the last decision.
+	newlyKnown []*job
 	// stopRequests holds the runs that are to be stopped.
 	stopRequests []*run
 	// fenced is true once a worker has refused an order because of a newer owner.
@@ -122,23 +125,48 @@
 // epoch of a newer owner. The caller no longer owns the cell then.
 func (c *Cell) Fenced() bool { return c.fenced }
 
-// SetQueues sets the configured queues. A job whose queue is no longer
-// configured keeps the last configuration that it was given.
-func (c *Cell) SetQueues(queues []works.Queue) {
+// SetQueues sets the configured queues, and those that are no longer configured, as they last
+// were. A job whose queue is in neither list keeps the last configuration that it was given.
+func (c *Cell) SetQueues(queues []works.Queue, removed ...works.Queue) {
 	clear(c.queues)
-	for _, q := range queues {
+	for _, q := range slices.Concat(removed, queues) {
 		c.queues[q.Name] = q
 	}
 	for _, j := range c.jobs {
-		if q, ok := c.queues[j.Queue]; ok {
-			j.queue = q
+		q, ok := c.queues[j.Queue]
+		if !ok {
+			continue
+		}
+		if !j.queueKnown {
+			c.newlyKnown = append(c.newlyKnown, j)
+		}
+		j.queue, j.queueKnown = q, true
+	}
+}
+
+// unknownQueue replaces a queue whose configuration is not known. A task that has failed waits
+// until it is, since the number of attempts is not known.
+var unknownQueue = works.Queue{Attempts: math.MaxInt, Stretch: 2, Objective: time.Second}
+
+// failExhaustedJobs fails the jobs that have used up their attempts before the number of them was
+// known.
+func (c *Cell) failExhaustedJobs(now time.Time) {
+	for _, j := range c.newlyKnown {
+		if c.jobs[j.ID] == j {
+			c.failIfAnyExhausted(now, j)
 		}
 	}
+	c.newlyKnown = nil
 }
 
-// defaultQueue replaces a queue that was not configured when its job was added.
-// Its number of attempts is the least that any queue allows.
-var defaultQueue = works.Queue{Attempts: 2, Stretch: 2, Objective: time.Second}
+// failIfAnyExhausted fails a job if one of its tasks has used up its attempts.
+func (c *Cell) failIfAnyExhausted(now time.Time, j *job) {
+	for _, t := range j.tasks {
+		if !t.done && !t.step.Persistent {
+			c.failIfExhausted(now, t)
+		}
+	}
+}
 
 // AddJob adds an accepted job, whose row has the given version. A job that is
 // already known is ignored. So is a job that has ended: the listing it came from
@@ -147,12 +175,14 @@
 	if c.jobs[j.ID] != nil || c.endedIDs.contains(j.ID) {
 		return
 	}
-	q, ok := c.queues[j.Queue]
-	if !ok {
-		q = defaultQueue
+	q, known := c.queues[j.Queue]
+	if !known {
+		q = unknownQueue
 		q.Name = j.Queue
+		c.events = append(c.events, Event{Name: "queue unknown", Job: j.ID, Detail: fmt.Sprintf("the configuration of queue %q is not known", j.Queue)})
 	}
 	added := newJob(now, j, q, version)
+	added.queueKnown = known
 	c.jobs[j.ID] = added
 	// Jobs from before the takeover are no new arrivals.
 	if !added.Spec.Persistent() && version > c.settings.Fence {
@@ -182,6 +212,7 @@
 	if j.dirty.count() > 0 {
 		c.markDirty(now, false)
 	}
+	c.failIfAnyExhausted(now, j)
 	c.completeIfDone(now, j)
 }
 
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -15,6 +15,7 @@
 // jobs up to jobsKnownAt have been passed to the cell. If that is more than 2.5 s
 // ago, no task is placed or started, because its job may have been cancelled since.
 func (c *Cell) Decide(now, jobsKnownAt time.Time) []Order {
+	c.failExhaustedJobs(now)
 	c.expireRuns(now)
 	c.evacuate(now)
 	c.markPendingRows(now)
@@ -402,8 +403,11 @@
 // that one which fails at once does not keep its workers busy with starts.
 const restartDelay = 100 * time.Millisecond
 
-// mayRestart reports whether the task's restart delay is over.
+// mayRestart reports whether the task's restart delay is over and its attempts are known.
 func (c *Cell) mayRestart(now time.Time, t *task) bool {
+	if t.awaitsQueue() {
+		return false
+	}
 	return !t.step.Persistent || t.endedAt.IsZero() || now.Sub(t.endedAt) >= restartDelay
 }
 
@@ -440,8 +444,8 @@
 func (c *Cell) placeGang(now time.Time, s *step, usable []*worker) {
 	var number int64
 	for _, t := range s.tasks {
-		if t.current != nil {
-			return // the previous run of the gang is not over yet
+		if t.current != nil || t.awaitsQueue() {
+			return // the previous run of the gang is not over yet, or it may not run again
 		}
 		number = max(number, c.nextRunNumber(t))
 	}
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -12,9 +12,11 @@
 // job is a job without a stored outcome.
 type job struct {
 	works.Job
-	queue   works.Queue
-	version uint64
-	steps   []*step
+	queue works.Queue
+	// queueKnown is false if queue is a substitute.
+	queueKnown bool
+	version    uint64
+	steps      []*step
 	// tasks holds the tasks of all steps, in order of occurrence, step and index. Every
 	// [works.ChunkTasks] of them share a row with their progress.
 	tasks []*task
@@ -122,6 +124,10 @@
 	t.markDirty()
 }
 
+// awaitsQueue reports whether the task may not be started again because it has failed and the
+// number of its attempts is not known.
+func (t *task) awaitsQueue() bool { return !t.step.job.queueKnown && len(t.failedRuns) > 0 }
+
 // markDirty records that the task's progress must be written.
 func (t *task) markDirty() { t.step.job.dirty.add(t.chunk) }
 
--- a/core/cell/picker_test.go
+++ b/core/cell/picker_test.go
@@ -43,7 +43,7 @@
 			if random.IntN(2) == 0 {
 				s.Rack = fmt.Sprint("r", random.IntN(6)) // no worker is in the last one
 			}
-			j := newJob(now, works.Job{ID: fmt.Sprintf("%016x", i), Spec: works.Spec{Steps: []works.Step{s}}}, defaultQueue, 1)
+			j := newJob(now, works.Job{ID: fmt.Sprintf("%016x", i), Spec: works.Spec{Steps: []works.Step{s}}}, unknownQueue, 1)
 			task := j.steps[0].tasks[0]
 			want := c.cheapestWorker(now, task, usable, func(w *worker) bool { return c.picker.mayRun(task, w) })
 			assert.Assert(t, c.picker.serves(task))
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -209,9 +209,14 @@
 	}
 	t.lastFailedWorker = w.id()
 	c.addEvent("run failed", &run{key: e.Task, number: e.Run, worker: w, task: t}, fmt.Sprintf("failure %d of %d", len(t.failedRuns), t.step.job.queue.Attempts))
+	c.failIfExhausted(now, t)
+}
+
+// failIfExhausted fails the job of a task that has used up its attempts.
+func (c *Cell) failIfExhausted(now time.Time, t *task) {
 	j := t.step.job
 	if len(t.failedRuns) >= j.queue.Attempts && !j.state.Ended() {
-		c.endJob(now, j, works.Failed, fmt.Sprintf("task %s failed %d times, last on worker %s", t.key, len(t.failedRuns), w.id()))
+		c.endJob(now, j, works.Failed, fmt.Sprintf("task %s failed %d times, last on worker %q", t.key, len(t.failedRuns), t.lastFailedWorker))
 	}
 }
 
--- a/core/cell/waiting.go
+++ b/core/cell/waiting.go
@@ -15,6 +15,9 @@
 const (
 	// WaitStartsPaused means that the known state of the jobs is too old to start tasks.
 	WaitStartsPaused WaitCause = "starts paused"
+	// WaitQueueConfig means that a task that has failed waits until it is known how often tasks
+	// of its queue may fail.
+	WaitQueueConfig WaitCause = "queue configuration"
 	// WaitUsableWorker means that no worker may be given any new tasks.
 	WaitUsableWorker WaitCause = "no usable worker"
 	// WaitCapacity means that some workers may be given the task, but none has enough
@@ -359,6 +362,8 @@
 	switch {
 	case c.startsPaused:
 		return WaitStartsPaused
+	case t.awaitsQueue():
+		return WaitQueueConfig
 	case usable == 0:
 		return WaitUsableWorker
 	case t.step.job.queue.RequiresTicket && !t.step.advice.valid(now):
--- a/core/trail/doc.go
+++ b/core/trail/doc.go
@@ -7,6 +7,9 @@
 // accepts a job of a queue in a pool only if the queue's record lists the pool. If the
 // record lists other pools, the entry makes sure first that none of them has the job.
 //
+// A record also holds the last configuration of the queue, which its accepted jobs need once
+// the queue is no longer configured.
+//
 // # Copies
 //
 // A part of the table can be unavailable by itself, so each record is kept in
--- a/core/trail/record.go
+++ b/core/trail/record.go
@@ -1,12 +1,18 @@
 package trail
 
-import "slices"
+import (
+	"slices"
+	"time"
+
+	"bramleyrock/core/works"
+)
 
 // Record is what the platform's table keeps of a queue.
 type Record struct {
 	// Queue is the name of the queue.
 	Queue string `cbor:"1,keyasint"`
-	// Config is the version of the configuration's row that sent the queue to Pool.
+	// Config is the version of the row of the configuration that sent the queue to Pool and
+	// gave it Settings.
 	Config uint64 `cbor:"2,keyasint"`
 	Pool   string `cbor:"3,keyasint"`
 	// Former holds the pools to which the queue was sent before and which may still
@@ -14,6 +20,33 @@
 	Former []string `cbor:"4,keyasint,omitempty"`
 	// Settled is true if all copies of the record list Pool and Former.
 	Settled bool `cbor:"5,keyasint,omitempty"`
+	// Settings holds what the jobs of the queue need to know of it once it is no longer
+	// configured.
+	Settings Settings `cbor:"6,keyasint"`
+}
+
+// Settings holds the configuration of a queue; see [works.Queue]. The zero value means that it
+// is not known.
+type Settings struct {
+	Priority       int           `cbor:"1,keyasint,omitempty"`
+	Attempts       int           `cbor:"2,keyasint,omitempty"`
+	Stretch        float64       `cbor:"3,keyasint,omitempty"`
+	Objective      time.Duration `cbor:"4,keyasint,omitempty"`
+	RequiresTicket bool          `cbor:"5,keyasint,omitempty"`
+	TicketTTL      time.Duration `cbor:"6,keyasint,omitempty"`
+}
+
+func settingsOf(q *works.Queue) Settings {
+	return Settings{q.Priority, q.Attempts, q.Stretch, q.Objective, q.RequiresTicket, q.TicketTTL}
+}
+
+// queue returns the queue as it was last configured, without the paths of its calls.
+func (r *Record) queue() works.Queue {
+	s := &r.Settings
+	return works.Queue{
+		Name: r.Queue, Pool: r.Pool, Priority: s.Priority, Attempts: s.Attempts, Stretch: s.Stretch,
+		Objective: s.Objective, RequiresTicket: s.RequiresTicket, TicketTTL: s.TicketTTL,
+	}
 }
 
 // Lists reports whether the pool may have jobs of the queue.
@@ -27,16 +60,20 @@
 	return append([]string{r.Pool}, r.Former...)
 }
 
-// sentTo returns the record after a configuration with the given version has sent the
-// queue to a pool, and whether that changes it. A configuration that is older than the
-// record changes nothing.
-func (r Record) sentTo(pool string, config uint64) (Record, bool) {
-	if r.Pool == pool || config < r.Config {
+// configured returns the record after a configuration with the given version, in which the
+// queue is q, and whether that changes it. A configuration that is older than the record
+// changes nothing.
+func (r Record) configured(q *works.Queue, config uint64) (Record, bool) {
+	settings := settingsOf(q)
+	if config < r.Config || r.Pool == q.Pool && r.Settings == settings {
 		return r, false
 	}
-	former := slices.DeleteFunc(r.pools(), func(p string) bool { return p == pool })
-	r.Settled = r.Settled && len(former) == len(r.Former) // the pool was listed before
-	r.Config, r.Pool, r.Former = config, pool, former
+	if r.Pool != q.Pool {
+		former := slices.DeleteFunc(r.pools(), func(p string) bool { return p == q.Pool })
+		r.Settled = r.Settled && len(former) == len(r.Former) // the pool was listed before
+		r.Pool, r.Former = q.Pool, former
+	}
+	r.Config, r.Settings = config, settings
 	return r, true
 }
 
--- a/core/trail/trail.go
+++ b/core/trail/trail.go
@@ -202,7 +202,7 @@
 			continue
 		}
 		r := t.record(copy, q.Name)
-		next, changed := r.sentTo(q.Pool, config)
+		next, changed := r.configured(q, config)
 		for _, p := range t.Others(q.Name, q.Pool) {
 			if !next.Lists(p) {
 				next.Former, next.Settled, changed = append(slices.Clone(next.Former), p), false, true
@@ -263,6 +263,29 @@
 	return nil
 }
 
+// Removed returns the queues that have a record and are not among the configured ones, as they
+// were last configured.
+func (t *Trail) Removed(configured []works.Queue) []works.Queue {
+	names := map[string]bool{}
+	for i := range configured {
+		names[configured[i].Name] = true
+	}
+	newest := map[string]Record{}
+	for i := range t.copies {
+		for name, r := range t.copies[i].records {
+			if !names[name] && !r.deleted && r.Settings != (Settings{}) && r.Config >= newest[name].Config {
+				newest[name] = r.Record
+			}
+		}
+	}
+	var list []works.Queue
+	for _, name := range slices.Sorted(maps.Keys(newest)) {
+		r := newest[name]
+		list = append(list, r.queue())
+	}
+	return list
+}
+
 // AllQueues returns the queues that have a record.
 func (t *Trail) AllQueues() []string { return t.queues(func(*Record) bool { return true }) }
 
--- a/io/site/follow.go
+++ b/io/site/follow.go
@@ -323,10 +323,17 @@
 // applyCellRows records the owners and renewals in rows of the cell table.
 func (s *Site) applyCellRows(rows []rock.Row) {
 	now := s.now()
+	recorded := false
+	defer func() {
+		if recorded {
+			s.view.notify() // owners need the records of queues that are not configured
+		}
+	}()
 	for _, r := range rows {
 		part, name := splitKey(r.Key())
 		if copy, ok := trailCopy(part); ok {
 			s.applyTrailRow(copy, r)
+			recorded = true
 			continue
 		}
 		home, ok := homeNumber(part)
--- a/io/site/load.go
+++ b/io/site/load.go
@@ -216,8 +216,7 @@
 		c.FormerLeasesEndAt = now.Add(time.Duration(float64(s.LeaseDuration)*leaseClockFactor) + formerLeaseMargin)
 	}
 	o.state = cell.New(c)
-	queues, _ := o.site.view.queues()
-	o.state.SetQueues(queues)
+	o.applyQueues()
 	o.extraParts, o.unmarkedOutcomes, o.pendingOutcomes = map[string][]string{}, map[string]works.Outcome{}, map[string]works.Outcome{}
 	o.unreadParts, o.deferredRows, o.outcomesToCopy = map[string]uint64{}, nil, nil
 }
--- a/io/site/owner.go
+++ b/io/site/owner.go
@@ -10,6 +10,7 @@
 	"bramleyrock/core/group"
 	"bramleyrock/core/resize"
 	"bramleyrock/core/tenure"
+	"bramleyrock/core/trail"
 	"bramleyrock/core/works"
 
 	"github.com/sirupsen/logrus"
@@ -167,13 +168,21 @@
 	}
 }
 
+// applyQueues applies the configured queues, and those that are no longer configured and may
+// have jobs.
+func (o *cellOwner) applyQueues() {
+	queues, _ := o.site.view.queues()
+	var removed []works.Queue
+	o.site.trail.with(func(t *trail.Trail) { removed = t.Removed(queues) })
+	o.state.SetQueues(queues, removed...)
+}
+
 // refresh applies the current configuration and worker registrations.
 func (o *cellOwner) refresh(now time.Time) {
 	if list, ok := o.site.view.listWorkers(); ok {
 		o.state.SetWorkers(now, list)
 	}
-	queues, _ := o.site.view.queues()
-	o.state.SetQueues(queues)
+	o.applyQueues()
 	o.changed = true
 }
 
--- a/io/site/trail.go
+++ b/io/site/trail.go
@@ -115,6 +115,7 @@
 		s.applyTrailRow(copy, r)
 	}
 	s.trail.with(func(t *trail.Trail) { t.ObserveCopy(copy) })
+	s.view.notify()
 	return c.Version, nil
 }
 
