The soak sends a queue to other pools, removes it, carries writes out late and cancels

New faults, at the end of the list: a queue is sent to the other pool, or removed for a while; the table carries an eighth of the writes out late, without an answer; and signals come in series: SIGHUP, SIGTERM, SIGHUP, SIGHUP. A caller hands jobs in to the queue that wanders, and cancels persistent jobs of which it does not know whether they were accepted. At the end no task of a job runs whose cancellation was acknowledged.

--- a/cmd/bramleyrock/soak_test.go
+++ b/cmd/bramleyrock/soak_test.go
@@ -107,6 +107,11 @@
 	// which every answer said that they were not stored.
 	accepted []string
 	refused  []string
+	// cancelled holds the ids of the jobs whose cancellation was acknowledged.
+	cancelled []string
+	// wanderingPool is the pool to which the queue "jars" is sent, or "" while it is not
+	// configured.
+	wanderingPool string
 	// story is what was done, for the log of a broken seed.
 	story []string
 }
@@ -126,7 +131,7 @@
 	duration := func(_, spec string) (time.Duration, string) { return soakSpecs[spec], "done" }
 	s := &soak{
 		t: t, random: rand.New(rand.NewPCG(seed, 2)), group: group.New(context.Background()), binary: binary,
-		links: map[string]*relay.Relay{}, faults: soakFaults,
+		links: map[string]*relay.Relay{}, faults: soakFaults, wanderingPool: "tins",
 	}
 	if r, ok := soakRegressions[seed]; ok {
 		s.faults = soakFaults[:r.faults]
@@ -139,7 +144,7 @@
 	})
 	assert.NilError(t, err)
 	s.p = p
-	p.Configure(1, stand.Queue{Name: "tins", Prefix: "/tins/", Pool: "tins"}, stand.Queue{Name: "lids", Prefix: "/lids/", Pool: "lids"})
+	s.configure(func() {})
 	dir := t.TempDir()
 	if *soakLogs != "" {
 		dir = filepath.Join(*soakLogs, fmt.Sprint(seed))
@@ -226,6 +231,14 @@
 	return e.ended
 }
 
+// stoppedByItself reports whether the entry's process, which has ended, was not ended by a
+// signal.
+func (e *soakEntry) stoppedByItself() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.command.ProcessState.Exited()
+}
+
 func (s *soak) close() {
 	for _, e := range s.entries {
 		<-e.signal(syscall.SIGKILL)
@@ -394,7 +407,7 @@
 		return func() { w.SetSilent(false) }
 	}},
 	{"configuration change", func(s *soak, _ *soakEntry) func() {
-		s.p.Configure(int(time.Now().UnixMilli()), stand.Queue{Name: "tins", Prefix: "/tins/", Pool: "tins"}, stand.Queue{Name: "lids", Prefix: "/lids/", Pool: "lids"})
+		s.configure(func() {})
 		return func() {}
 	}},
 	workerLinkFault("orders lost", relay.Calls, relay.Drop),
@@ -437,6 +450,58 @@
 	}},
 	unhealthyFault(stand.RefuseStarts), unhealthyFault(stand.RefuseAll),
 	unhealthyFault(stand.RefuseRenewals), unhealthyFault(stand.IgnoreStarts),
+	{"queue is sent to the other pool", func(s *soak, _ *soakEntry) func() {
+		s.configure(func() {
+			if s.wanderingPool != "" {
+				s.wanderingPool = map[string]string{"tins": "lids", "lids": "tins"}[s.wanderingPool]
+			}
+		})
+		return func() {}
+	}},
+	{"queue is removed for a while", func(s *soak, _ *soakEntry) func() {
+		s.configure(func() { s.wanderingPool = "" })
+		return func() { s.configure(func() { s.wanderingPool = "lids" }) }
+	}},
+	{"store carries writes out late", func(s *soak, _ *soakEntry) func() {
+		random := rand.New(rand.NewPCG(s.random.Uint64(), 3)) // used by the store only
+		s.p.Store().SetLate(func(string, string) time.Duration {
+			if random.IntN(8) > 0 {
+				return 0
+			}
+			return time.Second + time.Duration(random.Int64N(int64(5*time.Second)))
+		})
+		return func() { s.p.Store().SetLate(nil) }
+	}},
+	{"signals in series", func(s *soak, e *soakEntry) func() {
+		e.signal(syscall.SIGHUP)
+		ended := e.signal(syscall.SIGTERM)
+		e.signal(syscall.SIGHUP)
+		return func() {
+			e.signal(syscall.SIGHUP)
+			select {
+			case <-ended:
+			case <-time.After(10 * time.Second):
+				s.t.Errorf("%s did not stop", e.name)
+				<-e.signal(syscall.SIGKILL)
+			}
+			if !e.stoppedByItself() {
+				s.t.Errorf("%s was ended by a SIGHUP", e.name)
+			}
+			e.start()
+		}
+	}},
+}
+
+// configure makes a change and stores the next version of the configuration.
+func (s *soak) configure(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+	queues := []stand.Queue{{Name: "tins", Prefix: "/tins/", Pool: "tins"}, {Name: "lids", Prefix: "/lids/", Pool: "lids"}}
+	if s.wanderingPool != "" {
+		queues = append(queues, stand.Queue{Name: "jars", Prefix: "/jars/", Pool: s.wanderingPool, Attempts: 4})
+	}
+	s.p.Configure(int(time.Now().UnixMilli()), queues...)
 }
 
 // disturb makes faults come, in series and overlapping, until the time is over.
@@ -478,7 +543,11 @@
 // submit hands a job in, at several entries if need be, and reports whether it was
 // accepted. If it is refused by all, it must not run.
 func (s *soak) submit(ctx context.Context, random *rand.Rand, pool, id, spec string, steps ...stand.Step) bool {
-	s.p.Checker().Expect(id, pool, steps[0].Persistent)
+	pools := []string{pool}
+	if pool == "jars" {
+		pools = []string{"tins", "lids"}
+	}
+	s.p.Checker().ExpectIn(id, steps[0].Persistent, pools...)
 	stored, unsure := false, false
 	for range 6 {
 		status := s.entries[random.IntN(soakEntries)].client.Submit(ctx, "/"+pool+"/"+id, spec, steps...)
@@ -541,6 +610,53 @@
 	}
 }
 
+// callWandering hands jobs in to the queue that is sent to several pools, until ctx ends. Some
+// lose their patience: they cancel a persistent job without knowing whether it was accepted.
+func (s *soak) callWandering(ctx context.Context, caller uint64, random *rand.Rand) {
+	for n := uint64(0); ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("%016x", caller<<32|n)
+		path := "/jars/" + id
+		if n%2 == 0 {
+			if s.submit(ctx, random, "jars", id, "p", stand.Step{Count: 2, MilliCores: 1000, MemMb: 10, EstimateMs: 200}) {
+				s.mu.Lock()
+				s.accepted = append(s.accepted, path)
+				s.mu.Unlock()
+			}
+		} else {
+			s.p.Checker().ExpectIn(id, true, "tins", "lids")
+			submit, cancel := context.WithTimeout(ctx, time.Duration(random.IntN(400))*time.Millisecond)
+			s.entries[random.IntN(soakEntries)].client.Submit(submit, path, "lasts", stand.Step{Count: 1, MilliCores: 1000, MemMb: 10, Persistent: true})
+			cancel()
+			s.cancel(id, random)
+		}
+		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+	}
+}
+
+// cancel cancels a job of the queue that is sent to several pools, until that is acknowledged.
+func (s *soak) cancel(id string, random *rand.Rand) {
+	for end := time.Now().Add(soakSettle); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		status := s.entries[random.IntN(soakEntries)].client.Cancel(context.Background(), "/jars/"+id)
+		if status == http.StatusOK || status == http.StatusGone {
+			s.p.Checker().ExpectCancelled(id)
+			s.mu.Lock()
+			s.cancelled = append(s.cancelled, id)
+			s.mu.Unlock()
+			return
+		}
+	}
+	s.t.Errorf("the cancellation of job %s is not acknowledged", id)
+}
+
+// checkCancelled checks that no task of a cancelled job runs.
+func (s *soak) checkCancelled() {
+	for _, id := range s.cancelled {
+		if tasks := s.p.Checker().Active(id); len(tasks) > 0 {
+			s.t.Errorf("tasks of cancelled job %s run: %v", id, tasks)
+		}
+	}
+}
+
 // watch looks for tasks that wait until ctx ends.
 func (s *soak) watch(ctx context.Context) error {
 	t := time.NewTicker(watchInterval)
@@ -618,6 +734,11 @@
 				s.callSurge(ctx, 6, surge)
 				return nil
 			})
+			wandering := rand.New(rand.NewPCG(seed, 22))
+			callers.Go("call wandering", func(ctx context.Context) error {
+				s.callWandering(ctx, 7, wandering)
+				return nil
+			})
 			watch := group.New(t.Context())
 			watch.Go("watch", s.watch)
 			s.disturb(ctx)
@@ -625,6 +746,7 @@
 			assert.NilError(t, callers.Wait())
 			s.settle()
 			s.checkStoredJobs()
+			s.checkCancelled()
 			watch.Stop()
 			assert.NilError(t, watch.Wait())
 			for _, id := range s.refused {
@@ -634,7 +756,7 @@
 				t.Error(v)
 			}
 			assert.Assert(t, len(s.accepted) > 0)
-			t.Logf("%d jobs accepted, %d refused, %d tasks started", len(s.accepted), len(s.refused), s.p.Checker().Starts())
+			t.Logf("%d jobs accepted, %d refused, %d cancelled, %d tasks started", len(s.accepted), len(s.refused), len(s.cancelled), s.p.Checker().Starts())
 		})
 	}
 }
