A SIGHUP does not end an entry that starts or stops

Seen (review, no rule broken): a SIGHUP 0.7 s after a SIGTERM ended the process at once while it still answered calls.

Cause: the handler of SIGHUP was removed when the entry began to stop, and set only after it had started. The change sets it before the settings are read and keeps it.

--- a/cmd/bramleyrock/hosted.go
+++ b/cmd/bramleyrock/hosted.go
@@ -80,6 +80,9 @@
 
 // runHosted runs an entry until ctx ends.
 func (a *app) runHosted(ctx context.Context, h hostedSettings) error {
+	// A SIGHUP must not end the process at any time, also while it starts or stops.
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
 	p, err := platform.ReadSettings(*h.config)
 	if err != nil {
 		return err
@@ -101,7 +104,7 @@
 	last.Go("log", func(ctx context.Context) error { return lines.Copy(ctx, a.out) })
 	log.WithFields(logrus.Fields{"part": "hosted", "name": p.Name, "zone": p.Zone, "front": p.FrontAddress, "store": p.StoreAddress, "bounds": fmt.Sprintf("%+v", p.Bounds)}).Info("Entry starts.")
 	last.Go("count dropped lines", func(ctx context.Context) error { return countDropped(ctx, lines, m) })
-	err = serveHosted(ctx, h, p, s, m, log)
+	err = serveHosted(ctx, h, p, s, m, log, hups)
 	log.WithField("part", "hosted").WithField("error", fmt.Sprint(err)).WithField("lines_dropped", lines.Dropped()).Info("Entry stopped.")
 	last.Stop()
 	return errors.Join(err, last.Wait())
@@ -167,7 +170,7 @@
 
 // serveHosted serves until ctx ends, and then stops gracefully: the cells go
 // to other entries at once, callers are served until the balancer has noticed.
-func serveHosted(ctx context.Context, h hostedSettings, p platform.Settings, s *site.Site, m *meter.Meter, log *logrus.Logger) error {
+func serveHosted(ctx context.Context, h hostedSettings, p platform.Settings, s *site.Site, m *meter.Meter, log *logrus.Logger, hups <-chan os.Signal) error {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", m.Handler())
 	front, ready := platform.NewFront(s), platform.NewReady(s)
@@ -191,7 +194,7 @@
 	}
 	work := group.New(ctx)
 	work.Go("site", s.Run)
-	work.Go("reload", func(ctx context.Context) error { return watchReload(ctx, *h.config, p, log) })
+	work.Go("reload", func(ctx context.Context) error { return watchReload(ctx, hups, *h.config, p, log) })
 	work.Go("leave", func(inner context.Context) error {
 		<-inner.Done()
 		s.SetStopping()
@@ -210,12 +213,9 @@
 	return errors.Join(err, doors.Wait())
 }
 
-// watchReload reads the settings file again at each SIGHUP. Addresses are
+// watchReload reads the settings file again at each SIGHUP, until ctx ends. Addresses are
 // fixed for the life of a process, so a change is only named.
-func watchReload(ctx context.Context, path string, before platform.Settings, log *logrus.Logger) error {
-	hups := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP)
-	defer signal.Stop(hups)
+func watchReload(ctx context.Context, hups <-chan os.Signal, path string, before platform.Settings, log *logrus.Logger) error {
 	for {
 		select {
 		case <-hups:
