A pool gets the hosts over which a gang must be spread

Cause: the sum of what tasks need asks for fewer hosts than a gang must run on.

Change: spreadHosts counts gangs, unless all hosts together could not run them.

--- a/cmd/bramleyrock/signals_test.go
+++ b/cmd/bramleyrock/signals_test.go
@@ -33,7 +33,7 @@
 	for i := range 4 {
 		time.Sleep(300 * time.Millisecond)
 		e.signal(syscall.SIGHUP)
-		assert.Assert(t, submit([]string{"b1", "b2", "b3", "b4"}[i] + "00000000000000")(), "a call after the SIGHUP")
+		assert.Assert(t, submit([]string{"b1", "b2", "b3", "b4"}[i]+"00000000000000")(), "a call after the SIGHUP")
 	}
 	select {
 	case <-ended:
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -61,6 +61,8 @@
 	// had room for.
 	avoided         []*worker
 	avoidedShortage shortage
+	// hostTotal is the number of hosts of all pools, or 0 if it is not known.
+	hostTotal int
 	// mostlyFree is true if most of the capacity was free when tasks were last placed.
 	mostlyFree bool
 	// startsPaused is true while no task is started because the known state of
--- a/core/cell/spread.go
+++ b/core/cell/spread.go
@@ -30,8 +30,9 @@
 	return hosts, mean * float64(hosts)
 }
 
-// spreadHosts returns on how many hosts the persistent tasks of a step must be, because
-// a worker may run only some of them.
+// spreadHosts returns on how many hosts the tasks of a step must be, because a worker can or
+// may run only some of them at the same time: those of a persistent step, and of a gang. A
+// gang for which all hosts would not do is left out.
 func (c *Cell) spreadHosts(now time.Time) int {
 	hosts := 0
 	for _, j := range c.jobs {
@@ -42,11 +43,38 @@
 			if s.Persistent && s.MaxPerWorker > 0 && s.mayStart(now) && c.canRunOnSomeWorker(s) {
 				hosts = max(hosts, (s.remaining+s.MaxPerWorker-1)/s.MaxPerWorker)
 			}
+			if s.Gang && s.remaining > 0 && s.mayStart(now) {
+				if n := c.gangHosts(s); n <= c.hostTotal {
+					hosts = max(hosts, n)
+				}
+			}
 		}
 	}
 	return hosts
 }
 
+// gangHosts returns on how many hosts like the largest of the pool a gang can run, or 0 if no
+// worker can run one of its tasks.
+func (c *Cell) gangHosts(s *step) int {
+	most := 0
+	for _, w := range c.workers {
+		if w.registered && !w.gone && w.mayEverRun(s) {
+			most = max(most, w.Capacity.Count(s.Reservation(), s.Count))
+		}
+	}
+	if s.MaxPerWorker > 0 {
+		most = min(most, s.MaxPerWorker)
+	}
+	if most == 0 {
+		return 0
+	}
+	return (s.Count + most - 1) / most
+}
+
+// SetHostTotal sets the number of hosts of all pools, which bounds the hosts that a gang is
+// given. Without it, a gang gets no hosts beyond those that the sum of its needs asks for.
+func (c *Cell) SetHostTotal(hosts int) { c.hostTotal = hosts }
+
 // canRunOnSomeWorker reports whether a task of the step could run on a worker of the
 // pool if nothing else ran there.
 func (c *Cell) canRunOnSomeWorker(s *step) bool {
--- a/core/cell/spread_test.go
+++ b/core/cell/spread_test.go
@@ -60,6 +60,43 @@
 	}
 }
 
+// TestRequiredCoresCoverGangs guards against a gang that waits for good in a pool that was made
+// small, because the sum of what its tasks need asks for fewer hosts than they must run on.
+// A gang that all hosts together cannot run must not draw hosts.
+func TestRequiredCoresCoverGangs(t *testing.T) {
+	gang := func(count, maxPerWorker int, milliCores int64) works.Step {
+		s := step(count)
+		s.Gang, s.MaxPerWorker, s.Need.MilliCores = true, maxPerWorker, milliCores
+		return s
+	}
+	labelled := gang(9, 1, 1000)
+	labelled.Label = "unknown"
+	cases := map[string]struct {
+		step  works.Step
+		total int // hosts of all pools
+		hosts int
+	}{
+		"one a worker":             {gang(6, 1, 1000), 20, 6},
+		"two a worker":             {gang(6, 2, 1000), 20, 3},
+		"two fit on a worker":      {gang(9, 0, 1500), 20, 5},
+		"as many hosts as exist":   {gang(20, 1, 1000), 20, 20},
+		"more hosts than exist":    {gang(21, 1, 1000), 20, 0},
+		"fits on no worker":        {gang(6, 1, 9000), 20, 0},
+		"no worker has the label":  {labelled, 20, 0},
+		"the hosts are not listed": {gang(6, 1, 1000), 0, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, 4, nil) // of four cores each
+			b.SetHostTotal(c.total)
+			b.AddJob(b.now, job("a", c.step), 1)
+			l := b.Load(b.now)
+			assert.Equal(t, l.MinHosts, c.hosts)
+			assert.Assert(t, l.RequiredCores >= 4*float64(c.hosts) && l.RetainedCores >= l.RequiredCores, "%+v", l)
+		})
+	}
+}
+
 // TestRequiredCoresCoverTasksBesideWorkersOutOfService guards against a task that waits for
 // as long as a worker does not answer or is drained by the platform, because the free
 // capacity there exceeds its need.
--- a/io/site/move.go
+++ b/io/site/move.go
@@ -67,7 +67,10 @@
 	hostCores, evenCores := cores(config.Pools, hosts)
 	m.activity.Observe(now, s.load.ArrivalRate, evenCores)
 	activity := m.activity
-	o.enqueue(o.group.Context(), func(time.Time) { o.spareHosts, o.activity = spare, activity })
+	o.enqueue(o.group.Context(), func(time.Time) {
+		o.spareHosts, o.activity = spare, activity
+		o.state.SetHostTotal(len(hosts))
+	})
 	pools := o.site.view.pools(now, hosts, hostCores)
 	for i := range pools {
 		if p := &pools[i]; p.Name == o.pool {
--- a/worker.go
+++ b/worker.go
@@ -34,6 +34,17 @@
 	return Resources{r.MilliCores - o.MilliCores, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Count returns how many times o fits into r, at most limit times.
+func (r Resources) Count(o Resources, limit int) int {
+	n := int64(limit)
+	for _, x := range [...][2]int64{{r.MilliCores, o.MilliCores}, {r.MemoryMB, o.MemoryMB}, {r.Accelerators, o.Accelerators}} {
+		if x[1] > 0 {
+			n = min(n, max(0, x[0]/x[1]))
+		}
+	}
+	return int(n)
+}
+
 // CanFit reports whether o fits into r.
 func (r Resources) CanFit(o Resources) bool {
 	return r.MilliCores >= o.MilliCores && r.MemoryMB >= o.MemoryMB && r.Accelerators >= o.Accelerators
