Records are kept of queues with jobs only

Change: the record of a queue is written when its first job is submitted. A later configuration changes only the records that exist, and those of queues whose jobs a program without records left.

--- a/core/trail/trail.go
+++ b/core/trail/trail.go
@@ -286,6 +286,24 @@
 	return list
 }
 
+// InUse returns the queues among the given ones that have a record, or jobs that no record
+// covers. The others have no jobs, so that no record of them is needed.
+func (t *Trail) InUse(queues []works.Queue) []works.Queue {
+	var list []works.Queue
+	for i := range queues {
+		name := queues[i].Name
+		used := len(t.found[name]) > 0
+		for k := range t.copies {
+			r, ok := t.copies[k].records[name]
+			used = used || ok && !r.deleted
+		}
+		if used {
+			list = append(list, queues[i])
+		}
+	}
+	return list
+}
+
 // AllQueues returns the queues that have a record.
 func (t *Trail) AllQueues() []string { return t.queues(func(*Record) bool { return true }) }
 
--- a/core/trail/trail_test.go
+++ b/core/trail/trail_test.go
@@ -134,7 +134,9 @@
 // the program that accepted the jobs kept no records.
 func TestJobsOfAnOlderProgramAreFound(t *testing.T) {
 	d, a := newTable(), trail.New()
+	assert.Equal(t, len(a.InUse(sendTo("lids"))), 0)
 	a.ObserveJob("q", "tins")
+	assert.Equal(t, len(a.InUse(sendTo("lids"))), 1)
 	assert.DeepEqual(t, a.Others("q", "lids"), []string{"tins"})
 	d.settle(a, sendTo("lids"), 1)
 	b := trail.New()
--- a/io/site/trail.go
+++ b/io/site/trail.go
@@ -214,8 +214,9 @@
 	}
 }
 
-// keepTrail reads the records of the queues and writes those of each new configuration,
-// until ctx ends.
+// keepTrail reads the records of the queues and writes those that a new configuration changes,
+// until ctx ends. The record of a queue without jobs is written when the first is submitted: a
+// configuration may have thousands of queues.
 func (s *Site) keepTrail(ctx context.Context) error {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(s.self.Name)) // never fails
@@ -235,7 +236,7 @@
 		}
 		state := s.trailState()
 		if s.trailIncomplete() {
-			queues, config := s.view.queues()
+			queues, config := s.usedQueues()
 			s.recordQueues(ctx, queues, config)
 			continue
 		}
@@ -243,6 +244,14 @@
 	}
 }
 
+// usedQueues returns the configured queues that are in use, and the version of the
+// configuration's row.
+func (s *Site) usedQueues() ([]works.Queue, uint64) {
+	queues, config := s.view.queues()
+	s.trail.with(func(t *trail.Trail) { queues = t.InUse(queues) })
+	return queues, config
+}
+
 // trailState identifies a configuration and what is known of the records.
 type trailState struct {
 	config  uint64
@@ -258,7 +267,7 @@
 
 // trailIncomplete reports whether records must be read or written.
 func (s *Site) trailIncomplete() bool {
-	queues, config := s.view.queues()
+	queues, config := s.usedQueues()
 	incomplete := false
 	s.trail.with(func(t *trail.Trail) {
 		incomplete = len(t.UnreadCopies()) > 0
