--- a/core/trail/record.go
+++ b/core/trail/record.go
@@ -52,8 +52,8 @@
 // Lists reports whether the pool may have jobs of the queue.
 func (r *Record) Lists(pool string) bool { return r.Pool == pool || slices.Contains(r.Former, pool) }
 
-// pools returns all pools that the record lists.
-func (r *Record) pools() []string {
+// Pools returns all pools that the record lists.
+func (r *Record) Pools() []string {
 	if r.Pool == "" {
 		return nil
 	}
@@ -69,7 +69,7 @@
 		return r, false
 	}
 	if r.Pool != q.Pool {
-		former := slices.DeleteFunc(r.pools(), func(p string) bool { return p == q.Pool })
+		former := slices.DeleteFunc(r.Pools(), func(p string) bool { return p == q.Pool })
 		r.Settled = r.Settled && len(former) == len(r.Former) // the pool was listed before
 		r.Pool, r.Former = q.Pool, former
 	}
--- a/core/trail/trail.go
+++ b/core/trail/trail.go
@@ -11,8 +11,8 @@
 // platform's table is down, the probability that all copies are down is 1/27.
 const CopyCount = 3
 
-// Trail holds the records of all queues as an entry has read them. Use [New] to create one.
-// Use [New] to create one.
+// Trail holds the records of all queues as an entry has read them. Use [New]
+// to create one. The copies are numbered from 0.
 type Trail struct {
 	copies [CopyCount]copyView
 	// found holds the pools with jobs of a queue that no record lists, by queue. A program
@@ -54,17 +54,17 @@
 }
 
 // Observe records a row of a copy. Older versions than observed before are ignored.
-func (t *Trail) Observe(copy int, r Record, version uint64) {
-	t.observe(copy, versionedRecord{r, version, false})
+func (t *Trail) Observe(number int, r Record, version uint64) {
+	t.observe(number, versionedRecord{r, version, false})
 }
 
 // ObserveDeleted records that the row of a queue's record was deleted in a copy.
-func (t *Trail) ObserveDeleted(copy int, queue string, version uint64) {
-	t.observe(copy, versionedRecord{Record{Queue: queue}, version, true})
+func (t *Trail) ObserveDeleted(number int, queue string, version uint64) {
+	t.observe(number, versionedRecord{Record{Queue: queue}, version, true})
 }
 
-func (t *Trail) observe(copy int, r versionedRecord) {
-	c := &t.copies[copy]
+func (t *Trail) observe(number int, r versionedRecord) {
+	c := &t.copies[number]
 	if r.version <= c.records[r.Queue].version {
 		return
 	}
@@ -100,8 +100,8 @@
 }
 
 // ObserveCopy records that all rows of a copy were read and observed.
-func (t *Trail) ObserveCopy(copy int) {
-	t.copies[copy].read = true
+func (t *Trail) ObserveCopy(number int) {
+	t.copies[number].read = true
 	for _, queue := range slices.Collect(maps.Keys(t.found)) {
 		t.dropFound(queue)
 	}
@@ -110,8 +110,8 @@
 
 // ObserveGap records that changes of a copy may have been missed, so that it must be read
 // again.
-func (t *Trail) ObserveGap(copy int) {
-	t.copies[copy].read = false
+func (t *Trail) ObserveGap(number int) {
+	t.copies[number].read = false
 	t.changes++
 }
 
@@ -169,30 +169,16 @@
 	list := slices.Clone(t.found[queue])
 	for i := range t.copies {
 		r := t.record(i, queue)
-		list = append(list, r.pools()...)
+		list = append(list, r.Pools()...)
 	}
 	slices.Sort(list)
 	return slices.DeleteFunc(slices.Compact(list), func(p string) bool { return p == pool })
 }
 
-// Pools returns all pools that may have jobs of any queue.
-func (t *Trail) Pools() []string {
-	var list []string
-	for i := range t.copies {
-		for _, r := range t.copies[i].records {
-			if !r.deleted {
-				list = append(list, r.pools()...)
-			}
-		}
-	}
-	slices.Sort(list)
-	return slices.Compact(list)
-}
-
 // Changes returns the records to be written to a copy that was read, for a configuration
 // with these queues and the given version.
-func (t *Trail) Changes(copy int, queues []works.Queue, config uint64) []Change {
-	if !t.copies[copy].read {
+func (t *Trail) Changes(number int, queues []works.Queue, config uint64) []Change {
+	if !t.copies[number].read {
 		return nil
 	}
 	var list []Change
@@ -201,7 +187,7 @@
 		if t.Outdated(q.Name, q.Pool, config) {
 			continue
 		}
-		r := t.record(copy, q.Name)
+		r := t.record(number, q.Name)
 		next, changed := r.configured(q, config)
 		for _, p := range t.Others(q.Name, q.Pool) {
 			if !next.Lists(p) {
@@ -220,8 +206,8 @@
 }
 
 // record returns the record of a queue in a copy, which is empty if there is none.
-func (t *Trail) record(copy int, queue string) versionedRecord {
-	r := t.copies[copy].records[queue]
+func (t *Trail) record(number int, queue string) versionedRecord {
+	r := t.copies[number].records[queue]
 	if r.deleted {
 		r.Record = Record{Queue: queue}
 	}
@@ -251,10 +237,10 @@
 // Removals returns the changes of a copy after which the pool is no longer listed for the
 // queue, because it has no jobs of it any more. The pool to which the queue was sent last
 // is removed together with the record, and only if the queue is no longer configured.
-func (t *Trail) Removals(copy int, queue, pool string, configured bool) []Change {
-	r := t.record(copy, queue)
+func (t *Trail) Removals(number int, queue, pool string, configured bool) []Change {
+	r := t.record(number, queue)
 	switch {
-	case !t.copies[copy].read:
+	case !t.copies[number].read:
 	case slices.Contains(r.Former, pool):
 		return []Change{{Record: r.without(pool), Version: r.version}}
 	case r.Pool == pool && len(r.Former) == 0 && !configured:
--- a/core/trail/trail_test.go
+++ b/core/trail/trail_test.go
@@ -28,31 +28,31 @@
 }
 
 // read makes an entry read a copy.
-func (d *table) read(t *trail.Trail, copy int) {
-	for q, r := range d.rows[copy] {
-		t.Observe(copy, r, d.vers[copy][q])
+func (d *table) read(t *trail.Trail, number int) {
+	for q, r := range d.rows[number] {
+		t.Observe(number, r, d.vers[number][q])
 	}
-	t.ObserveCopy(copy)
+	t.ObserveCopy(number)
 }
 
 // write makes the changes of an entry to a copy, if their conditions hold.
-func (d *table) write(t *trail.Trail, copy int, changes []trail.Change) {
+func (d *table) write(t *trail.Trail, number int, changes []trail.Change) {
 	for _, c := range changes {
-		if d.vers[copy][c.Record.Queue] != c.Version {
-			d.read(t, copy)
+		if d.vers[number][c.Record.Queue] != c.Version {
+			d.read(t, number)
 			return
 		}
 	}
 	for _, c := range changes {
 		d.version++
 		if c.Delete {
-			delete(d.rows[copy], c.Record.Queue)
-			delete(d.vers[copy], c.Record.Queue)
-			t.ObserveDeleted(copy, c.Record.Queue, d.version)
+			delete(d.rows[number], c.Record.Queue)
+			delete(d.vers[number], c.Record.Queue)
+			t.ObserveDeleted(number, c.Record.Queue, d.version)
 			continue
 		}
-		d.rows[copy][c.Record.Queue], d.vers[copy][c.Record.Queue] = c.Record, d.version
-		t.Observe(copy, c.Record, d.version)
+		d.rows[number][c.Record.Queue], d.vers[number][c.Record.Queue] = c.Record, d.version
+		t.Observe(number, c.Record, d.version)
 	}
 }
 
--- a/io/site/follow.go
+++ b/io/site/follow.go
@@ -244,11 +244,11 @@
 					version = v
 				}
 			}
-			for _, copy := range allCopies {
+			for _, number := range allCopies {
 				// A copy that cannot be read is read later by keepTrail.
-				if _, err := s.readTrail(ctx, copy); err != nil {
-					s.trail.with(func(t *trail.Trail) { t.ObserveGap(copy) })
-					s.log.WithError(err).WithField("copy", copy).Info("Records of queues cannot be read.")
+				if _, err := s.readTrail(ctx, number); err != nil {
+					s.trail.with(func(t *trail.Trail) { t.ObserveGap(number) })
+					s.log.WithError(err).WithField("copy", number).Info("Records of queues cannot be read.")
 				}
 			}
 			return version, nil
@@ -331,8 +331,8 @@
 	}()
 	for _, r := range rows {
 		part, name := splitKey(r.Key())
-		if copy, ok := trailCopy(part); ok {
-			s.applyTrailRow(copy, r)
+		if number, ok := trailCopy(part); ok {
+			s.applyTrailRow(number, r)
 			recorded = true
 			continue
 		}
--- a/io/site/jobs.go
+++ b/io/site/jobs.go
@@ -1,7 +1,6 @@
 package site
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -9,7 +8,6 @@
 	"time"
 
 	rock "bramleyrock"
-	"bramleyrock/core/tenure"
 	"bramleyrock/core/works"
 
 	"github.com/sirupsen/logrus"
@@ -219,150 +217,6 @@
 // the job may have to wait for an earlier batch.
 const intakeTimeout = 700 * time.Millisecond
 
-// jobRows holds the rows that were found of a job; a row that was not found is nil.
-type jobRows struct {
-	job, outcome *rock.Row
-	// progress is the row with the progress of the first tasks.
-	progress *rock.Row
-}
-
-// ended reports whether the job's row is marked, and no row has the job.
-func (r jobRows) ended() bool { return r.job != nil && isMark(r.job.Value()) }
-
-// stored reports whether the job was stored when it was submitted.
-func (r jobRows) stored() bool { return r.job != nil && !isSeal(r.job.Value()) }
-
-// cancelled reports whether the job was cancelled before it was stored.
-func (r jobRows) cancelled() bool { return r.job != nil && bytes.Equal(r.job.Value(), cancelledMark) }
-
-// addJobRow adds a row that was written at submission. One part may have the job, and others
-// seals; a job comes before a seal, and a cancellation before another seal.
-func (r *jobRows) addJobRow(row *rock.Row) {
-	if !r.stored() && (!r.cancelled() || !isSeal(row.Value())) {
-		r.job = row
-	}
-}
-
-// known reports whether a row of the job was found.
-func (r jobRows) known() bool { return r.stored() || r.progress != nil || r.outcome != nil }
-
-// findJob reads the rows of a job from the cell of its queue's pool, and from the other
-// cells that may have jobs of the queue until one of them has it. If none has it, findJob
-// returns an error if one of them cannot be read.
-func (s *Site) findJob(ctx context.Context, q works.Queue, id string, submitted bool) (jobRows, error) {
-	r, err := s.readJob(ctx, cellOf(q.Pool), id, submitted)
-	if r.known() {
-		return r, err
-	}
-	others, known := s.otherCells(q)
-	if !known && err == nil {
-		err = rock.Fail("read", "job "+id, rock.Unavailable, rock.NotRun).RetryIn(minRetryAfter).Becausef("the records of the queues are not read")
-	}
-	for _, cell := range others {
-		other, failed := s.readJob(ctx, cell, id, submitted)
-		if other.known() {
-			return other, failed
-		}
-		if failed != nil {
-			err = failed
-		}
-	}
-	return r, err
-}
-
-// readJob reads the rows of a job from a cell. It reads the row that was written at
-// submission only if the main home has no row of the job, or if submitted is true.
-func (s *Site) readJob(ctx context.Context, cell, id string, submitted bool) (jobRows, error) {
-	var record tenure.Record
-	s.view.withCell(cell, func(c *cellView) { record = c.challenger.Record() })
-	main := record.Main
-	var r jobRows
-	err := s.readRows(ctx, cell, homePart(cell, main), id, &r)
-	if err == nil && r.progress != nil {
-		err = r.dropStaleProgress(record.CopiedSince)
-	}
-	if err == nil && (submitted || r.progress == nil && r.outcome == nil) {
-		err = s.readJobRow(ctx, cell, id, &r)
-	}
-	if err == nil && r.ended() && r.stored() && r.outcome == nil {
-		err = s.readOutcome(ctx, cell, main, id, &r)
-	}
-	return r, err
-}
-
-// dropStaleProgress drops progress that is older than since, the first write of the
-// last full copy to this home. The job may have ended in another home since then.
-func (r *jobRows) dropStaleProgress(since works.Stamp) error {
-	p, err := works.DecodeProgress(r.progress.Value())
-	if err != nil {
-		return err
-	}
-	if since.After(p.Stamp) {
-		r.progress = nil
-	}
-	return nil
-}
-
-// readOutcome adds the outcome of a job that is marked as ended. The job may have
-// ended after the main home was read, and the outcome may be in any home.
-func (s *Site) readOutcome(ctx context.Context, cell string, main int, id string, r *jobRows) error {
-	var failed error
-	for i := range tenure.HomeCount {
-		home := (main + i) % tenure.HomeCount
-		if err := s.readRows(ctx, cell, homePart(cell, home), id, r); err != nil {
-			failed = err
-		}
-		if r.outcome != nil {
-			return nil
-		}
-	}
-	return failed
-}
-
-// readJobRow adds the row that was written when the job was submitted. It returns an
-// error if no part has the row and a part that may have it cannot be read.
-func (s *Site) readJobRow(ctx context.Context, cell, id string, r *jobRows) error {
-	var failed error
-	for _, part := range s.unresponsive.sort(s.now(), intakeParts(cell, id)) {
-		err := s.readRows(ctx, cell, part, id, r)
-		if ctx.Err() == nil {
-			s.unresponsive.record(s.now(), part, err == nil)
-		}
-		if r.stored() {
-			return nil
-		}
-		if err != nil {
-			failed = err
-		}
-	}
-	return failed
-}
-
-// readRows adds the rows of a job that one part holds.
-func (s *Site) readRows(ctx context.Context, cell, part, id string, r *jobRows) error {
-	// The first row of progress is the last name in the range. It exists if any of them does.
-	c, err := s.settings.Store.List(ctx, jobTable(cell), part, id+"/", id+progressSuffix+"\x00")
-	if ctx.Err() == nil {
-		s.recordPartAnswer(part, err)
-	}
-	if err != nil {
-		return rock.Fail("read", "job "+id, rock.Unavailable, rock.NotRun).RetryIn(minRetryAfter).Because(err)
-	}
-	for i := range c.Rows {
-		row := &c.Rows[i]
-		_, name := splitKey(row.Key())
-		switch _, suffix := splitJobName(name); suffix {
-		case jobSuffix:
-			r.addJobRow(row)
-		case progressSuffix:
-			r.progress = row
-		case outcomeSuffix:
-			r.outcome = row
-		}
-	}
-	return nil
-}
-
 // State returns the state of a job. It fails with [rock.Expired] if the job is not known.
 func (s *Site) State(ctx context.Context, q works.Queue, id string) (works.State, error) {
 	if err := s.checkTable("read", id); err != nil {
@@ -440,81 +294,3 @@
 		}
 	}
 }
-
-// maxRenewalAge is how old the numbers in an owner's renewal may be. Callers accept
-// numbers that are up to 2 s old.
-const maxRenewalAge = 1500 * time.Millisecond
-
-// CountWaiting returns the number of the queue's jobs that have not started, in all cells
-// that may have jobs of the queue.
-func (s *Site) CountWaiting(ctx context.Context, q works.Queue) (int, error) {
-	total, err := s.countWaitingIn(ctx, cellOf(q.Pool), q.Name)
-	others, _ := s.otherCells(q)
-	for _, cell := range others {
-		if err != nil {
-			break
-		}
-		var n int
-		n, err = s.countWaitingIn(ctx, cell, q.Name)
-		total += n
-	}
-	return total, err
-}
-
-// countWaitingIn returns the number of the queue's jobs in a cell that have not started. It
-// uses the cell's last renewal, or reads the jobs' rows if that is too old.
-func (s *Site) countWaitingIn(ctx context.Context, cell, queue string) (int, error) {
-	n, renewedAt := 0, time.Time{}
-	s.view.withCell(cell, func(c *cellView) {
-		if !c.renewal.WaitingOmitted {
-			n, renewedAt = c.renewal.WaitingJobs[queue], c.renewalAt
-		}
-	})
-	if s.now().Sub(renewedAt) <= maxRenewalAge {
-		return n, nil
-	}
-	var homes []int
-	s.view.withCell(cell, func(c *cellView) { homes = c.challenger.Record().Homes })
-	l, err := s.listJobs(ctx, cell, homes)
-	if ctx.Err() == nil {
-		s.recordPartAnswer(cell, err)
-	}
-	if err == nil && len(l.unreadParts) > 0 {
-		err = fmt.Errorf("%d parts cannot be read", len(l.unreadParts))
-	}
-	if err != nil {
-		return 0, rock.Fail("count", "queue "+queue, rock.Unavailable, rock.NotRun).RetryIn(minRetryAfter).Because(err)
-	}
-	return countWaiting(l.rows, queue), nil
-}
-
-// countWaiting returns the number of the queue's jobs without progress or outcome.
-// Jobs with scheduled start times do not count as waiting.
-func countWaiting(rows []rock.Row, queue string) int {
-	waiting, started := map[string]bool{}, map[string]bool{}
-	for i := range rows {
-		_, name := splitKey(rows[i].Key())
-		id, suffix := splitJobName(name)
-		switch suffix {
-		case jobSuffix:
-			if isMark(rows[i].Value()) {
-				continue
-			}
-			j, err := works.DecodeJob(rows[i].Value())
-			waiting[id] = err == nil && j.Queue == queue && j.Spec.Times == 0
-		case outcomeSuffix:
-			started[id] = true
-		default:
-			if _, ok := progressChunk(suffix); ok {
-				started[id] = true
-			}
-		}
-	}
-	n := 0
-	for id, w := range waiting {
-		if w && !started[id] {
-			n++
-		}
-	}
-	return n
-}
--- a/io/site/trail.go
+++ b/io/site/trail.go
@@ -60,13 +60,13 @@
 }
 
 // trailCopyPart returns the name of the part with a copy of the records.
-func trailCopyPart(copy int) string { return trailPart + strconv.Itoa(copy) }
+func trailCopyPart(number int) string { return trailPart + strconv.Itoa(number) }
 
 // trailCopy returns the copy of the records that a part holds, and false if it holds none.
-func trailCopy(part string) (copy int, ok bool) {
-	number, ok := strings.CutPrefix(part, trailPart)
-	copy, err := strconv.Atoi(number)
-	return copy, ok && err == nil && copy >= 0 && copy < trail.CopyCount
+func trailCopy(part string) (number int, ok bool) {
+	suffix, ok := strings.CutPrefix(part, trailPart)
+	number, err := strconv.Atoi(suffix)
+	return number, ok && err == nil && number >= 0 && number < trail.CopyCount
 }
 
 // recordName returns the name of the row of a queue's record. Names of queues may be
@@ -77,9 +77,9 @@
 }
 
 // applyTrailRow records a row with a queue's record.
-func (s *Site) applyTrailRow(copy int, r rock.Row) {
+func (s *Site) applyTrailRow(number int, r rock.Row) {
 	if !r.Exists() {
-		s.trail.with(func(t *trail.Trail) { s.observeDeleted(t, copy, r) })
+		s.trail.with(func(t *trail.Trail) { s.observeDeleted(t, number, r) })
 		return
 	}
 	var record trail.Record
@@ -87,40 +87,36 @@
 		s.log.WithError(err).WithField("row", r.Key()).Error("Record of a queue cannot be read.")
 		return
 	}
-	var pools []string
-	s.trail.with(func(t *trail.Trail) {
-		t.Observe(copy, record, r.Version())
-		pools = t.Pools()
-	})
-	s.view.addCells(pools)
+	s.trail.with(func(t *trail.Trail) { t.Observe(number, record, r.Version()) })
+	s.view.addCells(record.Pools())
 }
 
 // observeDeleted records that the row of some queue's record was deleted.
-func (s *Site) observeDeleted(t *trail.Trail, copy int, r rock.Row) {
+func (s *Site) observeDeleted(t *trail.Trail, number int, r rock.Row) {
 	_, name := splitKey(r.Key())
 	for _, queue := range t.AllQueues() {
 		if recordName(queue) == name {
-			t.ObserveDeleted(copy, queue, r.Version())
+			t.ObserveDeleted(number, queue, r.Version())
 		}
 	}
 }
 
 // readTrail reads a copy of the records. It returns the version that was read.
-func (s *Site) readTrail(ctx context.Context, copy int) (uint64, error) {
-	c, err := s.settings.Store.List(ctx, cellTable, trailCopyPart(copy), "", "")
+func (s *Site) readTrail(ctx context.Context, number int) (uint64, error) {
+	c, err := s.settings.Store.List(ctx, cellTable, trailCopyPart(number), "", "")
 	if err != nil {
 		return 0, err
 	}
 	for _, r := range c.Rows {
-		s.applyTrailRow(copy, r)
+		s.applyTrailRow(number, r)
 	}
-	s.trail.with(func(t *trail.Trail) { t.ObserveCopy(copy) })
+	s.trail.with(func(t *trail.Trail) { t.ObserveCopy(number) })
 	s.view.notify()
 	return c.Version, nil
 }
 
 // forEachCopy calls f for the copies in parallel.
-func forEachCopy(ctx context.Context, copies []int, f func(ctx context.Context, copy int)) {
+func forEachCopy(ctx context.Context, copies []int, f func(ctx context.Context, number int)) {
 	g := group.New(ctx)
 	for _, c := range copies {
 		g.Go("queue records", func(ctx context.Context) error {
@@ -135,9 +131,9 @@
 func (s *Site) readUnreadTrail(ctx context.Context) {
 	var unread []int
 	s.trail.with(func(t *trail.Trail) { unread = t.UnreadCopies() })
-	forEachCopy(ctx, unread, func(ctx context.Context, copy int) {
-		if _, err := s.readTrail(ctx, copy); err != nil {
-			s.log.WithError(err).WithField("copy", copy).Info("Records of queues cannot be read.")
+	forEachCopy(ctx, unread, func(ctx context.Context, number int) {
+		if _, err := s.readTrail(ctx, number); err != nil {
+			s.log.WithError(err).WithField("copy", number).Info("Records of queues cannot be read.")
 		}
 	})
 }
@@ -159,10 +155,10 @@
 	for range trailRounds {
 		s.readUnreadTrail(ctx)
 		pending := false
-		forEachCopy(ctx, allCopies, func(ctx context.Context, copy int) {
+		forEachCopy(ctx, allCopies, func(ctx context.Context, number int) {
 			var changes []trail.Change
-			s.trail.with(func(t *trail.Trail) { changes = t.Changes(copy, queues, config) })
-			s.writeTrail(ctx, copy, changes)
+			s.trail.with(func(t *trail.Trail) { changes = t.Changes(number, queues, config) })
+			s.writeTrail(ctx, number, changes)
 		})
 		s.trail.with(func(t *trail.Trail) {
 			for _, c := range allCopies {
@@ -176,8 +172,8 @@
 }
 
 // writeTrail writes changed records to a copy, and reads the copy again if that fails.
-func (s *Site) writeTrail(ctx context.Context, copy int, changes []trail.Change) {
-	part := trailCopyPart(copy)
+func (s *Site) writeTrail(ctx context.Context, number int, changes []trail.Change) {
+	part := trailCopyPart(number)
 	for chunk := range slices.Chunk(changes, maxTrailChanges) {
 		var t rock.Transaction
 		for _, c := range chunk {
@@ -197,20 +193,20 @@
 		version, err := s.settings.Store.Apply(ctx, t)
 		s.recordPartAnswer(part, err)
 		if err != nil {
-			s.log.WithError(err).WithField("copy", copy).Info("Records of queues are not written.")
-			_, _ = s.readTrail(ctx, copy) // it is read again before the next attempt
+			s.log.WithError(err).WithField("copy", number).Info("Records of queues are not written.")
+			_, _ = s.readTrail(ctx, number) // it is read again before the next attempt
 			return
 		}
 		s.trail.with(func(t *trail.Trail) {
 			for _, c := range chunk {
 				if c.Delete {
-					t.ObserveDeleted(copy, c.Record.Queue, version)
+					t.ObserveDeleted(number, c.Record.Queue, version)
 				} else {
-					t.Observe(copy, c.Record, version)
+					t.Observe(number, c.Record, version)
 				}
 			}
 		})
-		s.log.WithField("copy", copy).WithField("queues", len(chunk)).WithField("row_version", version).Info("Records of queues are written.")
+		s.log.WithField("copy", number).WithField("queues", len(chunk)).WithField("row_version", version).Info("Records of queues are written.")
 	}
 }
 
@@ -318,14 +314,14 @@
 func (s *Site) refreshRecord(ctx context.Context, queue string) error {
 	name := recordName(queue)
 	var failed error
-	for _, copy := range allCopies {
-		c, err := s.settings.Store.List(ctx, cellTable, trailCopyPart(copy), name, name+"\x00")
+	for _, number := range allCopies {
+		c, err := s.settings.Store.List(ctx, cellTable, trailCopyPart(number), name, name+"\x00")
 		if err != nil {
 			failed = err
 			continue
 		}
 		for _, r := range c.Rows {
-			s.applyTrailRow(copy, r)
+			s.applyTrailRow(number, r)
 		}
 		return nil
 	}
--- a/io/site/trailsweep.go
+++ b/io/site/trailsweep.go
@@ -58,14 +58,14 @@
 func (s *Site) removeFromTrail(ctx context.Context, names []string, pool string, queues []works.Queue) {
 	s.trail.writing.Lock()
 	defer s.trail.writing.Unlock()
-	forEachCopy(ctx, allCopies, func(ctx context.Context, copy int) {
+	forEachCopy(ctx, allCopies, func(ctx context.Context, number int) {
 		var changes []trail.Change
 		s.trail.with(func(t *trail.Trail) {
 			for _, name := range names {
 				configured := slices.ContainsFunc(queues, func(q works.Queue) bool { return q.Name == name })
-				changes = append(changes, t.Removals(copy, name, pool, configured)...)
+				changes = append(changes, t.Removals(number, name, pool, configured)...)
 			}
 		})
-		s.writeTrail(ctx, copy, changes)
+		s.writeTrail(ctx, number, changes)
 	})
 }
