A record of a queue is written for the configuration that has the queue

A submission paired the queue of one configuration with the version of the next, if it was changed in between. The record then named the former pool as the newest until the next entry wrote it. Found by reading.

--- a/io/site/jobs.go
+++ b/io/site/jobs.go
@@ -145,8 +145,7 @@
 // may have jobs of the queue has it. It fails with [rock.Conflict] if the job was accepted
 // before.
 func (s *Site) acceptJob(ctx context.Context, started time.Time, q works.Queue, id string, value []byte) (version uint64, attempts int, err error) {
-	_, config := s.view.queues()
-	others, err := s.awaitRecord(ctx, q, config)
+	others, err := s.awaitRecord(ctx, q)
 	if err != nil {
 		return 0, 0, err
 	}
--- a/io/site/trail.go
+++ b/io/site/trail.go
@@ -281,18 +281,20 @@
 // awaitRecord returns once jobs of the queue may be accepted in its pool, and the other
 // cells that may have jobs of the queue. It fails with the verdict [rock.NotRun] if
 // that is not known in time.
-func (s *Site) awaitRecord(ctx context.Context, q works.Queue, config uint64) (others []string, err error) {
+func (s *Site) awaitRecord(ctx context.Context, q works.Queue) (others []string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, trailTimeout)
 	defer cancel()
 	for requested := false; ; requested = true {
-		settled, outdated := false, false
+		settled := false
 		s.trail.with(func(t *trail.Trail) {
-			settled, outdated = t.Settled(q.Name, q.Pool), t.Outdated(q.Name, q.Pool, config)
-			others = cellsOf(t.Others(q.Name, q.Pool))
+			settled, others = t.Settled(q.Name, q.Pool), cellsOf(t.Others(q.Name, q.Pool))
 		})
-		switch {
-		case settled:
+		if settled {
 			return others, nil
+		}
+		config, outdated := s.view.versionWith(q), false
+		s.trail.with(func(t *trail.Trail) { outdated = t.Outdated(q.Name, q.Pool, config) })
+		switch {
 		case outdated:
 			return nil, rock.Fail("submit", "queue "+q.Name, rock.Unavailable, rock.NotRun).Becausef("a newer configuration sends the queue to another pool than %q", q.Pool)
 		case !requested:
--- a/io/site/view.go
+++ b/io/site/view.go
@@ -120,6 +120,20 @@
 	return v.config.Queues, v.version
 }
 
+// versionWith returns the version of the configuration's row if the configuration in force sends
+// the queue to its pool, and 0, which is older than all versions, if q is from another one.
+func (v *view) versionWith(q works.Queue) uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.config == nil {
+		return 0
+	}
+	if present, ok := v.config.Queue(q.Name); ok && present == q {
+		return v.version
+	}
+	return 0
+}
+
 // addCells adds the cells of pools that may have jobs although they are not configured.
 func (v *view) addCells(pools []string) {
 	v.mu.Lock()
