A batch that ends large jobs is within the limit of rows

A batch had up to 88 rows of ended jobs, since the rows of progress that are deleted were counted after the bound was checked. With the rows of workers a transaction could exceed the table's 100 entries, which would stop the pool. Found by reading.

--- a/core/cell/chunks_test.go
+++ b/core/cell/chunks_test.go
@@ -52,7 +52,7 @@
 		bytes += (len(data) + 2) / 3 * 4
 		d.progress[chunkRow{w.ID, w.Chunk}] = w.Progress
 	}
-	assert.Assert(t, rows <= 90, "%d rows", rows) // the limit is 100, with conditions and rows of workers
+	assert.Assert(t, rows <= 72, "%d rows", rows) // the limit is 100, with conditions and rows of workers
 	for k := range d.progress {
 		_, ok := d.progress[chunkRow{k.job, 0}]
 		_, ended := d.outcomes[k.job]
@@ -133,6 +133,30 @@
 	assert.Equal(t, d.outcomes["large"], works.Completed)
 }
 
+// TestManyLargeJobsEndInSeveralBatches guards against a transaction with more rows than the table
+// takes, because many jobs with several rows of progress end at once.
+func TestManyLargeJobsEndInSeveralBatches(t *testing.T) {
+	for chunks := range 24 {
+		b, d := newHarness(t, 2, nil), newRowTable()
+		const jobs = 90
+		for i := range jobs {
+			id := fmt.Sprintf("%016x", i)
+			tasks := max(1, chunks*works.ChunkTasks)
+			row := works.Progress{Started: true}
+			for k := range tasks {
+				row.Tasks = append(row.Tasks, works.TaskProgress{Index: k, Done: k > 0, Failed: []int64{1}, Run: 5})
+			}
+			b.AddJob(b.now, job(id, step(min(tasks, works.MaxTasks))), 9)
+			b.AddProgress(b.now, id, row)
+			b.Cancel(b.now, id)
+		}
+		for range 2 * jobs {
+			d.store(t, b)
+		}
+		assert.Equal(t, len(d.outcomes), jobs, "%d chunks", chunks)
+	}
+}
+
 // TestChangeIsWrittenWithoutTheWholeProgress guards against writes that grow with the number of
 // tasks that are done.
 func TestChangeIsWrittenWithoutTheWholeProgress(t *testing.T) {
--- a/core/cell/flush.go
+++ b/core/cell/flush.go
@@ -67,13 +67,15 @@
 	c.flushing = true
 	b := &Batch{resolvedEnds: map[string]resolvedEnds{}}
 	rows := 0
-	for len(c.endedJobs) > 0 && rows < maxBatchRows {
+	for len(c.endedJobs) > 0 {
 		j := c.endedJobs[0]
-		c.endedJobs = c.endedJobs[1:]
-		j.dirty.clear()
 		chunks := j.stored.list()
 		chunks = chunks[:min(len(chunks), maxDeletedChunks)]
-		rows += 1 + len(chunks)
+		if rows += 1 + len(chunks); rows > maxBatchRows {
+			break
+		}
+		c.endedJobs = c.endedJobs[1:]
+		j.dirty.clear()
 		b.endedJobs = append(b.endedJobs, j)
 		b.JobWrites = append(b.JobWrites, Write{
 			ID: j.ID, Ended: true, Outcome: works.Outcome{State: j.state, At: now},
