The soak sends signals in series once the entry has started

The signal came before any code of the process ran. The case is therefore not a fault of the entry. The check stays; the fault waits until the entry serves callers.

--- a/cmd/bramleyrock/soak_test.go
+++ b/cmd/bramleyrock/soak_test.go
@@ -231,6 +231,20 @@
 	return e.ended
 }
 
+// awaitFront waits until the entry's process serves callers, and reports whether it does. The
+// kernel ends a process that gets a SIGHUP in its first milliseconds, before any of its code
+// runs.
+func (e *soakEntry) awaitFront() bool {
+	for range 100 {
+		c, err := net.Dial("tcp4", e.client.Address)
+		if err == nil {
+			return c.Close() == nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return false
+}
+
 // stoppedByItself reports whether the entry's process, which has ended, was not ended by a
 // signal.
 func (e *soakEntry) stoppedByItself() bool {
@@ -473,6 +487,9 @@
 		return func() { s.p.Store().SetLate(nil) }
 	}},
 	{"signals in series", func(s *soak, e *soakEntry) func() {
+		if !e.awaitFront() {
+			return func() {} // another fault has ended the process, or it does not start
+		}
 		e.signal(syscall.SIGHUP)
 		ended := e.signal(syscall.SIGTERM)
 		e.signal(syscall.SIGHUP)
