--- a/io/site/seals_test.go
+++ b/io/site/seals_test.go
@@ -211,3 +211,24 @@
 		})
 	}
 }
+
+// TestQueueOfAnOlderConfigurationWritesNoRecord guards against a record that names the former pool
+// of a queue as the newest, because the configuration changed while a submission was served.
+func TestQueueOfAnOlderConfigurationWritesNoRecord(t *testing.T) {
+	t.Parallel()
+	now := time.Date(2026, 12, 6, 8, 0, 0, 0, time.UTC)
+	s, d := newMemSite(&now)
+	older, newer := works.Queue{Name: "q", Pool: "tins"}, works.Queue{Name: "q", Pool: "lids"}
+	s.view.setConfig(works.Config{Queues: []works.Queue{newer}}, 2)
+	s.recordQueues(t.Context(), []works.Queue{newer}, 2)
+	err := s.Submit(t.Context(), older, sealedID, submitSteps)
+	assert.Equal(t, rock.VerdictOf(err), rock.NotRun, "%v", err)
+	s.work.Stop()
+	assert.NilError(t, s.work.Wait())
+	var pools []string
+	s.trail.with(func(t *trail.Trail) { pools = t.Others("q", "lids") })
+	assert.Equal(t, len(pools), 0, "%v", pools)
+	for k := range d.values() {
+		assert.Assert(t, !strings.HasSuffix(k, jobSuffix), "%s is stored", k)
+	}
+}
