--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -75,10 +75,7 @@
 	j.gangs, j.saved = map[string]map[string]*runAt{}, map[string]bool{}
 	c.w.jobs[j.id] = j
 	c.w.mu.Unlock()
-	body := map[string]any{"Spec": j.spec, "Steps": j.steps}
-	if j.times > 0 {
-		body["Times"], body["FirstMs"], body["IntervalMs"] = j.times, j.first.UnixMilli(), j.every.Milliseconds()
-	}
+	body := j.body()
 	for i := range retries + 1 {
 		status, _ := c.call(c.pick(), http.MethodPost, c.prefix(j.queue)+j.id, body)
 		c.w.mu.Lock()
@@ -132,7 +129,7 @@
 		w.services[q.Name+"/"+q.Service] = true
 		r := map[string]any{"Name": q.Name, "Host": queueHost, "Prefix": q.Prefix, "Service": q.Service, "Attempts": max(1, q.Attempts), "Stretch": 1.6, "SloMs": 600}
 		if q.Advised {
-			r["Advice"] = map[string]any{"DecideMs": adviceDecide.Milliseconds(), "EachMs": adviceEach.Milliseconds(), "ValidMs": adviceValid.Milliseconds()}
+			r["Advice"] = map[string]any{"DecideMs": adviceDecide.Milliseconds(), "EachMs": adviceEach.Milliseconds(), "ValidMs": w.adviceValid.Milliseconds()}
 		}
 		routes = append(routes, r)
 	}
@@ -162,3 +159,12 @@
 		}
 	}
 }
+
+// body returns the body of the call that hands the job in.
+func (j *job) body() map[string]any {
+	body := map[string]any{"Spec": j.spec, "Steps": j.steps}
+	if j.times > 0 {
+		body["Times"], body["FirstMs"], body["IntervalMs"] = j.times, j.first.UnixMilli(), j.every.Milliseconds()
+	}
+	return body
+}
--- a/review/stand2/cloud.go
+++ b/review/stand2/cloud.go
@@ -196,12 +196,11 @@
 		good = append(good, []string{id, ticket})
 	}
 	w.note("advice for %s: of %v good are %v", o.Step, o.Workers, good)
-	writeJSON(rw, http.StatusOK, map[string]any{"Good": good, "ValidMs": adviceValid.Milliseconds()})
+	writeJSON(rw, http.StatusOK, map[string]any{"Good": good, "ValidMs": w.adviceValid.Milliseconds()})
 }
 
 // Times of the service for advice.
 const (
 	adviceDecide = 20 * time.Millisecond
 	adviceEach   = 2 * time.Millisecond
-	adviceValid  = 10 * time.Second
 )
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -26,12 +26,13 @@
 	jobs      map[string]*job
 	// policies holds, by queue, which executors may run its steps. A queue without a
 	// policy needs no advice.
-	policies map[string]func(e *executor) bool
-	services map[string]bool // the queues' services that a configuration named
-	queues   map[string]queue
-	waves    map[int64]*waveState
-	broken   []string
-	advising sync.Mutex
+	policies    map[string]func(e *executor) bool
+	adviceValid time.Duration   // of tickets (ValidMs)
+	services    map[string]bool // the queues' services that a configuration named
+	queues      map[string]queue
+	waves       map[int64]*waveState
+	broken      []string
+	advising    sync.Mutex
 	// lateShare and lostShare are the percentages of the orders to executors that are
 	// carried out late, and that are carried out and not answered.
 	lateShare, lostShare atomic.Int64
@@ -96,7 +97,8 @@
 
 func newWorld(record *os.File) *world {
 	w := &world{
-		began: time.Now(), record: record, store: newStore(), executors: map[string]*executor{}, jobs: map[string]*job{},
+		adviceValid: 10 * time.Second,
+		began:       time.Now(), record: record, store: newStore(), executors: map[string]*executor{}, jobs: map[string]*job{},
 		policies: map[string]func(*executor) bool{}, services: map[string]bool{}, queues: map[string]queue{}, waves: map[int64]*waveState{},
 		runs: map[string][]*runAt{}, acked: map[string]bool{}, done: map[string]bool{},
 	}
