--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -168,3 +168,6 @@
 	}
 	return body
 }
+
+// jobID returns the ID of a job as hexadecimal digits.
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
--- a/review/stand2/cloud.go
+++ b/review/stand2/cloud.go
@@ -108,7 +108,7 @@
 		if m.token == token {
 			w.breaks("ONE", "%s and %s order %s with token %d", m.holder, holder, name, token)
 		}
-		if now.Sub(m.orderedAt) < 3*time.Second {
+		if now.Sub(m.orderedAt) < 3*time.Second && w.bothInTouch {
 			w.breaks("ONE", "%s orders %s %v after %s", holder, name, now.Sub(m.orderedAt), m.holder)
 		}
 	}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -29,7 +29,7 @@
 	caller  *caller
 	trouble bool
 	seed    uint64
-	prepare func(count int, advice bool)
+	prepare func(count int, advice bool, names ...string)
 	started time.Time
 }
 
@@ -67,8 +67,8 @@
 	if len(os.Args) > 4 {
 		_, _ = fmt.Sscan(os.Args[4], &p.seed)
 	}
-	p.prepare = func(count int, advice bool) {
-		p.deployment = newDeployment(w, dir, binary, count, advice)
+	p.prepare = func(count int, advice bool, names ...string) {
+		p.deployment = newDeployment(w, dir, binary, count, advice, names...)
 		p.caller = newCaller(w, p.deployment)
 	}
 	defer func() {
--- a/review/stand2/process.go
+++ b/review/stand2/process.go
@@ -33,6 +33,7 @@
 	dir     string
 	binary  string
 	entries []*entry
+	links   []*link // to the service for machines, by entry
 	mu      sync.Mutex
 }
 
@@ -60,8 +61,8 @@
 // on which it was called; each entry has its own.
 const callerHeader = "Review-Caller"
 
-// newDeployment prepares count entries. advice is empty if no queue needs advice.
-func newDeployment(w *world, dir, binary string, count int, advice bool) *deployment {
+// newDeployment prepares count entries, with the given names if there are any.
+func newDeployment(w *world, dir, binary string, count int, advice bool, names ...string) *deployment {
 	d := &deployment{w: w, dir: dir, binary: binary}
 	cloud := listen("127.0.0.1", http.HandlerFunc(w.serveCloud))
 	adviser := ""
@@ -70,17 +71,22 @@
 	}
 	for i := range count {
 		name, ip := fmt.Sprintf("edge-z1-%d", i+1), fmt.Sprintf("127.0.0.%d", 11+i)
+		if i < len(names) {
+			name = names[i]
+		}
 		store := listen("127.0.0.1", http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 			r.Header.Set(callerHeader, name)
 			w.store.ServeHTTP(rw, r)
 		}))
+		k, cloudAddress := newLink(name, cloud)
+		d.links = append(d.links, k)
 		front := fmt.Sprintf("%s:%d", ip, freePort(ip))
 		lines := []string{
 			"Node=" + name, "Role=entry", "Class=edge", "Serves=edge", "Ip=" + ip, "Zone=z1", "Region=r1",
 			"Listen.Front=" + front, fmt.Sprintf("Listen.Ready=%s:%d", ip, freePort(ip)), "PortRange=7060,7075",
 			"Limits.CpuShare=0.4", "Limits.Cores=1", "Limits.MemoryMb=284", "Limits.MaxFds=4100", "HeartbeatMs=1500", "Orders=request",
 			"platform.Addr=" + store, "platform.form=table", "platform.WritesPerS=800", "platform.ReadsPerS=2000", "platform.RowBytes=65536", "platform.Across=true",
-			"Cloud.Addr=" + cloud, "Cloud.RatePerS=64.0", "Cloud.DutyPerS=64.0", "Advice=" + adviser,
+			"Cloud.Addr=" + cloudAddress, "Cloud.RatePerS=64.0", "Cloud.DutyPerS=64.0", "Advice=" + adviser,
 			"Bounds.ContactMs=3000", "Bounds.AckMs=4000", "Bounds.DrainMs=2000", "Bounds.GraceS=6", "Bounds.ConfigApplyMs=2000", "Bounds.HoldMaxMs=6000",
 			"Bounds.StopMs=400", "Bounds.GangMs=3000", "Bounds.cancel_ms=3000", "Bounds.visible_ms=3000", "Bounds.early_ms=250", "Bounds.finish_s=14",
 			"Bounds.status_s=120", "Bounds.FarX=1.5", "Bounds.CheckpointS=0.5", "Bounds.RestoreMs=250", "Bounds.NoticeMs=4500", "Bounds.MoveS=1.5",
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -30,6 +30,9 @@
 	adviceValid time.Duration   // of tickets (ValidMs)
 	services    map[string]bool // the queues' services that a configuration named
 	queues      map[string]queue
+	// bothInTouch is false if a holder of a machine may not be in touch, so that the rule on
+	// turns within LeaseMs does not hold.
+	bothInTouch bool
 	waves       map[int64]*waveState
 	broken      []string
 	advising    sync.Mutex
@@ -91,14 +94,16 @@
 	starts     int
 	gangs      map[string]map[string]*runAt // by step and run number, by task
 	saved      map[string]bool
+	failing    bool // all runs end failed
+	failures   int  // ends failed of the first task
 }
 
 func (j *job) need(step int) (cpu, mem int) { return j.steps[step].Cpu, j.steps[step].MemMb }
 
 func newWorld(record *os.File) *world {
 	w := &world{
-		adviceValid: 10 * time.Second,
-		began:       time.Now(), record: record, store: newStore(), executors: map[string]*executor{}, jobs: map[string]*job{},
+		adviceValid: 10 * time.Second, bothInTouch: true,
+		began: time.Now(), record: record, store: newStore(), executors: map[string]*executor{}, jobs: map[string]*job{},
 		policies: map[string]func(*executor) bool{}, services: map[string]bool{}, queues: map[string]queue{}, waves: map[int64]*waveState{},
 		runs: map[string][]*runAt{}, acked: map[string]bool{}, done: map[string]bool{},
 	}
@@ -247,7 +252,12 @@
 	at.r.timer = time.AfterFunc(s.lasts, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if !at.r.over {
+		switch {
+		case at.r.over:
+		case at.r.job.failing:
+			at.r.job.failures++
+			w.endRun(at.e, at.r, "failed", true)
+		default:
 			w.endRun(at.e, at.r, "done", true)
 		}
 	})
