--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Plays the case. Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could
+# not run. With TROUBLE=0 the route is not removed after the job was accepted.
+cd "$(dirname "$0")" || exit 2
+[ -x ../../target/review-stand2 ] && [ -x ../../target/bramleyrock ] || exit 2
+exec ../../target/review-stand2 attempts-removed ../../target/bramleyrock record.txt
