--- a/review/stand2/cloud.go
+++ b/review/stand2/cloud.go
@@ -52,20 +52,6 @@
 // serveCloud serves the calls about machines.
 func (w *world) serveCloud(rw http.ResponseWriter, r *http.Request) {
 	time.Sleep(10 * time.Millisecond)
-	switch w.cloudFault.Load() {
-	case 1:
-		http.Error(rw, "", http.StatusServiceUnavailable)
-		return
-	case 2:
-		<-r.Context().Done()
-		return
-	case 3:
-		time.Sleep(600 * time.Millisecond)
-	case 4:
-		if r.Method == http.MethodPost {
-			defer panic(http.ErrAbortHandler)
-		}
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if r.URL.Path == "/-/machines" {
--- a/review/stand2/executor.go
+++ b/review/stand2/executor.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -60,7 +59,6 @@
 
 	dead     bool
 	draining bool
-	silent   bool // takes orders and does not answer
 	seq      int
 	fence    uint64
 	lease    time.Time
@@ -165,30 +163,7 @@
 		writeJSON(rw, http.StatusMisdirectedRequest, map[string]any{"ClockMs": e.clock()})
 		return
 	}
-	if e.silent {
-		e.w.mu.Unlock()
-		<-r.Context().Done()
-		return
-	}
-	if share := e.w.lateShare.Load(); share > 0 && rand.Int64N(100) < share {
-		e.w.mu.Unlock()
-		path := r.URL.Path
-		time.AfterFunc(2*time.Second+time.Duration(rand.Int64N(int64(10*time.Second))), func() {
-			e.w.mu.Lock()
-			defer e.w.mu.Unlock()
-			if !e.dead {
-				reason := e.handle(path, &o)
-				e.w.note("late order %s %s run %d on %s: %q", path, o.Task, o.Run, e.id, reason)
-			}
-		})
-		<-r.Context().Done()
-		return
-	}
 	reason := e.handle(r.URL.Path, &o)
-	if share := e.w.lostShare.Load(); share > 0 && rand.Int64N(100) < share {
-		e.w.mu.Unlock()
-		panic(http.ErrAbortHandler)
-	}
 	if r.URL.Path == "/-/hold" && reason == "" && o.WaitMs > 0 && len(e.ended) == 0 {
 		changed := e.changed
 		e.w.mu.Unlock()
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -8,7 +8,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -28,14 +30,12 @@
 	*deployment
 	caller  *caller
 	trouble bool
-	seed    uint64
 	prepare func(count int, advice bool, names ...string)
-	started time.Time
 }
 
 func main() {
 	if len(os.Args) < 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand2 CASE BINARY RECORD [SEED]")
+		fmt.Fprintln(os.Stderr, "usage: stand2 CASE BINARY RECORD")
 		os.Exit(exitNotRun)
 	}
 	os.Exit(run(os.Args[1], os.Args[2], os.Args[3]))
@@ -63,10 +63,16 @@
 		return exitNotRun
 	}
 	w := newWorld(record)
-	p := &play{world: w, trouble: os.Getenv("TROUBLE") != "0", started: time.Now()}
-	if len(os.Args) > 4 {
-		_, _ = fmt.Sscan(os.Args[4], &p.seed)
-	}
+	p := &play{world: w, trouble: os.Getenv("TROUBLE") != "0"}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		if p.deployment != nil {
+			p.stopAll()
+		}
+		os.Exit(exitNotRun)
+	}()
 	p.prepare = func(count int, advice bool, names ...string) {
 		p.deployment = newDeployment(w, dir, binary, count, advice, names...)
 		p.caller = newCaller(w, p.deployment)
@@ -109,10 +115,16 @@
 			if status, _ := p.caller.call(e, "GET", "/none/", nil); status == 404 {
 				break
 			}
+			select {
+			case <-e.exited:
+				panic("entry " + e.name + " ended at its start") // a port may have been taken meanwhile
+			default:
+			}
 			if i > 100 {
 				panic("entry " + e.name + " does not answer")
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
+	p.ready.Store(true)
 }
--- a/review/stand2/process.go
+++ b/review/stand2/process.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -35,6 +36,8 @@
 	entries []*entry
 	links   []*link // to the service for machines, by entry
 	mu      sync.Mutex
+	// ready is true once all entries have answered.
+	ready atomic.Bool
 }
 
 // listen serves HTTP on a free port of a loopback address.
@@ -57,10 +60,6 @@
 	return l.Addr().(*net.TCPAddr).Port
 }
 
-// callerHeader names the entry that calls the store. The stand-in sets it by the address
-// on which it was called; each entry has its own.
-const callerHeader = "Review-Caller"
-
 // newDeployment prepares count entries, with the given names if there are any.
 func newDeployment(w *world, dir, binary string, count int, advice bool, names ...string) *deployment {
 	d := &deployment{w: w, dir: dir, binary: binary}
@@ -74,10 +73,7 @@
 		if i < len(names) {
 			name = names[i]
 		}
-		store := listen("127.0.0.1", http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-			r.Header.Set(callerHeader, name)
-			w.store.ServeHTTP(rw, r)
-		}))
+		store := listen("127.0.0.1", w.store)
 		k, cloudAddress := newLink(name, cloud)
 		d.links = append(d.links, k)
 		front := fmt.Sprintf("%s:%d", ip, freePort(ip))
@@ -128,7 +124,7 @@
 		d.w.mu.Lock()
 		defer d.w.mu.Unlock()
 		d.w.note("process %s ends: %v", e.name, err)
-		if own {
+		if own && d.ready.Load() {
 			d.w.breaks("Fault", "process %s ended by itself: %v", e.name, err)
 		}
 	}()
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -35,9 +35,6 @@
 	changed chan struct{}
 	// onStatus is called for each row that is written to the table status.
 	onStatus func(key string, value []byte)
-	// fault is called for each call of an entry before it is handled. If it returns
-	// true, it has answered, or left the call unanswered.
-	fault func(w http.ResponseWriter, r *http.Request) bool
 }
 
 func newStore() *store {
@@ -50,19 +47,7 @@
 	maxPageRows = 500
 )
 
-func (s *store) setFault(f func(w http.ResponseWriter, r *http.Request) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fault = f
-}
-
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	fault := s.fault
-	s.mu.Unlock()
-	if fault != nil && fault(w, r) {
-		return
-	}
 	time.Sleep(storeDelay)
 	switch r.URL.Path {
 	case "/-/rows-tx":
@@ -134,13 +119,6 @@
 	s.apply([]storeRow{{rowKey: rowKey{table, "", key}, deleted: true}})
 }
 
-// get returns the value of a row, or nil.
-func (s *store) get(table, key string) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.rows[rowKey{table, "", key}].value
-}
-
 func (s *store) serveTransaction(w http.ResponseWriter, r *http.Request) {
 	var t struct{ Expected, SetKeys, DeleteKeys []rowForm }
 	if err := json.NewDecoder(r.Body).Decode(&t); err != nil || len(t.Expected)+len(t.SetKeys)+len(t.DeleteKeys) > 100 {
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -36,11 +35,6 @@
 	waves       map[int64]*waveState
 	broken      []string
 	advising    sync.Mutex
-	// lateShare and lostShare are the percentages of the orders to executors that are
-	// carried out late, and that are carried out and not answered.
-	lateShare, lostShare atomic.Int64
-	// cloudFault is how the service for machines misbehaves, or 0.
-	cloudFault atomic.Int64
 	// runs holds the runs of each task that go on.
 	runs map[string][]*runAt
 	// acked holds the tasks whose end "done" was taken note of.
