Attempts of a job are those of its acceptance

Cause: the number of attempts was not stored with the job. Once the queue is no longer configured, owners took it from the queue's record, which is written up to 1.7 s after a version came, and not at all if the queue is gone by then. The record also took precedence over what the owner itself had seen configured.

Change: the entry that accepts a job stores the settings of its queue in the job's row. The attempts are those; priority, objective and tickets follow the configuration while the queue is configured. Rows without settings are read as before, but that an owner keeps what it has seen configured.

Ruled out: to let a job be accepted only once the record has the present settings. That would refuse all jobs of the queue after each change while a part of the table is down, and leave the number to change for accepted jobs.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -16,11 +16,14 @@
 // create one.
 type Cell struct {
 	settings Settings
-	queues   map[string]works.Queue
-	jobs     map[string]*job
-	workers  map[string]*worker
-	outliers *eject.Detector
-	runTimes map[runTimeKey]*runTimeModel
+	// queues holds the configured queues, and removedQueues those that are no longer
+	// configured, as they last were.
+	queues        map[string]works.Queue
+	removedQueues map[string]works.Queue
+	jobs          map[string]*job
+	workers       map[string]*worker
+	outliers      *eject.Detector
+	runTimes      map[runTimeKey]*runTimeModel
 	// newlyKnown holds the jobs whose queue has become known since the last decision.
 	newlyKnown []*job
 	// stopRequests holds the runs that are to be stopped.
@@ -77,12 +80,13 @@
 // New returns a cell without jobs whose workers are s.FormerWorkers.
 func New(s Settings) *Cell {
 	c := &Cell{
-		settings: s,
-		queues:   map[string]works.Queue{},
-		jobs:     map[string]*job{},
-		workers:  map[string]*worker{},
-		outliers: eject.NewDetector(eject.Settings{}),
-		runTimes: map[runTimeKey]*runTimeModel{},
+		settings:      s,
+		queues:        map[string]works.Queue{},
+		removedQueues: map[string]works.Queue{},
+		jobs:          map[string]*job{},
+		workers:       map[string]*worker{},
+		outliers:      eject.NewDetector(eject.Settings{}),
+		runTimes:      map[runTimeKey]*runTimeModel{},
 	}
 	for id, until := range s.FormerWorkers {
 		c.addFormerWorker(id, until)
@@ -128,22 +132,52 @@
 func (c *Cell) Fenced() bool { return c.fenced }
 
 // SetQueues sets the configured queues, and those that are no longer configured, as they last
-// were. A job whose queue is in neither list keeps the last configuration that it was given.
+// were.
 func (c *Cell) SetQueues(queues []works.Queue, removed ...works.Queue) {
 	clear(c.queues)
-	for _, q := range slices.Concat(removed, queues) {
+	clear(c.removedQueues)
+	for _, q := range queues {
 		c.queues[q.Name] = q
 	}
+	for _, q := range removed {
+		c.removedQueues[q.Name] = q
+	}
 	for _, j := range c.jobs {
-		q, ok := c.queues[j.Queue]
-		if !ok {
-			continue
-		}
-		if !j.queueKnown {
-			c.newlyKnown = append(c.newlyKnown, j)
+		c.updateQueue(j)
+	}
+}
+
+// updateQueue sets the settings of a job's queue again.
+func (c *Cell) updateQueue(j *job) {
+	was := j.queueKnown
+	if c.setQueue(j); j.queueKnown && !was {
+		c.newlyKnown = append(c.newlyKnown, j)
+	}
+}
+
+// setQueue gives a job the settings of its queue. The number of attempts is the one with which the
+// job was accepted, whatever the configuration says since. The other settings are those of the
+// present configuration, and once the queue is no longer configured those with which the job was
+// accepted. A job that was stored without settings then keeps the last ones that this owner has
+// seen configured, or gets those of the queue's record.
+func (c *Cell) setQueue(j *job) {
+	q, ok := c.queues[j.Queue]
+	switch {
+	case ok:
+		j.queueSeen = true
+	case j.Settings.Known():
+		q = j.Settings.Queue(j.Queue, c.settings.Pool)
+	case j.queueSeen:
+		return
+	default:
+		if q, ok = c.removedQueues[j.Queue]; !ok {
+			return
 		}
-		j.queue, j.queueKnown = q, true
 	}
+	if j.Settings.Known() {
+		q.Attempts = j.Settings.Attempts
+	}
+	j.queue, j.queueKnown = q, true
 }
 
 // unknownQueue replaces a queue whose configuration is not known. A task that has failed waits
@@ -171,20 +205,22 @@
 }
 
 // AddJob adds an accepted job, whose row has the given version. A job that is
-// already known is ignored. So is a job that has ended: the listing it came from
-// may be older than its outcome, or its caller may have submitted it again.
+// already known is ignored, but for its attempts. So is a job that has ended: the listing it came
+// from may be older than its outcome, or its caller may have submitted it again.
 func (c *Cell) AddJob(now time.Time, j works.Job, version uint64) {
-	if c.jobs[j.ID] != nil || c.endedIDs.contains(j.ID) {
+	if c.endedIDs.contains(j.ID) {
+		return
+	}
+	if known := c.jobs[j.ID]; known != nil {
+		c.mergeSettings(known, j.Settings)
 		return
 	}
-	q, known := c.queues[j.Queue]
-	if !known {
-		q = unknownQueue
-		q.Name = j.Queue
+	added := newJob(now, j, unknownQueue, version)
+	c.setQueue(added)
+	if !added.queueKnown {
+		added.queue.Name = j.Queue
 		c.events = append(c.events, Event{Name: "queue unknown", Job: j.ID, Detail: fmt.Sprintf("the configuration of queue %q is not known", j.Queue)})
 	}
-	added := newJob(now, j, q, version)
-	added.queueKnown = known
 	c.jobs[j.ID] = added
 	// Jobs from before the takeover are no new arrivals.
 	if !added.Spec.Persistent() && version > c.settings.Fence {
@@ -192,6 +228,15 @@
 	}
 }
 
+// mergeSettings adds the settings in another row of a known job, which was submitted several times.
+// Its caller may have got the answer about either row, so that the larger number of attempts holds.
+func (c *Cell) mergeSettings(j *job, s works.QueueSettings) {
+	if s.Attempts > j.Settings.Attempts {
+		j.Settings = s
+		c.updateQueue(j)
+	}
+}
+
 // HasJobsOf reports whether the cell has jobs of the queue without a stored outcome.
 func (c *Cell) HasJobsOf(queue string) bool {
 	for _, j := range c.jobs {
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -13,8 +13,10 @@
 type job struct {
 	works.Job
 	queue works.Queue
-	// queueKnown is false if queue is a substitute.
+	// queueKnown is false if queue is a substitute, and queueSeen is true once this owner
+	// has seen the queue configured.
 	queueKnown bool
+	queueSeen  bool
 	version    uint64
 	steps      []*step
 	// tasks holds the tasks of all steps, in order of occurrence, step and index. Every
--- a/core/cell/model_test.go
+++ b/core/cell/model_test.go
@@ -39,11 +39,15 @@
 	done    map[string]bool
 	acked   map[string]bool
 	failed  map[string]int
+	// failedRuns holds the numbers of the runs that failed, by the task; see stepKey.
+	failedRuns map[string]map[int64]bool
 	// specs holds all jobs that were submitted.
 	specs  map[string]works.Job
 	starts int
 	// fleet is the state of a fleet whose workers come and go, or nil if the workers stay.
-	fleet    *modelFleet
+	fleet *modelFleet
+	// queues is the state of queues whose settings change, or nil if they do not.
+	queues   *modelQueues
 	logLines []string
 }
 
@@ -70,7 +74,7 @@
 	m := &model{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), now: start,
 		rows: modelRows{map[string]works.Job{}, map[string]uint64{}, map[string]works.Progress{}, map[string]works.State{}, map[string]time.Time{}},
-		done: map[string]bool{}, acked: map[string]bool{}, failed: map[string]int{}, specs: map[string]works.Job{},
+		done: map[string]bool{}, acked: map[string]bool{}, failed: map[string]int{}, failedRuns: map[string]map[int64]bool{}, specs: map[string]works.Job{},
 	}
 	for i := range 5 {
 		m.workers = append(m.workers, m.newWorker(fmt.Sprint("w", i)))
@@ -91,6 +95,9 @@
 		j.Spec, j.Queue = m.kindsSpec()
 	}
 	j.Accepted = m.now
+	if m.queues != nil {
+		m.queues.accept(&j)
+	}
 	m.rows.jobs[id], m.rows.versions[id], m.specs[id] = j, m.version, j
 	if m.owner != nil {
 		m.owner.core.AddJob(m.now, j, m.version)
--- a/core/cell/modelowner_test.go
+++ b/core/cell/modelowner_test.go
@@ -49,10 +49,7 @@
 		Pool: "tins", Fence: m.version, LeaseDuration: modelLease, MaxLeaseDuration: modelMaxLease, MaxStopDuration: 400 * time.Millisecond,
 		FormerLeasesEndAt: m.now.Add(modelLease*103/100 + time.Second), FormerWorkers: former,
 	})}
-	o.core.SetQueues([]works.Queue{
-		{Name: plainQueue, Pool: "tins", Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond},
-		{Name: ticketQueue, Pool: "tins", Attempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond, RequiresTicket: true},
-	})
+	o.setQueues()
 	o.readJobs()
 	o.core.SetWorkers(m.now, m.registered())
 	m.log("take fence %d former %v progress %v", m.version, former, m.rows.progress)
@@ -176,6 +173,9 @@
 			if _, ok := m.rows.jobs[w.ID]; !ok && m.rows.outcomes[w.ID] != w.Outcome.State {
 				m.fail("job %s ended as %s after %s", w.ID, w.Outcome.State, m.rows.outcomes[w.ID])
 			}
+			if w.Outcome.State == works.Failed {
+				m.checkFailed(w.ID)
+			}
 			m.rows.outcomes[w.ID] = w.Outcome.State
 			delete(m.rows.jobs, w.ID)
 			delete(m.rows.progress, w.ID)
--- a/core/cell/modelworker_test.go
+++ b/core/cell/modelworker_test.go
@@ -135,7 +135,7 @@
 			}
 		}
 	}
-	if st := m.step(s.Task); m.failed[s.Task] >= 3 && (st == nil || !st.Persistent) {
+	if st := m.step(s.Task); m.failed[s.Task] >= m.maxAttempts(s.Task) && (st == nil || !st.Persistent) {
 		m.fail("BUDGET: %s run %d started on %s after %d failures", s.Task, s.Run, w.id, m.failed[s.Task])
 	}
 	n, err := works.ParseTaskName(s.Task)
@@ -257,6 +257,9 @@
 	if how == rock.EndDone {
 		m.done[task] = true
 	}
+	if how == rock.EndFailed {
+		m.recordFailure(task, r.number)
+	}
 	m.breakGang(task, r.number, how)
 }
 
--- a/core/trail/record.go
+++ b/core/trail/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"bramleyrock/core/works"
 )
@@ -20,34 +19,13 @@
 	Former []string `cbor:"4,keyasint,omitempty"`
 	// Settled is true if all copies of the record list Pool and Former.
 	Settled bool `cbor:"5,keyasint,omitempty"`
-	// Settings holds what the jobs of the queue need to know of it once it is no longer
-	// configured.
-	Settings Settings `cbor:"6,keyasint"`
-}
-
-// Settings holds the configuration of a queue; see [works.Queue]. The zero value means that it
-// is not known.
-type Settings struct {
-	Priority       int           `cbor:"1,keyasint,omitempty"`
-	Attempts       int           `cbor:"2,keyasint,omitempty"`
-	Stretch        float64       `cbor:"3,keyasint,omitempty"`
-	Objective      time.Duration `cbor:"4,keyasint,omitempty"`
-	RequiresTicket bool          `cbor:"5,keyasint,omitempty"`
-	TicketTTL      time.Duration `cbor:"6,keyasint,omitempty"`
-}
-
-func settingsOf(q *works.Queue) Settings {
-	return Settings{q.Priority, q.Attempts, q.Stretch, q.Objective, q.RequiresTicket, q.TicketTTL}
+	// Settings holds what jobs that were stored without settings need to know of the queue once
+	// it is no longer configured.
+	Settings works.QueueSettings `cbor:"6,keyasint"`
 }
 
 // queue returns the queue as it was last configured, without the paths of its calls.
-func (r *Record) queue() works.Queue {
-	s := &r.Settings
-	return works.Queue{
-		Name: r.Queue, Pool: r.Pool, Priority: s.Priority, Attempts: s.Attempts, Stretch: s.Stretch,
-		Objective: s.Objective, RequiresTicket: s.RequiresTicket, TicketTTL: s.TicketTTL,
-	}
-}
+func (r *Record) queue() works.Queue { return r.Settings.Queue(r.Queue, r.Pool) }
 
 // Lists reports whether the pool may have jobs of the queue.
 func (r *Record) Lists(pool string) bool { return r.Pool == pool || slices.Contains(r.Former, pool) }
@@ -64,7 +42,7 @@
 // queue is q, and whether that changes it. A configuration that is older than the record
 // changes nothing.
 func (r Record) configured(q *works.Queue, config uint64) (Record, bool) {
-	settings := settingsOf(q)
+	settings := q.Settings()
 	if config < r.Config || r.Pool == q.Pool && r.Settings == settings {
 		return r, false
 	}
--- a/core/trail/trail.go
+++ b/core/trail/trail.go
@@ -259,7 +259,7 @@
 	newest := map[string]Record{}
 	for i := range t.copies {
 		for name, r := range t.copies[i].records {
-			if !names[name] && !r.deleted && r.Settings != (Settings{}) && r.Config >= newest[name].Config {
+			if !names[name] && !r.deleted && r.Settings.Known() && r.Config >= newest[name].Config {
 				newest[name] = r.Record
 			}
 		}
--- a/core/works/job.go
+++ b/core/works/job.go
@@ -15,6 +15,9 @@
 	// Accepted is when the entry read the job, by the entry's wall clock.
 	Accepted time.Time `cbor:"3,keyasint"`
 	Spec     Spec      `cbor:"4,keyasint"`
+	// Settings holds the settings of the queue with which the job was accepted. Earlier
+	// programs stored none.
+	Settings QueueSettings `cbor:"5,keyasint,omitzero"`
 }
 
 // encMode encodes times in microseconds; the default mode drops fractions of a
--- a/core/works/queue.go
+++ b/core/works/queue.go
@@ -29,6 +29,33 @@
 	TicketTTL time.Duration
 }
 
+// QueueSettings is the part of a queue's configuration that its accepted jobs need; see [Queue].
+// It is stored with each job, and its zero value means that it is not known.
+type QueueSettings struct {
+	Priority       int           `cbor:"1,keyasint,omitempty"`
+	Attempts       int           `cbor:"2,keyasint,omitempty"`
+	Stretch        float64       `cbor:"3,keyasint,omitempty"`
+	Objective      time.Duration `cbor:"4,keyasint,omitempty"`
+	RequiresTicket bool          `cbor:"5,keyasint,omitempty"`
+	TicketTTL      time.Duration `cbor:"6,keyasint,omitempty"`
+}
+
+// Settings returns the settings of the queue.
+func (q *Queue) Settings() QueueSettings {
+	return QueueSettings{q.Priority, q.Attempts, q.Stretch, q.Objective, q.RequiresTicket, q.TicketTTL}
+}
+
+// Known reports whether the settings are known.
+func (s QueueSettings) Known() bool { return s != QueueSettings{} }
+
+// Queue returns a queue with the settings, without the paths of its calls.
+func (s QueueSettings) Queue(name, pool string) Queue {
+	return Queue{
+		Name: name, Pool: pool, Priority: s.Priority, Attempts: s.Attempts, Stretch: s.Stretch,
+		Objective: s.Objective, RequiresTicket: s.RequiresTicket, TicketTTL: s.TicketTTL,
+	}
+}
+
 // Pool is a pool of workers as configured.
 type Pool struct {
 	Name string
--- a/io/site/jobs.go
+++ b/io/site/jobs.go
@@ -98,7 +98,7 @@
 	}
 	started := s.now()
 	cell := cellOf(q.Pool)
-	value, err := works.EncodeJob(works.Job{ID: id, Queue: q.Name, Accepted: started, Spec: spec})
+	value, err := works.EncodeJob(works.Job{ID: id, Queue: q.Name, Accepted: started, Spec: spec, Settings: q.Settings()})
 	if err == nil && len(value) > s.settings.maxRowBytes() {
 		err = fmt.Errorf("job has %d bytes when it is stored: want at most %d", len(value), s.settings.maxRowBytes())
 	}
