The adviser is asked about workers that a task may use although they are avoided

Cause: a task that has waited long may be placed on a worker that is drained, reserved or ejected, but a task of an advised queue needs a ticket, and the adviser was asked about usable workers only. "Task waits." said "advice pending", with the worker under "closing".

Change: the adviser is also asked about the avoided workers on which a waiting task of the step may be placed by then. A step that no worker may run is asked about again after 1 s and not in every decision. An owner asks for the tickets that it needs to move a running persistent task off a drained worker.

Ruled out: to end the drain. The wave needs the worker, and the task that keeps it may not be stopped. To ask about all workers at once: each costs the adviser time.

--- a/core/cell/advice.go
+++ b/core/cell/advice.go
@@ -20,6 +20,9 @@
 	// pending is true while a query has no answer.
 	pending bool
 	retryAt time.Time
+	// repeatAt is when the workers that were refused are asked about again, or zero if
+	// others are left.
+	repeatAt time.Time
 }
 
 // valid reports whether tasks may be placed with the tickets.
@@ -44,6 +47,10 @@
 	minTicketValidity = 300 * time.Millisecond
 	// adviceRetryDelay is the time before a failed query is sent again.
 	adviceRetryDelay = 200 * time.Millisecond
+	// adviceRepeatDelay is the time after which the adviser is asked again about workers
+	// that it has refused: another one may have started under the ID of one of them. A
+	// step that no worker may run then leaves the adviser to the others.
+	adviceRepeatDelay = time.Second
 	// maxPendingAdvice is the greatest number of unanswered queries of a cell. The
 	// adviser answers the queries of an entry one after another.
 	maxPendingAdvice = 4
@@ -55,15 +62,46 @@
 	if !s.job.queue.RequiresTicket {
 		return true
 	}
+	if c.mayAskAdviser(now, s) {
+		needed := s.countWaiting()
+		if !s.Gang {
+			needed = min(needed, 1)
+		}
+		c.adviseFor(now, s, needed, c.withAvoided(now, s, usable))
+	}
+	return s.advice.valid(now)
+}
+
+// mayAskAdviser reports whether a query about the step may be sent now.
+func (c *Cell) mayAskAdviser(now time.Time, s *step) bool {
+	return !s.advice.pending && !now.Before(s.advice.retryAt) && c.pendingAdvice < maxPendingAdvice
+}
+
+// adviseFor adds a query to the adviser unless there are valid tickets with which the given number
+// of tasks can be placed on the workers, or no others to ask about.
+func (c *Cell) adviseFor(now time.Time, s *step, needed int, workers []*worker) {
+	if !s.advice.valid(now) || c.lacksTickets(now, s, needed, workers) {
+		c.askAdviser(now, s, workers)
+	}
+}
+
+// askAdviser adds a query to the adviser about those of the workers that were not refused.
+func (c *Cell) askAdviser(now time.Time, s *step, workers []*worker) {
 	a := &s.advice
-	valid := a.valid(now)
-	if a.pending || now.Before(a.retryAt) || c.pendingAdvice >= maxPendingAdvice || valid && !c.lacksTickets(now, s, usable) {
-		return valid
+	open := make([]*worker, 0, len(workers))
+	for _, w := range workers {
+		if !a.refusedWorkers[w.id()] {
+			open = append(open, w)
+		}
+	}
+	if len(open) == 0 {
+		a.repeatLater(now)
+		return
 	}
 	ids := make([]string, 0, maxAdviceWorkers)
 	add := func(match func(w *worker) bool) {
-		for _, w := range usable {
-			if len(ids) < maxAdviceWorkers && !a.refusedWorkers[w.id()] && match(w) && !slices.Contains(ids, w.id()) {
+		for _, w := range open {
+			if len(ids) < maxAdviceWorkers && match(w) && !slices.Contains(ids, w.id()) {
 				ids = append(ids, w.id())
 			}
 		}
@@ -71,14 +109,32 @@
 	add(func(w *worker) bool { return c.wouldTake(now, s, w) })
 	add(func(w *worker) bool { return a.tickets[w.id()] != "" })
 	add(func(*worker) bool { return true })
-	if len(ids) == 0 {
-		clear(a.refusedWorkers) // all usable workers were refused: ask again, as workers change
-		return valid
-	}
-	a.pending = true
+	a.pending, a.repeatAt = true, time.Time{}
 	c.pendingAdvice++
 	c.adviceOrders = append(c.adviceOrders, Order{Kind: OrderAdvise, Step: fmt.Sprintf("%s.%d.%d", s.job.ID, s.occurrence, s.number), Workers: ids, Job: s.job.ID, Queue: s.job.Queue, step: s})
-	return valid
+}
+
+// repeatLater forgets which workers were refused once adviceRepeatDelay has passed.
+func (a *advice) repeatLater(now time.Time) {
+	switch {
+	case a.repeatAt.IsZero():
+		a.repeatAt = now.Add(adviceRepeatDelay)
+	case !now.Before(a.repeatAt):
+		clear(a.refusedWorkers)
+	}
+}
+
+// withAvoided returns the usable workers, and those that are avoided and on which a waiting task
+// of the step may be placed by now; see [Cell.chooseAvoided].
+func (c *Cell) withAvoided(now time.Time, s *step, usable []*worker) []*worker {
+	waited := s.waitedFor(now)
+	switch {
+	case c.mostlyFree && waited > avoidedWorkerDelay:
+		return c.avoidedWorkers(now)
+	case (c.mostlyFree || s.Persistent) && waited > closingWorkerDelay:
+		return slices.Concat(usable, c.closingWorkers(now))
+	}
+	return usable
 }
 
 // wouldTake reports whether the worker may be given a task of the step, if the adviser
@@ -88,15 +144,11 @@
 	return e == "" || e == ExcludedNoTicket
 }
 
-// lacksTickets reports whether tasks of the step wait because the workers that have
-// tickets have no room for them, and others may be asked about.
-func (c *Cell) lacksTickets(now time.Time, s *step, usable []*worker) bool {
-	needed := s.countWaiting()
-	if !s.Gang {
-		needed = min(needed, 1)
-	}
+// lacksTickets reports whether fewer of the workers than needed have tickets of the step and room
+// for a task, and others may be asked about.
+func (c *Cell) lacksTickets(now time.Time, s *step, needed int, workers []*worker) bool {
 	lacking := false
-	for _, w := range usable {
+	for _, w := range workers {
 		if needed <= 0 || !c.wouldTake(now, s, w) {
 			continue
 		}
--- a/core/cell/bench_test.go
+++ b/core/cell/bench_test.go
@@ -50,6 +50,25 @@
 	}
 }
 
+// BenchmarkDecideBesideRefusedSteps measures a decision while 80 idle workers leave 100 steps
+// waiting, which the adviser allows on none of them.
+func BenchmarkDecideBesideRefusedSteps(b *testing.B) {
+	p := newPolicyWorld(&testing.T{}, 80)
+	for range 10 {
+		p.flush()
+	}
+	for i := range 100 {
+		p.add(fmt.Sprintf("%016x", i), step(8))
+	}
+	p.pass(3 * time.Second)
+	for b.Loop() {
+		p.advance(time.Microsecond)
+		for _, o := range p.Decide(p.now) {
+			p.handle(o)
+		}
+	}
+}
+
 // TestShortageHidesNoFreeWorker guards against small tasks that wait because larger ones
 // of the same round found no room.
 func TestShortageHidesNoFreeWorker(t *testing.T) {
--- a/core/cell/closing.go
+++ b/core/cell/closing.go
@@ -53,14 +53,12 @@
 // are closing, reserved or ejected, or nil if there is none.
 func (c *Cell) chooseAvoided(now time.Time, t *task) *worker {
 	if c.mayUseAvoided(now, t) {
-		if c.avoided == nil {
-			c.avoided = append(c.usable(now), c.closingWorkers(now)...)
-		}
-		w, roomy := c.searchUnlessShort(now, t, c.avoided, &c.avoidedShortage)
+		avoided := c.avoidedWorkers(now)
+		w, roomy := c.searchUnlessShort(now, t, avoided, &c.avoidedShortage)
 		if w != nil || !roomy {
 			return w
 		}
-		return c.cheapestWorker(now, t, c.avoided, func(w *worker) bool { return c.mayTryEjected(now, t, w) })
+		return c.cheapestWorker(now, t, avoided, func(w *worker) bool { return c.mayTryEjected(now, t, w) })
 	}
 	if c.mayUseClosing(now, t) {
 		return c.chooseWorker(now, t, c.closingWorkers(now))
@@ -68,6 +66,14 @@
 	return nil
 }
 
+// avoidedWorkers returns the workers on which a task that may use avoided ones may be placed.
+func (c *Cell) avoidedWorkers(now time.Time) []*worker {
+	if c.avoided == nil {
+		c.avoided = append(c.usable(now), c.closingWorkers(now)...)
+	}
+	return c.avoided
+}
+
 // mayTryEjected reports whether a task that may use avoided workers may be placed on an
 // ejected one: such a worker gets one task at a time, and none whose failure would fail
 // the job.
@@ -188,6 +194,14 @@
 		if r.task == nil || !r.task.step.Persistent || r.state != running || !mayStop(r.task) {
 			continue
 		}
+		if s := r.task.step; s.job.queue.RequiresTicket {
+			if c.mayAskAdviser(now, s) {
+				c.adviseFor(now, s, 1, usable())
+			}
+			if !s.advice.valid(now) {
+				continue
+			}
+		}
 		if c.chooseWorker(now, r.task, usable()) != nil {
 			c.stopRun(r, "its worker is being drained")
 		}
