A gang may be tried on an ejected worker

Cause: a task that no other worker can take is tried on an ejected one, which gets one task at a time. The second task of a gang found the first one there, so that none was placed.

Change: the tasks of one gang count as one.

--- a/core/cell/avoided_test.go
+++ b/core/cell/avoided_test.go
@@ -81,6 +81,23 @@
 	assert.Assert(t, !b.startsWithin(500*time.Millisecond, "waiting", runs))
 }
 
+// TestGangIsTriedOnAnEjectedWorker guards against a gang that waits for good although most of the
+// pool is free, because only an ejected worker may run it, which got one task at a time.
+func TestGangIsTriedOnAnEjectedWorker(t *testing.T) {
+	b := newHarness(t, 3, nil)
+	runs := map[string][]rock.Run{}
+	b.ejectWorker("w0", runs)
+	b.registered[0].Labels = []string{"special", "r1"}
+	b.SetWorkers(b.now, b.registered)
+	gang := step(2)
+	gang.Gang, gang.Label = true, "special"
+	b.AddJob(b.now, job("gang", gang), 9)
+	b.AddJob(b.now, job("other", gang), 9)
+	assert.Assert(t, b.startsWithin(2500*time.Millisecond, "gang", runs))
+	assert.Equal(t, len(runs["w0"]), 2, "all tasks of the gang")
+	assert.Assert(t, !b.startsWithin(500*time.Millisecond, "other", runs), "an ejected worker gets one gang at a time")
+}
+
 // TestEjectedWorkerFailsNoJob guards against a job that fails because its task was tried
 // on the same ejected worker until no attempt was left.
 func TestEjectedWorkerFailsNoJob(t *testing.T) {
--- a/core/cell/closing.go
+++ b/core/cell/closing.go
@@ -75,13 +75,17 @@
 }
 
 // mayTryEjected reports whether a task that may use avoided workers may be placed on an
-// ejected one: such a worker gets one task at a time, and none whose failure would fail
-// the job.
+// ejected one: such a worker gets one task, or the tasks of one gang, at a time, and none whose
+// failure would fail the job.
 func (c *Cell) mayTryEjected(now time.Time, t *task, w *worker) bool {
 	if !t.step.Persistent && len(t.failedRuns)+1 >= t.step.job.queue.Attempts {
 		return false
 	}
-	return c.taskExclusion(now, t.step, t.step.Reservation(), w) == ExcludedTaskLimit && w.countLimitedRuns() == 0
+	others := w.countLimitedRuns()
+	if t.step.Gang {
+		others -= c.countStepRuns(w, t.step)
+	}
+	return c.taskExclusion(now, t.step, t.step.Reservation(), w) == ExcludedTaskLimit && others == 0
 }
 
 // closingWorkers returns the workers that are being drained.
