Runs of a gang whose starts were refused are over at once

Cause: when one start of a gang is refused, its other runs are to be stopped. The replies to their starts were then ignored, also refusals, and only the reply to the stop, or the end of the start's lease, settled them.

Change: a refused start of which no copy can be on its way settles its run, whatever is to be done with it.

Before: TestRefusedStartsOfAGangAreOver fails for 4 of 4 refusals. After: it passes.

--- a/core/cell/gang_test.go
+++ b/core/cell/gang_test.go
@@ -106,3 +106,37 @@
 	b.Decide(b.now)
 	b.flush()
 }
+
+// TestRefusedStartsOfAGangAreOver guards against a gang that waits until the leases of its starts
+// have run out: all of them were refused, the later ones while the runs were to be stopped, and the
+// workers refused the stops, too.
+func TestRefusedStartsOfAGangAreOver(t *testing.T) {
+	for _, refusal := range []rock.Refusal{rock.RefusedCapacity, rock.RefusedLeaseExpired, rock.RefusedBusy, rock.RefusedOther} {
+		t.Run(string(refusal), func(t *testing.T) {
+			b := newHarness(t, 3, nil)
+			gang := step(3)
+			gang.Gang, gang.MaxPerWorker = true, 1
+			b.AddJob(b.now, job(jobID, gang), 8)
+			b.Decide(b.now)
+			b.flush()
+			refused := b.Decide(b.now)
+			assert.Equal(t, len(refused), 3)
+			for _, o := range refused {
+				b.HandleReply(b.now, o, rock.Reply{Refusal: refusal, Clock: b.clock()}, nil)
+			}
+			for end := b.now.Add(time.Second); b.now.Before(end); b.advance(100 * time.Millisecond) {
+				for _, w := range b.registered {
+					b.report(w.ID, nil, nil)
+				}
+				for _, o := range append(b.Decide(b.now), b.Decide(b.now)...) {
+					if o.Kind == cell.OrderStart {
+						return
+					}
+					b.HandleReply(b.now, o, rock.Reply{Refusal: rock.RefusedOther, Clock: b.clock()}, nil)
+				}
+				b.flush()
+			}
+			t.Errorf("the gang waits\n%s", b.Describe(b.now, jobID))
+		})
+	}
+}
--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -40,9 +40,6 @@
 // handleStartReply handles a worker's reply to a start.
 func (c *Cell) handleStartReply(now time.Time, o Order, reply rock.Reply) {
 	r, w := o.run, o.run.worker
-	if r.state == stopping {
-		return // the reply to the stop decides
-	}
 	switch reply.Refusal {
 	case rock.Accepted:
 	case rock.RefusedCapacity, rock.RefusedStaleRun:
@@ -56,7 +53,11 @@
 		w.backOff(now, busyBackoff)
 		c.outliers.Record(now, w.health, true)
 	}
-	if reply.Refusal == rock.Accepted || reply.Refusal == rock.RefusedStaleRun {
+	mayRun := reply.Refusal == rock.Accepted || reply.Refusal == rock.RefusedStaleRun
+	if r.state == stopping && (mayRun || r.startUnanswered) {
+		return // the reply to the stop decides
+	}
+	if mayRun {
 		// If the run is stale, it or a later run of the task has ended or was
 		// stopped on the worker. The next report tells which.
 		r.state, r.answeredAt, r.confirmedAt = running, now, now
