A reply whose clock was set back tells that its worker has restarted

The owner started the task elsewhere 1.4 s before the lease was over.

Cause: the lease in the start is a time of the former clock, which the new incarnation limits to its longest lease. Only a report of the new incarnation made the owner count with that. The reply to the start shows the new clock, and nothing looked at it.

Change: if the clock in a reply is behind a reading from before the order was sent, the lease is counted by the new clock. A reply that was overtaken, or has no clock, changes nothing.

Cost: a comparison for each reply.

Open: the same with a start whose answer is lost. To wait for the longest lease after every start without an answer would delay the work of each worker that is cut off by seconds.

--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -30,6 +30,7 @@
 		c.handleOtherIdentity(now, r.orderedAt, r.worker)
 		return // the order is repeated if the worker has reported since it was sent
 	}
+	c.checkClock(now, r.orderedAt, r.worker, reply.Clock)
 	if o.Kind == OrderStop {
 		c.handleStopReply(now, r, reply)
 		return
@@ -37,6 +38,19 @@
 	c.handleStartReply(now, o, reply)
 }
 
+// checkClock compares the clock in a worker's reply to an order, sent at the given time, with an
+// earlier reading; it is 0 if the reply has none. If it was set back, the worker has restarted, and
+// limits the lease in the order, a time of the former clock, to its longest lease. The next report
+// tells what it runs.
+func (c *Cell) checkClock(now, sent time.Time, w *worker, clock time.Duration) {
+	if clock <= 0 || clock >= w.clock || sent.Before(w.clockAt) {
+		return
+	}
+	c.addEvent("worker clock set back", nil, fmt.Sprintf("worker %s from %v to %v", w.id(), w.clock, clock))
+	w.clock, w.clockAt, w.maybeRestarted = clock, now, true
+	w.maxLeaseEnd = min(w.maxLeaseEnd, clock+c.settings.MaxLeaseDuration+restartSlack)
+}
+
 // handleStartReply handles a worker's reply to a start.
 func (c *Cell) handleStartReply(now time.Time, o Order, reply rock.Reply) {
 	r, w := o.run, o.run.worker
