A gang that does not fit hides no worker from the tasks after it

Cause: a gang is placed tentatively. If its last tasks find no worker, the list of workers that may be used though they are avoided was made beside those of its tasks that had found one, without the workers that these filled. The list was kept for the rest of the round after the gang was taken back, and the gang was tried in every round.

Change: the list is made anew, like what else was found beside these tasks. mayTryEjected counts runs only for workers that are ejected.

--- a/core/cell/closing.go
+++ b/core/cell/closing.go
@@ -81,11 +81,14 @@
 	if !t.step.Persistent && len(t.failedRuns)+1 >= t.step.job.queue.Attempts {
 		return false
 	}
+	if c.taskExclusion(now, t.step, t.step.Reservation(), w) != ExcludedTaskLimit {
+		return false
+	}
 	others := w.countLimitedRuns()
 	if t.step.Gang {
 		others -= c.countStepRuns(w, t.step)
 	}
-	return c.taskExclusion(now, t.step, t.step.Reservation(), w) == ExcludedTaskLimit && others == 0
+	return others == 0
 }
 
 // closingWorkers returns the workers that are being drained.
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -460,8 +460,9 @@
 			for _, r := range runs {
 				r.worker.removeRun(r)
 			}
-			c.picker = newPicker(c, now, c.picker.usable) // workers have more room again
-			c.avoidedShortage = c.avoidedShortage[:known] // it was found beside these runs
+			// Workers have more room again than was found beside these runs.
+			c.picker = newPicker(c, now, c.picker.usable)
+			c.avoided, c.avoidedShortage = nil, c.avoidedShortage[:known]
 			return
 		}
 		r := newRun(t, w, number)
