A task with one attempt left hides no other task of its step

Cause: only an ejected worker may run the step. It gets no task whose failure would fail the job. The first waiting task had one attempt left, and the step was given up for the round once it found no worker.

Change: the step goes on after a task that has failed. Tasks that have not failed are alike, so that the first of them without a worker still ends it.

Before: TestLastAttemptHidesNoOtherTask fails. After: it passes.

--- a/core/cell/avoided_test.go
+++ b/core/cell/avoided_test.go
@@ -98,6 +98,23 @@
 	assert.Assert(t, !b.startsWithin(500*time.Millisecond, "other", runs), "an ejected worker gets one gang at a time")
 }
 
+// TestLastAttemptHidesNoOtherTask guards against tasks that wait for good, because the first task
+// of their step has one attempt left and is therefore not tried on the ejected worker that may run
+// them.
+func TestLastAttemptHidesNoOtherTask(t *testing.T) {
+	b := newHarness(t, 3, nil)
+	runs := map[string][]rock.Run{}
+	b.ejectWorker("w0", runs)
+	b.registered[0].Labels = []string{"special", "r1"}
+	b.SetWorkers(b.now, b.registered)
+	s := step(2)
+	s.Label = "special"
+	b.AddJob(b.now, job("waiting", s), 9)
+	b.AddProgress(b.now, "waiting", works.Progress{Started: true, Tasks: []works.TaskProgress{{Failed: []int64{5}, Run: 5}}})
+	assert.Assert(t, b.startsWithin(2500*time.Millisecond, "waiting", runs))
+	assert.Equal(t, runs["w0"][0].Task, "waiting.0.0.1")
+}
+
 // TestEjectedWorkerFailsNoJob guards against a job that fails because its task was tried
 // on the same ejected worker until no attempt was left.
 func TestEjectedWorkerFailsNoJob(t *testing.T) {
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -392,10 +392,12 @@
 		if w == nil {
 			w = c.chooseAvoided(now, t)
 		}
-		if w == nil {
-			return
+		switch {
+		case w != nil:
+			c.placeRun(now, t, w, c.nextRunNumber(t))
+		case len(t.failedRuns) == 0:
+			return // a task that has failed may be placed on fewer workers than others
 		}
-		c.placeRun(now, t, w, c.nextRunNumber(t))
 	}
 }
 
