A late report of a worker's former incarnation does not settle runs of the next one

A report of the former incarnation that was still on its way has a greater clock, and by it the lease of the next start seemed to be over: the run was taken for lost and started again.

Change: the reply only moves the time at which the leases are certainly over, by the owner's clock. The clock of the worker is set by reports, which name the incarnation.

--- a/core/cell/reply.go
+++ b/core/cell/reply.go
@@ -41,14 +41,14 @@
 // checkClock compares the clock in a worker's reply to an order, sent at the given time, with an
 // earlier reading; it is 0 if the reply has none. If it was set back, the worker has restarted, and
 // limits the lease in the order, a time of the former clock, to its longest lease. The next report
-// tells what it runs.
+// of the new incarnation tells more; one of the former may still arrive.
 func (c *Cell) checkClock(now, sent time.Time, w *worker, clock time.Duration) {
 	if clock <= 0 || clock >= w.clock || sent.Before(w.clockAt) {
 		return
 	}
 	c.addEvent("worker clock set back", nil, fmt.Sprintf("worker %s from %v to %v", w.id(), w.clock, clock))
-	w.clock, w.clockAt, w.maybeRestarted = clock, now, true
-	w.maxLeaseEnd = min(w.maxLeaseEnd, clock+c.settings.MaxLeaseDuration+restartSlack)
+	longest := time.Duration(float64(c.settings.MaxLeaseDuration+restartSlack) / minClockRate)
+	w.restartLeaseEnd, w.maybeRestarted = later(w.restartLeaseEnd, now.Add(longest)), true
 }
 
 // handleStartReply handles a worker's reply to a start.
--- a/core/cell/restart_test.go
+++ b/core/cell/restart_test.go
@@ -19,13 +19,16 @@
 	cases := map[string]struct {
 		clock time.Duration // in the reply to the start
 		late  bool          // the worker reports after the start was sent, before the reply
-		least time.Duration // until the task is started elsewhere
-		most  time.Duration
+		// former is true if a report of the former incarnation arrives after the reply.
+		former bool
+		least  time.Duration // until the task is started elsewhere
+		most   time.Duration
 	}{
-		"it has not restarted":           {10 * time.Second, false, 4 * time.Second, 6 * time.Second},
-		"it has restarted":               {100 * time.Millisecond, false, longest, longest + 2500*time.Millisecond},
-		"the reply is overtaken":         {9 * time.Second, true, 4 * time.Second, 6 * time.Second},
-		"the reply does not have a time": {0, false, 4 * time.Second, 6 * time.Second},
+		"it has not restarted":                          {10 * time.Second, false, false, 4 * time.Second, 6 * time.Second},
+		"it has restarted":                              {100 * time.Millisecond, false, false, longest, longest + 2500*time.Millisecond},
+		"it has restarted, and a former report is late": {100 * time.Millisecond, false, true, longest, longest + 2500*time.Millisecond},
+		"the reply is overtaken":                        {9 * time.Second, true, false, 4 * time.Second, 6 * time.Second},
+		"the reply does not have a time":                {0, false, false, 4 * time.Second, 6 * time.Second},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -44,8 +47,13 @@
 				b.advance(50 * time.Millisecond)
 				b.report(o.Worker.ID, running(o), nil)
 			}
+			sent := b.now
 			b.HandleReply(b.now, o, rock.Reply{Clock: c.clock}, nil)
 			accepted := b.now
+			if c.former {
+				b.advance(20 * time.Millisecond)
+				b.reportSent(sent.Add(-time.Millisecond), o.Worker.ID, nil, nil)
+			}
 			for b.now.Before(accepted.Add(20 * time.Second)) {
 				b.advance(100 * time.Millisecond)
 				for _, w := range b.registered {
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -55,6 +55,9 @@
 	leaseEndStored bool
 	// formerLeaseEnd is when every lease from a former owner has expired.
 	formerLeaseEnd time.Time
+	// restartLeaseEnd is when the leases of orders have expired that have reached a new
+	// incarnation of the worker before it has reported.
+	restartLeaseEnd time.Time
 	// handledEnd is the number of the last end that was handled, and storedEnd
 	// that of the last end whose effects are stored.
 	handledEnd int64
@@ -100,7 +103,7 @@
 // certainly expired.
 func (w *worker) leaseExpiry() time.Time {
 	left := float64(w.maxLeaseEnd-w.clock) / minClockRate
-	return later(w.formerLeaseEnd, w.clockAt.Add(max(0, time.Duration(left))))
+	return later(later(w.formerLeaseEnd, w.restartLeaseEnd), w.clockAt.Add(max(0, time.Duration(left))))
 }
 
 // runsOver reports whether all runs on the worker are certainly over although it has
