The soak changes the attempts of a queue and removes it at once

A fault adds the queue "jars" with four attempts in place of two, hands a job in at an entry that was not disturbed for 5 s, whose task fails three times, and removes the queue as soon as the job is accepted. The job must be completed. Faults of the queue do not overlap with each other.

--- a/cmd/bramleyrock/soak_test.go
+++ b/cmd/bramleyrock/soak_test.go
@@ -70,6 +70,12 @@
 	lateResponse = 1500 * time.Millisecond
 	// endingTime is how long a run of a persistent task with the spec "ends" lasts.
 	endingTime = 4 * time.Second
+	// failingTime is how long a run of a task with the spec "fails" lasts.
+	failingTime = 300 * time.Millisecond
+	// minAttempts and maxAttempts are how often tasks of the queue "jars" may fail, by turns.
+	minAttempts, maxAttempts = 2, 4
+	// calmEntryTime is for how long an entry that counts as calm was not disturbed.
+	calmEntryTime = 5 * time.Second
 )
 
 // soakSpecs are how long the tasks of jobs run, 0 for ever, by their specs.
@@ -110,8 +116,16 @@
 	// cancelled holds the ids of the jobs whose cancellation was acknowledged.
 	cancelled []string
 	// wanderingPool is the pool to which the queue "jars" is sent, or "" while it is not
-	// configured.
-	wanderingPool string
+	// configured, and wanderingAttempts how often its tasks may fail.
+	wanderingPool     string
+	wanderingAttempts int
+	// runs counts the runs of each task of a job with the spec "fails".
+	runs map[string]int
+	// busy tells what is disturbed, and disturbedAt when that last was.
+	busy        map[string]bool
+	disturbedAt map[string]time.Time
+	// failingJobs counts the jobs of [soak.callFailing].
+	failingJobs uint64
 	// story is what was done, for the log of a broken seed.
 	story []string
 }
@@ -128,10 +142,10 @@
 	t.Helper()
 	binary, err := buildRace()
 	assert.NilError(t, err)
-	duration := func(_, spec string) (time.Duration, string) { return soakSpecs[spec], "done" }
 	s := &soak{
 		t: t, random: rand.New(rand.NewPCG(seed, 2)), group: group.New(context.Background()), binary: binary,
-		links: map[string]*relay.Relay{}, faults: soakFaults, wanderingPool: "tins",
+		links: map[string]*relay.Relay{}, faults: soakFaults, wanderingPool: "tins", wanderingAttempts: minAttempts,
+		runs: map[string]int{}, busy: map[string]bool{}, disturbedAt: map[string]time.Time{},
 	}
 	if r, ok := soakRegressions[seed]; ok {
 		s.faults = soakFaults[:r.faults]
@@ -140,7 +154,7 @@
 		s.faults = slices.DeleteFunc(slices.Clone(s.faults), func(f fault) bool { return !only.MatchString(f.name) })
 	}
 	p, err := stand.Start(stand.Layout{
-		Pools: map[string]int{"tins": 4, "lids": 4}, Standby: 2, Seed: seed, Duration: duration, RelayAddress: s.through,
+		Pools: map[string]int{"tins": 4, "lids": 4}, Standby: 2, Seed: seed, Duration: s.duration, RelayAddress: s.through,
 	})
 	assert.NilError(t, err)
 	s.p = p
@@ -157,6 +171,19 @@
 	return s
 }
 
+// duration returns how long a run of a task lasts and how it ends.
+func (s *soak) duration(task, spec string) (time.Duration, string) {
+	if spec != "fails" {
+		return soakSpecs[spec], "done"
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs[task]++; s.runs[task] < maxAttempts {
+		return failingTime, "failed"
+	}
+	return failingTime, "done"
+}
+
 // through puts a link before a worker.
 func (s *soak) through(address string) (string, error) {
 	link, err := relay.New(address)
@@ -507,6 +534,46 @@
 			e.start()
 		}
 	}},
+	{"queue is added with more attempts and removed again", attemptsFault},
+}
+
+// attemptsFault adds the queue "jars" with more attempts than it had, and removes it as soon as a job
+// is accepted whose tasks fail as often as only the new version allows.
+func attemptsFault(s *soak, _ *soakEntry) func() {
+	restore := func() { s.configure(func() { s.wanderingPool, s.wanderingAttempts = "lids", minAttempts }) }
+	s.configure(func() { s.wanderingPool = "" })
+	time.Sleep(time.Second)
+	s.configure(func() { s.wanderingPool, s.wanderingAttempts = "tins", maxAttempts })
+	s.callFailing()
+	s.configure(func() { s.wanderingPool = "" })
+	return restore
+}
+
+// callFailing hands a job in whose tasks use up all attempts but one, at an entry that puts new
+// versions in force in time. The job must be completed if it is accepted.
+func (s *soak) callFailing() {
+	s.mu.Lock()
+	calm := func(subject string) bool {
+		return !s.busy[subject] && time.Since(s.disturbedAt[subject]) > calmEntryTime
+	}
+	i := slices.IndexFunc(s.entries, func(e *soakEntry) bool { return calm(e.name) && calm("store") })
+	s.failingJobs++
+	id := fmt.Sprintf("%016x", 8<<32|s.failingJobs)
+	s.mu.Unlock()
+	if i < 0 {
+		return
+	}
+	step := stand.Step{Count: 1, MilliCores: 1000, MemMb: 10, EstimateMs: 300}
+	s.p.Checker().ExpectIn(id, false, "tins", "lids")
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if s.entries[i].client.Submit(context.Background(), "/jars/"+id, "fails", step) == http.StatusOK {
+			s.p.Checker().Accept(time.Now(), id, step)
+			s.mu.Lock()
+			s.accepted = append(s.accepted, "/jars/"+id)
+			s.mu.Unlock()
+			return
+		}
+	}
 }
 
 // configure makes a change and stores the next version of the configuration.
@@ -516,28 +583,28 @@
 	change()
 	queues := []stand.Queue{{Name: "tins", Prefix: "/tins/", Pool: "tins"}, {Name: "lids", Prefix: "/lids/", Pool: "lids"}}
 	if s.wanderingPool != "" {
-		queues = append(queues, stand.Queue{Name: "jars", Prefix: "/jars/", Pool: s.wanderingPool, Attempts: 4})
+		queues = append(queues, stand.Queue{Name: "jars", Prefix: "/jars/", Pool: s.wanderingPool, Attempts: s.wanderingAttempts})
 	}
 	s.p.Configure(int(time.Now().UnixMilli()), queues...)
 }
 
 // disturb makes faults come, in series and overlapping, until the time is over.
-// No entry, and not the table, has two at once.
+// No entry, not the table and not the queue "jars" has two at once.
 func (s *soak) disturb(ctx context.Context) {
 	g := group.New(ctx)
-	var mu sync.Mutex
-	busy := map[string]bool{}
 	for end := time.Now().Add(soakTime); time.Now().Before(end); time.Sleep(time.Duration(s.random.Int64N(int64(soakGap)))) {
 		f, e := s.faults[s.random.IntN(len(s.faults))], s.entries[s.random.IntN(soakEntries)]
 		lasts := time.Duration(s.random.Int64N(int64(soakLast)))
 		on := e.name
-		if strings.HasPrefix(f.name, "store") {
-			on = "store"
+		for _, common := range []string{"store", "queue"} {
+			if strings.HasPrefix(f.name, common) {
+				on = common
+			}
 		}
-		mu.Lock()
-		taken := busy[on]
-		busy[on] = true
-		mu.Unlock()
+		s.mu.Lock()
+		taken := s.busy[on]
+		s.busy[on] = true
+		s.mu.Unlock()
 		if taken {
 			continue
 		}
@@ -548,9 +615,9 @@
 			time.Sleep(lasts)
 			undo()
 			s.p.Checker().EndDisturbance(time.Now())
-			mu.Lock()
-			defer mu.Unlock()
-			busy[on] = false
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.busy[on], s.disturbedAt[on] = false, time.Now()
 			return nil
 		})
 	}
