Settings without attempts count as not known

A queue as configured allows at least one attempt. A row whose settings have none, as another program could leave it, would otherwise fail its job before the first start. Also: names of variables in askAdviser.

--- a/core/cell/advice.go
+++ b/core/cell/advice.go
@@ -88,19 +88,19 @@
 // askAdviser adds a query to the adviser about those of the workers that were not refused.
 func (c *Cell) askAdviser(now time.Time, s *step, workers []*worker) {
 	a := &s.advice
-	open := make([]*worker, 0, len(workers))
+	candidates := make([]*worker, 0, len(workers))
 	for _, w := range workers {
 		if !a.refusedWorkers[w.id()] {
-			open = append(open, w)
+			candidates = append(candidates, w)
 		}
 	}
-	if len(open) == 0 {
+	if len(candidates) == 0 {
 		a.repeatLater(now)
 		return
 	}
 	ids := make([]string, 0, maxAdviceWorkers)
 	add := func(match func(w *worker) bool) {
-		for _, w := range open {
+		for _, w := range candidates {
 			if len(ids) < maxAdviceWorkers && match(w) && !slices.Contains(ids, w.id()) {
 				ids = append(ids, w.id())
 			}
@@ -114,7 +114,7 @@
 	c.adviceOrders = append(c.adviceOrders, Order{Kind: OrderAdvise, Step: fmt.Sprintf("%s.%d.%d", s.job.ID, s.occurrence, s.number), Workers: ids, Job: s.job.ID, Queue: s.job.Queue, step: s})
 }
 
-// repeatLater forgets which workers were refused once adviceRepeatDelay has passed.
+// repeatLater makes the workers that were refused be asked about again after adviceRepeatDelay.
 func (a *advice) repeatLater(now time.Time) {
 	switch {
 	case a.repeatAt.IsZero():
--- a/core/works/queue.go
+++ b/core/works/queue.go
@@ -30,7 +30,7 @@
 }
 
 // QueueSettings is the part of a queue's configuration that its accepted jobs need; see [Queue].
-// It is stored with each job, and its zero value means that it is not known.
+// It is stored with each job. If it has no attempts, it is not known.
 type QueueSettings struct {
 	Priority       int           `cbor:"1,keyasint,omitempty"`
 	Attempts       int           `cbor:"2,keyasint,omitempty"`
@@ -45,8 +45,8 @@
 	return QueueSettings{q.Priority, q.Attempts, q.Stretch, q.Objective, q.RequiresTicket, q.TicketTTL}
 }
 
-// Known reports whether the settings are known.
-func (s QueueSettings) Known() bool { return s != QueueSettings{} }
+// Known reports whether the settings are known. Every configured queue allows at least one attempt.
+func (s QueueSettings) Known() bool { return s.Attempts > 0 }
 
 // Queue returns a queue with the settings, without the paths of its calls.
 func (s QueueSettings) Queue(name, pool string) Queue {
