Workers are reserved only for tasks that may use them, and for no more than those need

A persistent task of another queue had lost its place, and the worker with the most free CPU was reserved for it in every decision, though its own policy lets nothing of it run there. A reserved worker was left out of the list for all jobs with a worse rank, so that nothing was placed on it and the adviser was not asked about it.

A worker is now reserved only if nothing but its ordinary tasks keeps the persistent one from it. The reservation is an amount: work that has room beside it is placed at once. The adviser is asked about workers to reserve, and about reserved ones.

--- a/core/cell/advice.go
+++ b/core/cell/advice.go
@@ -106,6 +106,8 @@
 			}
 		}
 	}
+	need := s.Reservation()
+	add(func(w *worker) bool { return c.wouldTake(now, s, w) && !c.delaysReservation(need, w) })
 	add(func(w *worker) bool { return c.wouldTake(now, s, w) })
 	add(func(w *worker) bool { return a.tickets[w.id()] != "" })
 	add(func(*worker) bool { return true })
@@ -145,7 +147,7 @@
 }
 
 // lacksTickets reports whether fewer of the workers than needed have tickets of the step and room
-// for a task, and others may be asked about.
+// for a task, besides that for which they may be reserved, and others may be asked about.
 func (c *Cell) lacksTickets(now time.Time, s *step, needed int, workers []*worker) bool {
 	lacking := false
 	for _, w := range workers {
@@ -153,7 +155,9 @@
 			continue
 		}
 		if s.advice.tickets[w.id()] != "" {
-			needed--
+			if !c.delaysReservation(s.Reservation(), w) {
+				needed--
+			}
 		} else if !s.advice.refusedWorkers[w.id()] {
 			lacking = true
 		}
--- a/core/cell/bench_test.go
+++ b/core/cell/bench_test.go
@@ -81,3 +81,29 @@
 		t.Errorf("%d tasks started, want 2 of 3 cores and 2 of 1 core", n)
 	}
 }
+
+// BenchmarkDecideBesideReservations measures a decision while 80 almost full workers leave 20
+// persistent tasks, for which workers are reserved, and the tasks of 600 jobs waiting.
+func BenchmarkDecideBesideReservations(b *testing.B) {
+	h := newHarness(&testing.T{}, 80, nil)
+	for range 10 {
+		h.flush()
+	}
+	large := step(8)
+	large.Need.MilliCores = 1500
+	for i := range 40 {
+		h.AddJob(h.now, job(fmt.Sprintf("%016x", i), large), 9)
+	}
+	h.startTasks()
+	for i := range 20 {
+		h.AddJob(h.now, job(fmt.Sprint("lasting", i), persistentStep(1, 0, 3000)), 9)
+	}
+	for i := range 600 {
+		h.AddJob(h.now, job(fmt.Sprintf("%016x", 100+i), large), 9)
+	}
+	h.Decide(h.now)
+	for b.Loop() {
+		h.advance(time.Microsecond)
+		h.Decide(h.now)
+	}
+}
--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -53,8 +53,8 @@
 	reports uint64
 	// decisions counts the rankings of jobs; see expiringInterval.
 	decisions int
-	// placedAt is when tasks were last placed.
-	placedAt time.Time
+	// placementRound is the number of times that tasks were placed.
+	placementRound uint64
 	// picker chooses workers while tasks are placed, and is nil otherwise.
 	picker *picker
 	// shortage holds what no usable worker had room for since then.
--- a/core/cell/closing.go
+++ b/core/cell/closing.go
@@ -54,7 +54,7 @@
 func (c *Cell) chooseAvoided(now time.Time, t *task) *worker {
 	if c.mayUseAvoided(now, t) {
 		avoided := c.avoidedWorkers(now)
-		w, roomy := c.searchUnlessShort(now, t, avoided, &c.avoidedShortage)
+		w, roomy := c.searchUnlessShort(now, t, avoided, &c.avoidedShortage, c.mayRun)
 		if w != nil || !roomy {
 			return w
 		}
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -263,7 +263,7 @@
 // placeTasks places as many tasks as there are free resources for. Their starts
 // are ordered once the placements are stored.
 func (c *Cell) placeTasks(now time.Time) {
-	c.placedAt = now
+	c.placementRound++
 	c.shortage, c.avoidedShortage, c.avoided = c.shortage[:0], c.avoidedShortage[:0], nil
 	c.updateMostlyFree()
 	usable := c.usable(now)
@@ -294,7 +294,7 @@
 			}
 			switch {
 			case s.Persistent:
-				usable = c.placePersistent(now, s, usable)
+				c.placePersistent(now, s, usable)
 			case s.Gang:
 				c.placeGang(now, s, usable)
 			default:
@@ -326,11 +326,9 @@
 // considered. It is less than any task in the users' specifications needs.
 var minFreeResources = rock.Resources{MilliCores: 100, MemoryMB: 1}
 
-// placePersistent places the waiting tasks of a persistent step, and returns the
-// workers on which other tasks may be placed. If there is no worker for one of the
-// tasks, a worker that can make room for it is reserved: smaller tasks would otherwise
-// take whatever becomes free there.
-func (c *Cell) placePersistent(now time.Time, s *step, usable []*worker) []*worker {
+// placePersistent places the waiting tasks of a persistent step. If there is no worker for
+// one of them, a worker that can make room for it is reserved.
+func (c *Cell) placePersistent(now time.Time, s *step, usable []*worker) {
 	for _, t := range s.tasks {
 		if t.done || t.current != nil || !c.mayRestart(now, t) {
 			continue
@@ -343,9 +341,9 @@
 			c.placeRun(now, t, w, c.nextRunNumber(t))
 			continue
 		}
-		return c.reserveWorker(now, s, usable)
+		c.reserveWorker(now, s, usable)
+		return
 	}
-	return usable
 }
 
 // later returns the later of two times.
@@ -356,32 +354,6 @@
 	return b
 }
 
-// reserveWorker returns the workers without the one that has the most free CPU
-// among those that may be reserved for the step.
-func (c *Cell) reserveWorker(now time.Time, s *step, usable []*worker) []*worker {
-	best := -1
-	for i, w := range usable {
-		if !c.mayReserve(now, s, w) {
-			continue
-		}
-		if best < 0 || w.freeResources().MilliCores > usable[best].freeResources().MilliCores {
-			best = i
-		}
-	}
-	if best < 0 {
-		return usable
-	}
-	usable[best].reservedAt = now
-	return slices.Delete(slices.Clone(usable), best, best+1)
-}
-
-// mayReserve reports whether the worker may run a task of the step once its ordinary
-// tasks have ended.
-func (c *Cell) mayReserve(now time.Time, s *step, w *worker) bool {
-	return w.hasLabel(s.Label) && w.maxFreeResources().CanFit(s.Reservation()) && !w.atTaskLimit(now) &&
-		(s.MaxPerWorker == 0 || c.countStepRuns(w, s) < s.MaxPerWorker)
-}
-
 // placeStep places the step's waiting tasks until there is no worker for one.
 func (c *Cell) placeStep(now time.Time, s *step, usable []*worker) {
 	for _, t := range s.tasks {
@@ -451,10 +423,11 @@
 		}
 		number = max(number, c.nextRunNumber(t))
 	}
+	need := s.Reservation()
 	runs := make([]*run, 0, len(s.tasks))
 	known := len(c.avoidedShortage)
 	for _, t := range s.tasks {
-		w := c.chooseWorker(now, t, usable)
+		w := c.cheapestWorker(now, t, usable, func(w *worker) bool { return c.mayPlace(now, s, need, w) })
 		if w == nil {
 			w = c.chooseAvoided(now, t)
 		}
@@ -489,10 +462,10 @@
 }
 
 // chooseWorker returns the worker with the least cost among those that may run the
-// task, or nil if there is none.
+// task, whether they are reserved or not, or nil if there is none.
 func (c *Cell) chooseWorker(now time.Time, t *task, usable []*worker) *worker {
 	need := t.step.Reservation()
-	return c.cheapestWorker(now, t, usable, func(w *worker) bool { return c.taskExclusion(now, t.step, need, w) == "" })
+	return c.cheapestWorker(now, t, usable, func(w *worker) bool { return c.mayRun(now, t.step, need, w) })
 }
 
 // cheapestWorker returns the worker with the least cost among those that match, or nil
--- a/core/cell/exclusion.go
+++ b/core/cell/exclusion.go
@@ -97,6 +97,12 @@
 	return ""
 }
 
+// mayRun reports whether a usable worker may be given a task of the step, which needs the given
+// resources, whether the worker is reserved or not.
+func (c *Cell) mayRun(now time.Time, s *step, need rock.Resources, w *worker) bool {
+	return c.taskExclusion(now, s, need, w) == ""
+}
+
 // atTaskLimit reports whether the worker is ejected or returning, and has as many runs
 // as it may have. The running persistent tasks do not count: they may never end, so that
 // a returning worker would get no task that shows whether it is healthy.
@@ -132,7 +138,7 @@
 		return e
 	case !closing && !w.freeResources().CanFit(minFreeResources):
 		return ExcludedCapacity
-	case !w.reservedAt.IsZero() && w.reservedAt.Equal(c.placedAt) && !c.mayUseAvoided(now, t):
+	case c.delaysReservation(t.step.Reservation(), w) && !c.mayUseAvoided(now, t):
 		return ExcludedReserved
 	}
 	return ""
--- a/core/cell/export_test.go
+++ b/core/cell/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -27,5 +28,29 @@
 	return b.String()
 }
 
+// Reserved returns the steps for which workers are reserved, by the ID of the worker.
+func (c *Cell) Reserved() map[string]string {
+	steps := map[string]string{}
+	for id, w := range c.workers {
+		if c.isReserved(w) {
+			s := w.reservation.step
+			steps[id] = fmt.Sprintf("%s.%d.%d", s.job.ID, s.occurrence, s.number)
+		}
+	}
+	return steps
+}
+
+// Avoids reports whether the cell gives a worker no tasks, or no more, for a reason of its own.
+func (c *Cell) Avoids(now time.Time, id string) bool {
+	w := c.workers[id]
+	return w == nil || !w.usable(now) || w.atTaskLimit(now) || c.isReserved(w)
+}
+
+// HasRuns reports whether a task of the job has a run, which may be about to begin or to end.
+func (c *Cell) HasRuns(id string) bool {
+	j := c.jobs[id]
+	return j != nil && slices.ContainsFunc(j.steps, func(s *step) bool { return s.hasRun() })
+}
+
 // MakeGone makes the cell believe that a worker is gone, and that its runs go on.
 func (c *Cell) MakeGone(id string) { c.workers[id].gone = true }
--- a/core/cell/model_test.go
+++ b/core/cell/model_test.go
@@ -44,6 +44,8 @@
 	// specs holds all jobs that were submitted.
 	specs  map[string]works.Job
 	starts int
+	// reservations counts the reservations of workers, one for each decision.
+	reservations int
 	// fleet is the state of a fleet whose workers come and go, or nil if the workers stay.
 	fleet *modelFleet
 	// queues is the state of queues whose settings change, or nil if they do not.
--- a/core/cell/modelowner_test.go
+++ b/core/cell/modelowner_test.go
@@ -113,6 +113,7 @@
 	}
 	o.core.SetWorkers(m.now, m.registered())
 	orders := o.core.Decide(m.now, m.now)
+	m.checkReservations(o)
 	slices.SortFunc(orders, func(a, b cell.Order) int { // the order of Decide is random
 		return cmp.Or(cmp.Compare(a.Worker.ID, b.Worker.ID), cmp.Compare(a.Start.Task+a.Stop.Task, b.Start.Task+b.Stop.Task), cmp.Compare(a.Start.Run+a.Stop.Run, b.Start.Run+b.Stop.Run))
 	})
--- a/core/cell/modelwaits_test.go
+++ b/core/cell/modelwaits_test.go
@@ -10,6 +10,8 @@
 	rock "bramleyrock"
 	"bramleyrock/core/cell"
 	"bramleyrock/core/works"
+
+	"gotest.tools/v3/assert"
 )
 
 const (
@@ -25,6 +27,9 @@
 	joinTime = 2 * time.Second
 	// noticeTime is how long a persistent task may be away unnoticed.
 	noticeTime = 2500 * time.Millisecond
+	// maxPlacementWait is how long nothing of a job may run beside a worker that has room for it
+	// all the while, however full the other workers are.
+	maxPlacementWait = 2 * time.Second
 )
 
 // modelWaits holds since when each job, or persistent task, has had nothing running, and
@@ -32,6 +37,8 @@
 type modelWaits struct {
 	idleSince map[string]time.Time
 	roomSince map[string]time.Time
+	// placeSince holds since when a job has been waiting beside a worker with room for it.
+	placeSince map[jobPlace]time.Time
 	// stops holds the stops that were ordered.
 	stops map[rock.StopOrder]bool
 	// checks is the number of times that a waiting job was found in calm time.
@@ -40,8 +47,14 @@
 	longest time.Duration
 }
 
+// jobPlace identifies a job and a worker that has room for it.
+type jobPlace struct{ job, worker string }
+
 func newModelWaits() modelWaits {
-	return modelWaits{idleSince: map[string]time.Time{}, roomSince: map[string]time.Time{}, stops: map[rock.StopOrder]bool{}}
+	return modelWaits{
+		idleSince: map[string]time.Time{}, roomSince: map[string]time.Time{}, placeSince: map[jobPlace]time.Time{},
+		stops: map[rock.StopOrder]bool{},
+	}
 }
 
 // checkWaits fails the test if a job, or a persistent task, has waited for too long
@@ -70,6 +83,7 @@
 			}
 		case m.hasKinds():
 			m.checkWait(id, id, running[id], m.hasRoomForNextStep(j), maxWait)
+			m.checkPlaces(j, running[id] || m.owner.core.HasRuns(id))
 		default:
 			var need rock.Resources
 			for _, s := range j.Spec.Steps {
@@ -84,21 +98,79 @@
 func (m *model) hasRoomForNextStep(j works.Job) bool {
 	for i := range j.Spec.Steps {
 		s := &j.Spec.Steps[i]
-		ready := !m.isStepDone(j, i)
-		for _, d := range s.DependsOn {
-			ready = ready && m.isStepDone(j, d)
-		}
 		tasks := 1
 		if s.Gang {
 			tasks = s.Count
 		}
-		if ready && m.hasRoomFor(j.ID, s, i, tasks) {
+		if m.isStepReady(j, i) && m.hasRoomFor(j.ID, s, i, tasks) {
+			return true
+		}
+	}
+	return false
+}
+
+// isStepReady reports whether the tasks of a step may start and are not all done.
+func (m *model) isStepReady(j works.Job, step int) bool {
+	ready := !m.isStepDone(j, step)
+	for _, d := range j.Spec.Steps[step].DependsOn {
+		ready = ready && m.isStepDone(j, d)
+	}
+	return ready
+}
+
+// checkPlaces fails the test if nothing of an ordinary job is placed although one worker has had
+// room for one of its tasks twice over for long, and is not avoided.
+func (m *model) checkPlaces(j works.Job, placed bool) {
+	f := m.fleet
+	settled := f.faultsEndAt.Add(settleTime)
+	for _, w := range m.workers {
+		place := jobPlace{j.ID, w.id}
+		if placed || f.faulty || m.now.Before(settled) || !m.counts(w) || m.owner.core.Avoids(m.now, w.id) || !m.hasPlace(j, w) {
+			delete(f.waits.placeSince, place)
+			continue
+		}
+		if f.waits.placeSince[place].IsZero() {
+			f.waits.placeSince[place] = m.now
+		}
+		if since := f.waits.placeSince[place]; m.now.Sub(since) > maxPlacementWait {
+			m.t.Log(m.owner.core.Describe(m.now, j.ID))
+			m.fail("LOST: %s waits since %v beside %s, which has room", j.ID, since.Sub(start), w.id)
+		}
+	}
+}
+
+// hasPlace reports whether the worker has room twice over for a task of the job that may start.
+func (m *model) hasPlace(j works.Job, w *modelWorker) bool {
+	for i := range j.Spec.Steps {
+		s := &j.Spec.Steps[i]
+		if !s.Gang && m.isStepReady(j, i) && m.mayRunOn(j.ID, i, w) && s.MaxPerWorker == 0 && w.capacity.Sub(w.used()).Count(s.Need, 2) == 2 {
 			return true
 		}
 	}
 	return false
 }
 
+// mayRunOn reports whether the label of a step and its policy allow it on the worker.
+func (m *model) mayRunOn(id string, step int, w *modelWorker) bool {
+	s := &m.specs[id].Spec.Steps[step]
+	return (s.Label == "" || s.Label == w.label) && (m.specs[id].Queue != ticketQueue || m.allows(fmt.Sprintf("%s.0.%d", id, step), w.id))
+}
+
+// checkReservations fails the test if a worker is reserved for a step that may not run on it.
+func (m *model) checkReservations(o *modelOwner) {
+	if !m.hasKinds() {
+		return
+	}
+	for worker, step := range o.core.Reserved() {
+		n, err := works.ParseTaskName(step + ".0")
+		assert.NilError(m.t, err)
+		if w := m.findWorker(worker); !m.mayRunOn(n.Job, n.Step, w) || m.fleet.draining[worker] {
+			m.fail("LOST: %s is reserved for %s, which may not run on it", worker, step)
+		}
+		m.reservations++
+	}
+}
+
 // isStepDone reports whether all tasks of a step are done. A worker that has left, or
 // whose lease expired, takes ends with it that are not stored.
 func (m *model) isStepDone(j works.Job, step int) bool {
@@ -168,13 +240,12 @@
 func (m *model) hasRoomFor(id string, s *works.Step, step, tasks int) bool {
 	var used, all rock.Resources
 	room := 0
-	name := fmt.Sprintf("%s.0.%d", id, step)
 	for _, w := range m.workers {
 		if !m.counts(w) {
 			continue
 		}
 		used, all = used.Add(w.used()), all.Add(w.capacity)
-		if s.Label != "" && s.Label != w.label || m.specs[id].Queue == ticketQueue && !m.allows(name, w.id) {
+		if !m.mayRunOn(id, step, w) {
 			continue
 		}
 		free := w.capacity.Sub(w.used())
--- a/core/cell/picker.go
+++ b/core/cell/picker.go
@@ -80,7 +80,7 @@
 
 // mayRun reports whether the worker may be given the task now.
 func (p *picker) mayRun(t *task, w *worker) bool {
-	return !w.reservedAt.Equal(p.now) && p.cell.taskExclusion(p.now, t.step, t.step.Reservation(), w) == ""
+	return p.cell.mayPlace(p.now, t.step, t.step.Reservation(), w)
 }
 
 // heap returns the heap for the task.
--- a/core/cell/picker_test.go
+++ b/core/cell/picker_test.go
@@ -21,6 +21,7 @@
 	for seed := range uint64(50) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		c := New(Settings{RemoteSlowdown: 2})
+		c.placementRound = 1
 		var usable []*worker
 		for i := range 40 {
 			w := c.newWorker(fmt.Sprintf("w%02d", i))
@@ -31,7 +32,9 @@
 			}
 			switch random.IntN(10) {
 			case 0:
-				w.reservedAt = now
+				most := w.Capacity
+				most.MilliCores -= 1500 * random.Int64N(4)
+				w.reservation = reservation{round: 1, mostUsed: most}
 			case 1:
 				w.backoffUntil = now.Add(time.Second)
 			}
@@ -45,7 +48,7 @@
 			}
 			j := newJob(now, works.Job{ID: fmt.Sprintf("%016x", i), Spec: works.Spec{Steps: []works.Step{s}}}, unknownQueue, 1)
 			task := j.steps[0].tasks[0]
-			want := c.cheapestWorker(now, task, usable, func(w *worker) bool { return c.picker.mayRun(task, w) })
+			want := c.cheapestWorker(now, task, usable, func(w *worker) bool { return c.mayPlace(now, task.step, task.step.Reservation(), w) })
 			assert.Assert(t, c.picker.serves(task))
 			got := c.picker.choose(task)
 			assert.Equal(t, got, want, "seed %d task %d", seed, i)
--- a/core/cell/policy_test.go
+++ b/core/cell/policy_test.go
@@ -17,14 +17,16 @@
 type policyWorld struct {
 	*harness
 	allowed []string
-	valid   time.Duration
-	runs    map[string][]rock.Run
-	starts  []cell.Order
-	queries int
+	// allowedTo holds the workers that are allowed for a job in place of allowed.
+	allowedTo map[string][]string
+	valid     time.Duration
+	runs      map[string][]rock.Run
+	starts    []cell.Order
+	queries   int
 }
 
 func newPolicyWorld(t *testing.T, workers int, allowed ...string) *policyWorld {
-	p := &policyWorld{harness: newHarness(t, workers, nil), allowed: allowed, valid: time.Minute, runs: map[string][]rock.Run{}}
+	p := &policyWorld{harness: newHarness(t, workers, nil), allowed: allowed, allowedTo: map[string][]string{}, valid: time.Minute, runs: map[string][]rock.Run{}}
 	p.SetQueues([]works.Queue{{Name: "q", Pool: "tins", Attempts: 2}, {Name: "advised", Pool: "tins", Attempts: 2, RequiresTicket: true}})
 	return p
 }
@@ -57,9 +59,13 @@
 	switch o.Kind {
 	case cell.OrderAdvise:
 		p.queries++
+		allowed, ok := p.allowedTo[o.Job]
+		if !ok {
+			allowed = p.allowed
+		}
 		var tickets []rock.Ticket
 		for _, id := range o.Workers {
-			if slices.Contains(p.allowed, id) {
+			if slices.Contains(allowed, id) {
 				tickets = append(tickets, rock.Ticket{Worker: id, Ticket: "ticket"})
 			}
 		}
--- a/core/cell/run.go
+++ b/core/cell/run.go
@@ -65,6 +65,9 @@
 
 func (r *run) id() runKey { return runKey{r.key, r.number} }
 
+// lasts reports whether the run is that of a persistent task and is not to be stopped.
+func (r *run) lasts() bool { return r.task != nil && r.task.step.Persistent && r.state != stopping }
+
 // startSlack is more than the time between a worker's reading of its clock and the
 // making of its lists.
 const startSlack = 100 * time.Millisecond
--- a/core/cell/shortage.go
+++ b/core/cell/shortage.go
@@ -23,18 +23,21 @@
 	if c.picker.serves(t) {
 		return c.picker.choose(t)
 	}
-	w, _ := c.searchUnlessShort(now, t, usable, &c.shortage)
+	w, _ := c.searchUnlessShort(now, t, usable, &c.shortage, c.mayPlace)
 	return w
 }
 
-// searchUnlessShort returns the worker for a task, or nil if there is none, and whether a
-// worker has room for it. It does not search if the shortage tells that none has.
-func (c *Cell) searchUnlessShort(now time.Time, t *task, workers []*worker, known *shortage) (chosen *worker, roomy bool) {
+// mayTake reports whether a worker may be given a task of a step, which needs the given resources.
+type mayTake func(now time.Time, s *step, need rock.Resources, w *worker) bool
+
+// searchUnlessShort returns the worker for a task among those that may be given it, or nil if there
+// is none, and whether a worker has room for it. It does not search if the shortage tells that none has.
+func (c *Cell) searchUnlessShort(now time.Time, t *task, workers []*worker, known *shortage, may mayTake) (chosen *worker, roomy bool) {
 	need := t.step.Reservation()
 	if known.covers(need) {
 		return nil, false
 	}
-	if w := c.chooseWorker(now, t, workers); w != nil {
+	if w := c.cheapestWorker(now, t, workers, func(w *worker) bool { return may(now, t.step, need, w) }); w != nil {
 		return w, true
 	}
 	if slices.ContainsFunc(workers, func(w *worker) bool { return w.freeResources().CanFit(need) }) {
--- a/core/cell/worker.go
+++ b/core/cell/worker.go
@@ -71,8 +71,8 @@
 	// throttlePercent is by how many percent best-effort tasks are slowed down.
 	throttlePercent int
 	throttledAt     time.Time
-	// reservedAt is when the worker was last reserved for a persistent task.
-	reservedAt time.Time
+	// reservation is the last reservation for a persistent task.
+	reservation reservation
 }
 
 func (w *worker) id() string { return w.ID }
@@ -153,7 +153,7 @@
 func (w *worker) maxFreeResources() rock.Resources {
 	free := w.Capacity
 	for _, r := range w.runs {
-		if r.task != nil && r.task.step.Persistent && r.state != stopping {
+		if r.lasts() {
 			free = free.Sub(r.resources)
 		}
 	}
