An unanswered start does not outlive the restart of its worker by the worker's uptime

A start had no answer, its worker restarted, and refused all stops as busy from then on. Such a run is given up once the lease in its start is over.

The restart now limits it to the longest lease, as it does with the lease of the worker. No cost but a loop over the runs of a worker that has restarted.

--- a/core/cell/modelqueues_test.go
+++ b/core/cell/modelqueues_test.go
@@ -158,8 +158,9 @@
 // queueSeeds holds seeds that failed: the first one before the settings were stored with jobs, the next two
 // before the adviser was asked about workers that are drained, the next one when a gang that did not
 // fit hid a worker from the tasks after it, the next one when a report of a former incarnation was late,
-// the last two when workers were reserved for tasks that may not run on them.
-var queueSeeds = []uint64{115, 3185, 3255, 12510, 30341, 50008, 50020}
+// the next two when workers were reserved for tasks that may not run on them, the last one when a worker
+// had restarted and refused to stop a run that it did not have.
+var queueSeeds = []uint64{115, 3185, 3255, 12510, 30341, 50008, 50020, 50018}
 
 // TestRandomFleetChanges guards against jobs that are failed too early, or tasks that are started
 // too often, because the operator changes, removes and adds their queue.
--- a/core/cell/report.go
+++ b/core/cell/report.go
@@ -78,7 +78,11 @@
 	// Orders that were sent earlier may have reached the new incarnation. Their
 	// lease ends are times of the former clock, and the worker limits them to its
 	// longest lease.
-	w.maxLeaseEnd = min(w.maxLeaseEnd, report.Clock+c.settings.MaxLeaseDuration+restartSlack)
+	latest := report.Clock + c.settings.MaxLeaseDuration + restartSlack
+	w.maxLeaseEnd = min(w.maxLeaseEnd, latest)
+	for _, r := range w.runs {
+		r.startLeaseEnd = min(r.startLeaseEnd, latest)
+	}
 }
 
 // MarkWorkerGone records that the current incarnation of a worker is over, for
--- a/core/cell/restart_test.go
+++ b/core/cell/restart_test.go
@@ -72,3 +72,66 @@
 		})
 	}
 }
+
+// TestRefusedStopOnARestartedWorker guards against a task that waits for as long as its worker had
+// been up: a start had no answer, the worker restarted and refuses all orders, and the end of the
+// start's lease was compared with the clock of the next incarnation.
+func TestRefusedStopOnARestartedWorker(t *testing.T) {
+	cases := map[string]struct {
+		refusal rock.Refusal
+		starts  int // that had no answer
+	}{
+		"it is busy, and a second start was refused": {rock.RefusedBusy, 1},
+		"it is busy, and two starts had no answer":   {rock.RefusedBusy, 2},
+		"its reason is unknown":                      {rock.RefusedOther, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			const longest = 6 * time.Second
+			b := newHarness(t, 1, func(s *cell.Settings) { s.MaxLeaseDuration = longest })
+			pass := func(born time.Time) (starts int) {
+				b.advance(100 * time.Millisecond)
+				for _, w := range b.registered {
+					clock, since := b.clock(), start
+					if w.ID == "w0" && !born.IsZero() {
+						clock, since = b.now.Sub(born), born
+					}
+					b.HandleReport(b.now, b.now, w.ID, rock.Report{Clock: clock, WorkerStartedAt: since})
+				}
+				b.flush()
+				for _, o := range b.Decide(b.now) {
+					if o.Worker.ID != "w0" {
+						starts++
+						continue
+					}
+					if born.IsZero() && o.Kind == cell.OrderStart && c.starts > 0 {
+						c.starts--
+						b.HandleReply(b.now, o, rock.Reply{}, errors.New("no answer"))
+						continue
+					}
+					b.HandleReply(b.now, o, rock.Reply{Refusal: c.refusal, Clock: b.clock()}, nil)
+				}
+				return starts
+			}
+			for range 600 {
+				pass(time.Time{})
+			}
+			b.AddJob(b.now, job(jobID, step(1)), 8)
+			for range 20 {
+				pass(time.Time{})
+			}
+			assert.Equal(t, c.starts, 0)
+			b.registered = append(b.registered, b.registered[0])
+			b.registered[1].ID = "w1"
+			b.SetWorkers(b.now, b.registered)
+			born := b.now
+			for b.now.Before(born.Add(longest + 2*time.Second)) {
+				if pass(born) > 0 {
+					assert.Assert(t, b.now.Sub(born) >= longest, "an order may still arrive")
+					return
+				}
+			}
+			t.Errorf("the task waits\n%s", b.Describe(b.now, jobID))
+		})
+	}
+}
