Tasks of later occurrences are made when they are due

An occurrence is opened 5 s before its time, or when stored progress tells that it has begun, and closed once all its tasks are done; the rows of progress are those of before. Decisions and the load of a cell look at open occurrences only: before, the remaining work of a pool, which decides whether a wave may take hosts, had that of all later occurrences in it.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -21,9 +21,11 @@
 	queues        map[string]works.Queue
 	removedQueues map[string]works.Queue
 	jobs          map[string]*job
-	workers       map[string]*worker
-	outliers      *eject.Detector
-	runTimes      map[runTimeKey]*runTimeModel
+	// scheduled holds those of the jobs that have scheduled times.
+	scheduled map[string]*job
+	workers   map[string]*worker
+	outliers  *eject.Detector
+	runTimes  map[runTimeKey]*runTimeModel
 	// newlyKnown holds the jobs whose queue has become known since the last decision.
 	newlyKnown []*job
 	// stopRequests holds the runs that are to be stopped.
@@ -84,6 +86,7 @@
 		queues:        map[string]works.Queue{},
 		removedQueues: map[string]works.Queue{},
 		jobs:          map[string]*job{},
+		scheduled:     map[string]*job{},
 		workers:       map[string]*worker{},
 		outliers:      eject.NewDetector(eject.Settings{}),
 		runTimes:      map[runTimeKey]*runTimeModel{},
@@ -197,9 +200,11 @@
 
 // failIfAnyExhausted fails a job if one of its tasks has used up its attempts.
 func (c *Cell) failIfAnyExhausted(now time.Time, j *job) {
-	for _, t := range j.tasks {
-		if !t.done && !t.step.Persistent {
-			c.failIfExhausted(now, t)
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if !t.done && !s.Persistent {
+				c.failIfExhausted(now, t)
+			}
 		}
 	}
 }
@@ -222,6 +227,9 @@
 		c.events = append(c.events, Event{Name: "queue unknown", Job: j.ID, Detail: fmt.Sprintf("the configuration of queue %q is not known", j.Queue)})
 	}
 	c.jobs[j.ID] = added
+	if j.Spec.Times > 0 {
+		c.scheduled[j.ID] = added
+	}
 	// Jobs from before the takeover are no new arrivals.
 	if !added.Spec.Persistent() && version > c.settings.Fence {
 		c.demand.AddArrival(now, c.buildRankInput(added).RemainingWork)
--- a/core/cell/decide.go
+++ b/core/cell/decide.go
@@ -15,6 +15,7 @@
 // jobs up to jobsKnownAt have been passed to the cell. If that is more than 2.5 s
 // ago, no task is placed or started, because its job may have been cancelled since.
 func (c *Cell) Decide(now, jobsKnownAt time.Time) []Order {
+	c.updateOccurrences(now)
 	c.failExhaustedJobs(now)
 	c.expireRuns(now)
 	c.evacuate(now)
@@ -235,9 +236,8 @@
 		Persistent: j.Spec.Persistent(),
 		Objective:  j.queue.Objective, Stretch: j.queue.Stretch,
 	}
-	n := len(j.Spec.Steps)
-	ends := make([]time.Duration, n)
-	for i, s := range j.steps[:n] {
+	ends := make([]time.Duration, len(j.Spec.Steps))
+	for i, s := range j.firstSteps() {
 		var before time.Duration
 		for _, a := range s.DependsOn {
 			before = max(before, ends[a])
@@ -256,12 +256,14 @@
 // nextStartTime returns the scheduled time of the first occurrence that is not
 // done.
 func (j *job) nextStartTime() time.Time {
-	n := len(j.Spec.Steps)
-	for i, s := range j.steps {
+	for _, s := range j.steps {
 		if s.remaining > 0 {
-			return j.Spec.ScheduledAt(i / n)
+			return j.Spec.ScheduledAt(s.occurrence)
 		}
 	}
+	if next := j.occurrences.next; next < j.Spec.Occurrences() {
+		return j.Spec.ScheduledAt(next)
+	}
 	return j.Accepted
 }
 
--- a/core/cell/job.go
+++ b/core/cell/job.go
@@ -18,14 +18,14 @@
 	queueKnown bool
 	queueSeen  bool
 	version    uint64
-	steps      []*step
-	// tasks holds the tasks of all steps, in order of occurrence, step and index. Every
-	// [works.ChunkTasks] of them share a row with their progress.
-	tasks []*task
+	// steps holds the steps of the open occurrences, in order of occurrence and step; see
+	// occurrence.go.
+	steps       []*step
+	occurrences occurrences
 	// dirty holds the chunks whose rows must be written, and stored those that have rows.
 	dirty  chunkSet
 	stored chunkSet
-	// remaining is the number of tasks that are not done.
+	// remaining is the number of tasks of all occurrences that are not done.
 	remaining    int
 	started      bool
 	placed       bool // this owner has placed a task of the job
@@ -56,7 +56,9 @@
 	name works.TaskName
 	key  string // name as a string
 	step *step
-	// chunk is the chunk of the job's tasks to which the task belongs.
+	// chunk is the chunk of the job's tasks to which the task belongs. Every
+	// [works.ChunkTasks] of them, in order of occurrence, step and index, share a row with
+	// their progress.
 	chunk int
 	done  bool
 	// failedRuns holds the numbers of the runs that failed.
@@ -74,35 +76,11 @@
 // newJob returns the initial state of an accepted job.
 func newJob(now time.Time, accepted works.Job, q works.Queue, version uint64) *job {
 	j := &job{Job: accepted, queue: q, version: version, state: works.Queued, addedAt: now}
-	for k := range j.Spec.Occurrences() {
-		for i := range j.Spec.Steps {
-			j.steps = append(j.steps, newStep(j, k, i))
-		}
-	}
+	j.initOccurrences()
+	j.openDue(now)
 	return j
 }
 
-func newStep(j *job, occurrence, number int) *step {
-	s := &step{Step: &j.Spec.Steps[number], job: j, occurrence: occurrence, number: number}
-	for i := range s.Count {
-		n := works.TaskName{Job: j.ID, Occurrence: occurrence, Step: number, Index: i}
-		t := &task{name: n, key: n.String(), step: s, chunk: len(j.tasks) / works.ChunkTasks}
-		s.tasks, j.tasks = append(s.tasks, t), append(j.tasks, t)
-	}
-	s.remaining = s.Count
-	j.remaining += s.Count
-	return s
-}
-
-// step returns an occurrence of a step, or nil if the job has no such one.
-func (j *job) step(occurrence, number int) *step {
-	n := len(j.Spec.Steps)
-	if number < 0 || number >= n || occurrence < 0 || occurrence >= j.Spec.Occurrences() {
-		return nil
-	}
-	return j.steps[occurrence*n+number]
-}
-
 // mayStart reports whether the step's scheduled time has come and the steps that
 // it depends on are done.
 func (s *step) mayStart(now time.Time) bool {
@@ -137,18 +115,30 @@
 // Tasks that have not run are left out.
 func (j *job) progress(chunk int) works.Progress {
 	p := works.Progress{Started: j.started}
-	for _, t := range j.tasks[chunk*works.ChunkTasks : min(len(j.tasks), (chunk+1)*works.ChunkTasks)] {
-		if !t.done && len(t.failedRuns) == 0 && t.current == nil {
+	for n := range j.occurrencesOf(chunk) {
+		if j.occurrences.finished.contains(n) {
+			p.Tasks = append(p.Tasks, j.finishedTasks(n, chunk)...)
 			continue
 		}
-		tp := works.TaskProgress{
-			Occurrence: t.step.occurrence, Step: t.step.number, Index: t.name.Index,
-			Done: t.done, Failed: t.failedRuns, Run: t.lastRun, Checkpoint: t.checkpoint,
-		}
-		if t.current != nil {
-			tp.Run, tp.Worker = t.current.number, t.current.worker.id()
+		for _, s := range j.occurrences.open[n] {
+			for _, t := range s.tasks {
+				if t.chunk == chunk && (t.done || len(t.failedRuns) > 0 || t.current != nil) {
+					p.Tasks = append(p.Tasks, t.progress())
+				}
+			}
 		}
-		p.Tasks = append(p.Tasks, tp)
+	}
+	return p
+}
+
+// progress returns the progress of the task in the form that is stored.
+func (t *task) progress() works.TaskProgress {
+	p := works.TaskProgress{
+		Occurrence: t.step.occurrence, Step: t.step.number, Index: t.name.Index,
+		Done: t.done, Failed: t.failedRuns, Run: t.lastRun, Checkpoint: t.checkpoint,
+	}
+	if t.current != nil {
+		p.Run, p.Worker = t.current.number, t.current.worker.id()
 	}
 	return p
 }
@@ -182,6 +172,7 @@
 		}
 	}
 	maps.DeleteFunc(workers, func(t *task, _ string) bool { return t.done })
+	j.closeFinished()
 	return workers
 }
 
@@ -191,6 +182,7 @@
 	j.started = j.started || p.Started
 	var chunks chunkSet
 	for _, tp := range p.Tasks {
+		j.openOccurrence(tp.Occurrence)
 		s := j.step(tp.Occurrence, tp.Step)
 		if s == nil || tp.Index < 0 || tp.Index >= len(s.tasks) {
 			continue
--- a/core/cell/runtimemodel.go
+++ b/core/cell/runtimemodel.go
@@ -87,14 +87,12 @@
 	return defaultRunTime
 }
 
-// criticalPath returns the expected time of the longest chain of dependent steps
-// of the job's first occurrence that are not done.
+// criticalPath returns the expected time of the longest chain of dependent steps that are not
+// done, of the job's first open occurrence.
 func (c *Cell) criticalPath(j *job) time.Duration {
-	n := len(j.Spec.Steps)
 	var longest time.Duration
-	ends := make([]time.Duration, n)
-	for i := range n {
-		s := j.steps[i]
+	ends := make([]time.Duration, len(j.Spec.Steps))
+	for i, s := range j.firstSteps() {
 		var before time.Duration
 		for _, a := range s.DependsOn {
 			before = max(before, ends[a])
--- a/core/cell/waiting.go
+++ b/core/cell/waiting.go
@@ -205,7 +205,7 @@
 		return []waitGroup{{job: j, since: j.endedAt, count: 1}}
 	}
 	var groups []waitGroup
-	mayProceed := false
+	mayProceed := j.occurrences.next < j.Spec.Occurrences()
 	for _, s := range j.steps {
 		if s.remaining == 0 {
 			continue
--- a/core/works/spec.go
+++ b/core/works/spec.go
@@ -11,8 +11,8 @@
 	MaxSteps = 64
 	// MaxTasks is the maximum number of tasks of a step.
 	MaxTasks = 4096
-	// MaxJobTasks is the maximum number of tasks of all occurrences of a job, each of
-	// which its owner holds in memory.
+	// MaxJobTasks is the maximum number of tasks of all occurrences of a job, the progress of
+	// each of which is stored. Its owner holds those of the present occurrences in memory.
 	MaxJobTasks = 1 << 16
 	// MaxSpan is the longest time between the first and the last occurrence.
 	MaxSpan = 20 * 365 * 24 * time.Hour
