A pool takes as many jobs as its owner can hold

Jobs of thousands of tasks that are due at once do what scheduled jobs did: their owner, and each next one, needs more memory than it has, is killed and loads them again. Nothing bounded the jobs of a pool.

The owner tells in its renewals how much memory its unfinished jobs need (cell.Footprint: 240 bytes a task that is due, 300 a step, 1.2 KB a job). Entries reject a job that would exceed 32 MB of a pool at once, with 429, not run, and a Retry-After after the work that is left; core/intake decides. A job that was accepted before is answered as such. Renewals of older programs reject nothing.

TestGate, TestGatesOfManyEntries, TestFootprintIsTheMemoryOfJobs, TestJobsBeyondTheMemoryOfAPoolAreRejected, TestRenewalsOfAnOlderProgramRejectNothing.

--- a/cmd/bramleyrock/soak_test.go
+++ b/cmd/bramleyrock/soak_test.go
@@ -103,6 +103,8 @@
 	group   *group.Group
 	binary  string
 	faults  []fault
+	// extraSettings is added to the settings of each entry.
+	extraSettings string
 	// unhealthy tells that a worker refuses orders for good.
 	unhealthy bool
 
@@ -213,7 +215,7 @@
 	link, err := relay.New(s.p.StoreAddress())
 	assert.NilError(s.t, err)
 	front := freePort(s.t)
-	text := strings.Replace(s.p.Settings(name, "127.0.0.1", front, freePort(s.t)), s.p.StoreAddress(), link.Address(), 1)
+	text := strings.Replace(s.p.Settings(name, "127.0.0.1", front, freePort(s.t)), s.p.StoreAddress(), link.Address(), 1) + s.extraSettings
 	path := filepath.Join(dir, name+".conf")
 	assert.NilError(s.t, os.WriteFile(path, []byte(text), 0o600))
 	log, err := os.Create(filepath.Join(dir, name+".log"))
--- a/core/cell/load.go
+++ b/core/cell/load.go
@@ -19,6 +19,8 @@
 	// with fewer, some tasks could not run although resources are free. It is 0 if the
 	// sum of the tasks' needs tells how many hosts the cell needs.
 	MinHosts int
+	// HeldBytes is the memory of the unfinished jobs in bytes; see [Footprint].
+	HeldBytes int64
 	// ArrivalRate is the recent mean arrival rate of work, in core-seconds per
 	// second.
 	ArrivalRate float64
@@ -26,7 +28,7 @@
 
 // Load returns the cell's load.
 func (c *Cell) Load(now time.Time) Load {
-	l := Load{WaitingJobs: map[string]int{}}
+	l := Load{WaitingJobs: map[string]int{}, HeldBytes: c.heldBytes()}
 	var ready, persistent float64
 	for _, j := range c.jobs {
 		if j.state.Ended() {
--- a/io/site/commit.go
+++ b/io/site/commit.go
@@ -148,7 +148,7 @@
 	sinceSurge, surged := o.activity.SinceSurge(now)
 	return renewal{
 		HasLoad: true, WaitingJobs: l.WaitingJobs, RemainingWork: l.RemainingWork, Cores: l.Cores,
-		RequiredCores: l.RequiredCores, RetainedCores: l.RetainedCores, MinHosts: l.MinHosts, SpareHosts: o.spareHosts,
+		RequiredCores: l.RequiredCores, RetainedCores: l.RetainedCores, MinHosts: l.MinHosts, SpareHosts: o.spareHosts, HeldBytes: l.HeldBytes,
 		SinceSurgeMS: sinceSurge.Milliseconds(), SurgeKnown: surged, Record: r,
 	}
 }
--- a/io/site/follow.go
+++ b/io/site/follow.go
@@ -359,6 +359,7 @@
 				v.challenger.ObserveRenewal(now, home, latest.Record, r.Version())
 				if latest.HasLoad && !v.renewal.Record.NewerThan(latest.Record) {
 					v.renewal, v.renewalAt = latest, now
+					v.gate.Observe(latest.HeldBytes)
 				}
 			})
 		}
--- a/io/site/jobs.go
+++ b/io/site/jobs.go
@@ -105,6 +105,9 @@
 	if err != nil {
 		return rock.Fail("submit", "job "+id, rock.BadInput, rock.NotRun).Because(err)
 	}
+	if accepted, err := s.checkRoom(ctx, q, id, &spec); accepted || err != nil {
+		return err
+	}
 	version, attempts, err := s.acceptJob(ctx, started, q, id, value)
 	took := s.now().Sub(started)
 	s.meters.submitTime.RecordDuration(took)
--- a/io/site/renewal.go
+++ b/io/site/renewal.go
@@ -30,6 +30,8 @@
 	MinHosts int `cbor:"11,keyasint,omitempty"`
 	// SpareHosts is the number of hosts that could leave the pool now.
 	SpareHosts int `cbor:"5,keyasint,omitempty"`
+	// HeldBytes is the memory of the cell's unfinished jobs in bytes.
+	HeldBytes int64 `cbor:"13,keyasint,omitempty"`
 	// SinceSurgeMS is the time since the pool's last surge in milliseconds. If
 	// SurgeKnown is false, no surge is known and it is the time for which the pool
 	// has been observed.
--- a/io/site/view.go
+++ b/io/site/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	rock "bramleyrock"
+	"bramleyrock/core/intake"
 	"bramleyrock/core/tenure"
 	"bramleyrock/core/works"
 )
@@ -44,7 +45,9 @@
 	// renewal is the newest renewal that contains the cell's load.
 	renewal   renewal
 	renewalAt time.Time
-	owned     bool
+	// gate decides whether jobs of the cell are accepted.
+	gate  intake.Gate
+	owned bool
 	// readingHomes is true while unknown homes are read. homesReadAt is when the last
 	// such read began.
 	readingHomes bool
