--- a/core/cell/export_test.go
+++ b/core/cell/export_test.go
@@ -46,6 +46,12 @@
 	return w == nil || !w.usable(now) || w.atTaskLimit(now) || c.isReserved(w)
 }
 
+// AtTaskLimit reports whether the worker is ejected or returning, and has as many tasks as it may have.
+func (c *Cell) AtTaskLimit(now time.Time, id string) bool {
+	w := c.workers[id]
+	return w == nil || w.atTaskLimit(now)
+}
+
 // HasRuns reports whether a task of the job has a run, which may be about to begin or to end.
 func (c *Cell) HasRuns(id string) bool {
 	j := c.jobs[id]
--- a/core/cell/occurrence_test.go
+++ b/core/cell/occurrence_test.go
@@ -107,7 +107,8 @@
 				}
 				o.HandleReply(o.now, order, rock.Reply{Clock: o.clock()}, nil)
 			}
-			for !o.rows.store(t, o.harness).Complete() {
+			for complete := false; !complete; {
+				complete = o.rows.store(t, o.harness).Complete()
 			}
 		}
 	}
