A shortage counts the room that is kept for reservations

A round remembers what no worker has room for, and spares the search for every other task that needs as much. A reserved worker with some free resources counted as room, so that each of the waiting tasks that the picker does not serve searched all workers, round after round.

Room that is kept for a reservation counts as none now, as when reserved workers were left out of the list. No placement changes.

--- a/core/cell/bench_test.go
+++ b/core/cell/bench_test.go
@@ -107,3 +107,30 @@
 		h.Decide(h.now)
 	}
 }
+
+// BenchmarkDecideBesideRoomyReservations measures a decision while workers with some room are reserved
+// for persistent tasks, and tasks that the picker does not serve wait for that room.
+func BenchmarkDecideBesideRoomyReservations(b *testing.B) {
+	h := newHarness(&testing.T{}, 400, nil)
+	for range 40 {
+		h.flush()
+	}
+	full, waits := step(8), step(8)
+	full.Need.MilliCores, waits.Need.MilliCores = 1200, 350 // 400 of 4000 stay free on each worker
+	waits.MaxPerWorker = 1
+	for i := range 150 {
+		h.AddJob(h.now, job(fmt.Sprintf("%016x", i), full), 9)
+	}
+	h.startTasks()
+	for i := range 400 {
+		h.AddJob(h.now, job(fmt.Sprint("lasting", i), persistentStep(1, 0, 3900)), 9)
+	}
+	for i := range 300 {
+		h.AddJob(h.now, job(fmt.Sprintf("%016x", 1000+i), waits), 9)
+	}
+	h.Decide(h.now)
+	for b.Loop() {
+		h.advance(time.Microsecond)
+		h.Decide(h.now)
+	}
+}
--- a/core/cell/closing.go
+++ b/core/cell/closing.go
@@ -54,7 +54,7 @@
 func (c *Cell) chooseAvoided(now time.Time, t *task) *worker {
 	if c.mayUseAvoided(now, t) {
 		avoided := c.avoidedWorkers(now)
-		w, roomy := c.searchUnlessShort(now, t, avoided, &c.avoidedShortage, c.mayRun)
+		w, roomy := c.searchUnlessShort(now, t, avoided, &c.avoidedShortage, keepsNothing)
 		if w != nil || !roomy {
 			return w
 		}
@@ -66,6 +66,9 @@
 	return nil
 }
 
+// keepsNothing tells that no free resources of a worker are kept for another task.
+func keepsNothing(rock.Resources, *worker) bool { return false }
+
 // avoidedWorkers returns the workers on which a task that may use avoided ones may be placed.
 func (c *Cell) avoidedWorkers(now time.Time) []*worker {
 	if c.avoided == nil {
--- a/core/cell/shortage.go
+++ b/core/cell/shortage.go
@@ -23,24 +23,22 @@
 	if c.picker.serves(t) {
 		return c.picker.choose(t)
 	}
-	w, _ := c.searchUnlessShort(now, t, usable, &c.shortage, c.mayPlace)
+	w, _ := c.searchUnlessShort(now, t, usable, &c.shortage, c.delaysReservation)
 	return w
 }
 
-// mayTake reports whether a worker may be given a task of a step, which needs the given resources.
-type mayTake func(now time.Time, s *step, need rock.Resources, w *worker) bool
-
-// searchUnlessShort returns the worker for a task among those that may be given it, or nil if there
-// is none, and whether a worker has room for it. It does not search if the shortage tells that none has.
-func (c *Cell) searchUnlessShort(now time.Time, t *task, workers []*worker, known *shortage, may mayTake) (chosen *worker, roomy bool) {
+// searchUnlessShort returns the worker for a task, or nil if there is none, and whether a worker has
+// room for it. It does not search if the shortage tells that none has. A worker has no room for a
+// task if its free resources are kept.
+func (c *Cell) searchUnlessShort(now time.Time, t *task, workers []*worker, known *shortage, kept func(need rock.Resources, w *worker) bool) (chosen *worker, roomy bool) {
 	need := t.step.Reservation()
 	if known.covers(need) {
 		return nil, false
 	}
-	if w := c.cheapestWorker(now, t, workers, func(w *worker) bool { return may(now, t.step, need, w) }); w != nil {
+	if w := c.cheapestWorker(now, t, workers, func(w *worker) bool { return !kept(need, w) && c.mayRun(now, t.step, need, w) }); w != nil {
 		return w, true
 	}
-	if slices.ContainsFunc(workers, func(w *worker) bool { return w.freeResources().CanFit(need) }) {
+	if slices.ContainsFunc(workers, func(w *worker) bool { return w.freeResources().CanFit(need) && !kept(need, w) }) {
 		return nil, true
 	}
 	*known = append(*known, need)
