--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -140,6 +140,7 @@
 	server     *http.Server
 	lastChange time.Time
 	lapsedAt   time.Time
+	grey       bool
 	// delay is how late orders are carried out without an answer, and delayShare their percentage.
 	delay      time.Duration
 	delayShare int
@@ -423,6 +424,7 @@
 	if s.Gang {
 		r.fails = j.failed[gangPrefix(o.Task)] < j.fails && strings.HasSuffix(o.Task, ".0")
 	}
+	r.fails = r.fails || k.grey
 	if s.Checkpoints && o.LastCheckpoint != "" {
 		var ms int64
 		_, _ = fmt.Sscanf(o.LastCheckpoint, "c%d", &ms)
