--- a/review/stand3/ejected.go
+++ b/review/stand3/ejected.go
@@ -40,6 +40,9 @@
 			return 2
 		}
 	}
+	if !w.ready() {
+		return 2
+	}
 	time.Sleep(3 * time.Second)
 	begun := time.Now()
 	go func() {
--- a/review/stand3/entries.go
+++ b/review/stand3/entries.go
@@ -30,6 +30,9 @@
 			return 2
 		}
 	}
+	if !w.ready() {
+		return 2
+	}
 	time.Sleep(4 * time.Second)
 	until := time.Now().Add(30 * time.Second)
 	go func() {
--- a/review/stand3/labels.go
+++ b/review/stand3/labels.go
@@ -28,6 +28,9 @@
 			return 2
 		}
 	}
+	if !w.ready() {
+		return 2
+	}
 	time.Sleep(3 * time.Second)
 	until := time.Now().Add(50 * time.Second)
 	go func() {
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -14,6 +14,9 @@
 	"bramleyrock/platform/stand"
 )
 
+// maxTime is the longest time of a case, below the 120 s that a script may take.
+const maxTime = 110 * time.Second
+
 func main() {
 	name := flag.String("case", "mix", "case to play")
 	seed := flag.Uint64("seed", 1, "seed")
@@ -35,12 +38,22 @@
 		os.Exit(2)
 	}
 	w.kinds, w.length = *kinds, *length
-	code := c(w, *trouble)
-	for _, b := range w.broken {
+	ended := make(chan int, 1)
+	go func() { ended <- c(w, *trouble) }()
+	var code int
+	select {
+	case code = <-ended:
+	case <-time.After(maxTime):
+		code = 2
+	}
+	w.mu.Lock()
+	broken := slices.Clone(w.broken)
+	w.mu.Unlock()
+	for _, b := range broken {
 		fmt.Println(b)
 	}
 	w.close()
-	if code == 0 && slices.ContainsFunc(w.broken, func(b string) bool { return strings.HasPrefix(b, *rule) }) {
+	if code == 0 && slices.ContainsFunc(broken, func(b string) bool { return strings.HasPrefix(b, *rule) }) {
 		code = 1
 	}
 	if *keep {
@@ -127,6 +140,9 @@
 			return 2
 		}
 	}
+	if !w.ready() {
+		return 2
+	}
 	time.Sleep(2 * time.Second)
 	until := time.Now().Add(w.length)
 	jobs := make(chan *job, 10000)
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -676,7 +676,8 @@
 func (w *world) addEntry(name string) (*entry, error) {
 	var ip string
 	for {
-		ip = fmt.Sprintf("127.%d.%d.%d", 1+w.random.IntN(250), w.random.IntN(250), 2+w.random.IntN(250))
+		// Not by the seed: several worlds may run at a time.
+		ip = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 2+rand.IntN(250))
 		l, err := net.Listen("tcp4", ip+":7060")
 		if err == nil {
 			_ = l.Close()
@@ -703,6 +704,31 @@
 	return e, e.start()
 }
 
+// ready waits until all entries are ready, and reports whether they are.
+func (w *world) ready() bool {
+	for _, e := range w.entries {
+		address := strings.TrimSuffix(e.front, "8624") + "8622"
+		for until := time.Now().Add(8 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+			select {
+			case <-e.ended:
+				return false
+			default:
+			}
+			resp, err := http.Get("http://" + address + "/-/readyz")
+			if err == nil {
+				_ = resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(until) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // start starts the process with the command of the deploy file.
 func (e *entry) start() error {
 	c := exec.Command(e.world.binary, "hosted")
